--- /dev/null
+++ b/internal/benchwire/fields.go
@@ -0,0 +1,112 @@
+package benchwire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"weirwind/logic"
+)
+
+// fields is one line taken apart. The first value that is missing or malformed stays in err.
+type fields struct {
+	name  string
+	pairs []pair
+	err   error
+}
+
+type pair struct{ key, value string }
+
+// split takes a line apart; 'setup' and 'line' are text and reach to its end.
+func split(text string) (fields, error) {
+	name, rest, _ := strings.Cut(text, " ")
+	f := fields{name: name}
+	for rest != "" {
+		key, after, ok := strings.Cut(rest, "=")
+		if !ok || key == "" || strings.Contains(key, " ") {
+			return f, fmt.Errorf("%s: not a name=value part: %.60q", name, rest)
+		}
+		value := after
+		rest = ""
+		if key != "setup" && key != "line" {
+			value, rest, _ = strings.Cut(after, " ")
+		}
+		f.pairs = append(f.pairs, pair{key, value})
+	}
+	return f, nil
+}
+
+func (f *fields) get(key string) string {
+	for _, p := range f.pairs {
+		if p.key == key {
+			return p.value
+		}
+	}
+	return ""
+}
+
+func (f *fields) need(key string) string {
+	v := f.get(key)
+	if v == "" {
+		f.fail("%s lacks %s", f.name, key)
+	}
+	return v
+}
+
+func (f *fields) fail(format string, args ...any) {
+	if f.err == nil {
+		f.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (f *fields) num(key string) float64 {
+	f.need(key)
+	return f.opt(key)
+}
+
+// opt reads a number that may be left out, in whole or fractional form.
+func (f *fields) opt(key string) float64 {
+	v := f.get(key)
+	if v == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		f.fail("%s: %s is not a number: %q", f.name, key, v)
+	}
+	return n
+}
+
+func (f *fields) flag(key string) bool { return f.opt(key) != 0 }
+
+func (f *fields) outcome() logic.Outcome {
+	o, ok := outcomes[f.need("result")]
+	if !ok {
+		f.fail("%s has the unknown result %q", f.name, f.get("result"))
+	}
+	return o
+}
+
+// report reads the load report, skipping values that the module has no use for.
+func (f *fields) report() logic.Report {
+	var r logic.Report
+	text := f.get("usage")
+	for text != "" {
+		var item string
+		item, text, _ = strings.Cut(text, ",")
+		name, value, _ := strings.Cut(item, ":")
+		if name != "x0" && name != "x1" {
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			f.fail("%s: report value %s is not a number: %q", f.name, name, value)
+		}
+		if name == "x0" {
+			r.HasPosition, r.Position = true, n*1000
+		} else {
+			r.HasRole, r.Primary = true, n == 1
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/benchwire/opening.go
@@ -0,0 +1,135 @@
+package benchwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"weirwind/logic"
+)
+
+// setup is the part of the opening JSON that the module is told of; other keys are skipped.
+type setup struct {
+	Index    int    `json:"index"`
+	Siblings int    `json:"siblings"`
+	Zone     string `json:"zone"`
+	Tick     float64
+	Profiles []struct {
+		Name      string
+		Aim       float64
+		Deadline  float64
+		Effect    string
+		KeyScope  string `json:"key_scope"`
+		Window    float64
+		Points    float64
+		LateWorth float64 `json:"late_worth"`
+	}
+	Family struct {
+		Checks       string
+		Needs        []string  `json:"needs_by_class"`
+		OldestData   []float64 `json:"oldest_data"`
+		PositionZero float64   `json:"position_zero"`
+		ShowsRole    string    `json:"shows_role"`
+		Stamps       bool
+		WriteMarks   string `json:"write_marks"`
+	} `json:"family_info"`
+	Limits struct {
+		Cancel         bool
+		ConnectTimeout float64 `json:"connect_timeout"`
+		MayProbe       bool    `json:"may_probe"`
+		ParallelTries  bool    `json:"parallel_tries"`
+		Peers          bool
+		RetryAfter     bool    `json:"retry_after"`
+		MaxRetryAfter  float64 `json:"max_retry_after"`
+		SendCap        int     `json:"send_cap"`
+	} `json:"policy_limits"`
+	Registry string `json:"registry_mode"`
+	Report   struct {
+		Fields []string
+		Source string
+	}
+	Rules struct {
+		Cold             float64
+		ColdFrom         float64 `json:"cold_from"`
+		Fall             float64
+		TipMultiple      float64 `json:"tip_multiple"`
+		StopSending      float64 `json:"stop_sending_within"`
+		OnlyDrainingBind bool    `json:"only_draining_binds"`
+	}
+}
+
+var (
+	needs = map[string]logic.Need{"eventual": logic.Any, "lag_bound": logic.Bounded,
+		"causal": logic.Session, "strong": logic.Fresh, "mutate": logic.Write}
+	effects = map[string]logic.Effect{"repeatable": logic.Retryable, "by_key": logic.Tokened,
+		"once": logic.NonRetryable}
+	scopes = map[string]logic.Scope{"": logic.ScopeAll, "all": logic.ScopeAll, "zone": logic.ScopeZone,
+		"cell": logic.ScopeGroup}
+	checks = map[string]logic.Checks{"": logic.ChecksNone, "silent": logic.ChecksNone,
+		"bounce": logic.ChecksRefuse, "await": logic.ChecksWait}
+	listRoles = map[string]logic.ListRole{"": logic.RoleNone, "silent": logic.RoleNone,
+		"static": logic.RoleAtStart, "trailing": logic.RoleLate}
+)
+
+// word looks a setting's word up and names the setting when the word is not one of the wire's.
+func word[T any](table map[string]T, s, setting string) (T, error) {
+	v, ok := table[s]
+	if !ok {
+		return v, fmt.Errorf("setup: %s has the unknown word %q", setting, s)
+	}
+	return v, nil
+}
+
+// parseOpening turns the wire's opening JSON into the module's opening and the index of op types by name.
+func parseOpening(text string, seed uint64) (*logic.Opening, map[string]int, error) {
+	var s setup
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		return nil, nil, fmt.Errorf("setup: %v", err)
+	}
+	if len(s.Family.Needs) != len(s.Profiles) {
+		return nil, nil, fmt.Errorf("setup: %d profiles but %d needs_by_class", len(s.Profiles), len(s.Family.Needs))
+	}
+	o := &logic.Opening{
+		Seed: seed, Index: s.Index, Drivers: s.Siblings, Zone: s.Zone, Tick: ms(s.Tick),
+		Positions: s.Family.Stamps, SessionCarried: s.Family.WriteMarks == "brought",
+		PositionZero: ms(s.Family.PositionZero), ListOnRequest: s.Registry == "on_request",
+		MayProbe: s.Limits.MayProbe, MayCancel: s.Limits.Cancel, MayMessage: s.Limits.Peers,
+		MayOverlap: s.Limits.ParallelTries, MayAdviseRetry: s.Limits.RetryAfter,
+		MaxRetryAfter: ms(s.Limits.MaxRetryAfter), SendCap: s.Limits.SendCap,
+		ColdFrom: s.Rules.ColdFrom, ColdFor: ms(s.Rules.Cold), FallMultiple: s.Rules.TipMultiple,
+		FallSpan: ms(s.Rules.Fall), DrainGrace: ms(s.Rules.StopSending),
+		OnlyDrainBinds: s.Rules.OnlyDrainingBind, ConnectTimeout: ms(s.Limits.ConnectTimeout),
+		MaxMessageBytes: maxMessage,
+	}
+	for _, f := range s.Report.Fields {
+		if f == "x1" && s.Report.Source != "silent" {
+			o.ReportsByProbe = true
+		}
+	}
+	var err error
+	if o.Checks, err = word(checks, s.Family.Checks, "checks"); err != nil {
+		return nil, nil, err
+	}
+	if o.ListRole, err = word(listRoles, s.Family.ShowsRole, "shows_role"); err != nil {
+		return nil, nil, err
+	}
+	names := map[string]int{}
+	for i, p := range s.Profiles {
+		t := logic.OpType{Name: p.Name, Window: ms(p.Window), LatencyTarget: ms(p.Aim),
+			OpTimeout: ms(p.Deadline), Value: p.Points, LateValue: p.LateWorth}
+		if t.Need, err = word(needs, s.Family.Needs[i], "needs_by_class"); err != nil {
+			return nil, nil, err
+		}
+		if t.Effect, err = word(effects, p.Effect, "effect"); err != nil {
+			return nil, nil, err
+		}
+		if t.Scope, err = word(scopes, p.KeyScope, "key_scope"); err != nil {
+			return nil, nil, err
+		}
+		if i < len(s.Family.OldestData) {
+			t.MaxAge = ms(s.Family.OldestData[i])
+		}
+		o.OpTypes = append(o.OpTypes, t)
+		names[p.Name] = i
+	}
+	return o, names, nil
+}
