Give each member a window and pause after full replies

A window per member (own sends out) follows the share of slow answers; ops without room wait at the driver and are refused when no answer could earn anything. Cold budget now counts answered work only.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,8 +34,11 @@
 	trialMost    = 2000.0
 	lateShare    = 0.5  // of the latency target: a send this old may get a second copy
 	copyShare    = 0.05 // second copies for lateness, per op
-	startWindow  = 4.0  // sends out at a member that starts slowly; grows by one an answer
-	fullWindow   = 64.0
+	startWindow  = 4.0  // sends that may be out at a member that has just come to its place
+	slowShare    = 0.6  // of the latency target: an answer that took longer counts as slow
+	slowLimit    = 0.2  // share of slow answers from which a member's window shrinks
+	shrink       = 0.85
+	headroom     = 0.5 // share of its window up to which a primary takes other reads
 	coldShare    = 0.6 // of the budget that a cold member can bear
 	strainFree   = 0.15
 	strainSlope  = 1.2
@@ -45,65 +48,50 @@
 )
 
 type opKind struct {
-	need   Need
-	maxAge float64
-	effect Effect
-	scope  Scope
-	window float64
-	target float64
-	took   float64 // smoothed time of good answers
-	value  float64
+	need                  Need
+	effect                Effect
+	scope                 Scope
+	maxAge, window        float64
+	target, value, lateBy float64 // lateBy: the share of value that a late answer earns
+	took                  float64 // smoothed time of good answers
 }
 
 type group struct {
-	id        int64
-	members   []*member
-	slot      *member // the writer slot: the believed primary, nil while empty
-	seen      float64 // time of the newest evidence that filled the slot
-	emptied   float64
-	last      *member // who was in the slot when it was emptied
-	silent    bool    // emptied by silence or a dead connection, not by the member's own word
-	live      []*op   // unfinished ops in order of arrival
-	held      int
-	probeAt   float64
-	trial     *op // a held write out at a member whose role is not known
-	work      float64
-	rate      float64 // own work sent, in ms of usual time a ms
-	strain    float64 // share of plain reads answered late
-	forgotten float64 // commits up to here may have left the sessions' memory
-	sessions  map[int64]float64
-	older     map[int64]float64
+	id              int64
+	members         []*member
+	slot            *member // the writer slot: the believed primary, nil while empty
+	last            *member // who was in the slot when it was emptied
+	seen            float64 // time of the newest evidence that filled the slot
+	emptied         float64
+	silent          bool  // emptied by silence or a dead connection, not by the member's own word
+	live            []*op // unfinished ops in order of arrival
+	held            int
+	probeAt         float64
+	trial           *op     // a held write out at a member whose role is not known
+	work, rate      float64 // own work answered: since the last sweep, and smoothed, in usual ms a ms
+	strain          float64 // share of reads that came too late for want of room
+	forgotten       float64 // commits up to here may have left the sessions' memory
+	sessions, older map[int64]float64
 }
 
 type member struct {
-	id        string
-	hash      uint32
-	group     *group
-	far       bool
-	zone      string
-	started   float64
-	draining  bool
-	gone      bool
-	listed    bool // the list called it primary
-	position  float64
-	inFlight  int
-	heard     float64 // last word of any kind
-	owed      float64 // unanswered time of sends that ended without a word, in usual times
-	quiet     float64
-	longest   float64
-	errors    float64
-	slow      float64 // its times over the usual ones
-	aside     bool
-	asideAt   float64
-	backAt    float64
-	pause     float64
-	trialAt   float64
-	window    float64 // slow start; 0 when over
-	credit    float64 // work that a cold member may still get
-	creditAt  float64
-	replicaAt float64 // when it last said it is a replica
-	news      bool    // something to tell peers
-	good      bool
+	id, zone               string
+	hash                   uint32
+	group                  *group
+	far                    bool
+	started                float64
+	draining, gone, listed bool    // listed: the list calls it primary
+	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
+	inFlight               int
+	heard, owed            float64 // last word of any kind; unanswered time since then of sends that ended, in usual times
+	quiet, longest         float64 // the same with the sends that are out; the longest of those
+	errors, slow, late     float64 // smoothed: share of errors, times over the usual ones, share of slow answers
+	aside                  bool
+	asideAt, backAt        float64
+	pause, trialAt         float64
+	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
+	credit, creditAt       float64 // work that a cold member may still get
+	news, good             bool    // what peers may be told
 }
 
 type send struct {
@@ -114,58 +102,42 @@
 }
 
 type op struct {
-	id      string
-	kind    *opKind
-	group   *group
-	session int64
-	arrived float64
-	until   float64 // its final answer is due by then
-	needPos float64 // a session read's position
-	sends   []send
-	held    bool
-	done    bool
-	plain   bool // neither held nor sent twice
-	missed  bool // a replica was too far behind for it
+	id             string
+	kind           *opKind
+	group          *group
+	session        int64
+	arrived, until float64 // its final answer is due by until
+	needPos        float64 // a session read's position
+	sends          []send
+	held, done     bool
+	stalled        bool // it waited for a primary or a position, not for room
+	missed         bool // a replica was too far behind for it
 }
 
 // Driver decides for one driver.
 type Driver struct {
-	now       float64
-	out       []Action
-	state     uint64
-	types     []*opKind
-	members   map[string]*member
-	byHash    map[uint32]*member
-	groups    []*group
-	groupOf   map[int64]*group
-	ops       map[string]*op
-	spare     float64 // second copies that may be sent
-	zone      string
-	zero      float64
-	sweepGap  float64
-	margin    float64
-	swept     float64
-	checks    bool
-	roleLate  bool
-	positions bool
-	carried   bool
-	reports   bool
-	probes    bool
-	cancels   bool
-	overlap   bool
-	advise    float64
-	sendCap   int
-	coldFrom  float64
-	coldFor   float64
-	coldPace  float64 // multiple of its capacity that a cold member is sent at most
-	coldSpan  float64
-	drainOnly bool
-	tellEvery float64 // 0: no messages
-	tellAt    float64
-	tellMost  int
-	watching  bool
-	watchAt   float64
-	watchWait float64
+	now                       float64
+	out                       []Action
+	state                     uint64
+	types                     []*opKind
+	members                   map[string]*member
+	byHash                    map[uint32]*member
+	groups                    []*group
+	groupOf                   map[int64]*group
+	ops                       map[string]*op
+	spare                     float64 // second copies that may be sent
+	zone                      string
+	zero                      float64
+	sweepGap, margin, swept   float64
+	checks, roleLate, carried bool
+	reports, cancels, overlap bool
+	drainOnly, watching       bool
+	advise                    float64
+	sendCap, tellMost         int
+	coldFrom, coldFor         float64
+	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
+	tellEvery, tellAt         float64 // 0: no messages
+	watchAt, watchWait        float64
 }
 
 // Step takes what happened at now and returns what is to be done.
@@ -209,8 +181,8 @@
 	*d = Driver{now: d.now, out: d.out, state: p.Seed, zone: p.Zone, zero: p.PositionZero, swept: d.now,
 		members: map[string]*member{}, byHash: map[uint32]*member{}, groupOf: map[int64]*group{},
 		ops: map[string]*op{}, sweepGap: max(p.Tick, 4), checks: p.Checks != ChecksNone,
-		roleLate: p.ListRole == RoleLate, positions: p.Positions, carried: p.SessionCarried,
-		reports: p.ReportsByProbe && p.MayProbe, probes: p.MayProbe, cancels: p.MayCancel,
+		roleLate: p.ListRole == RoleLate, carried: p.SessionCarried,
+		reports: p.ReportsByProbe && p.MayProbe, cancels: p.MayCancel,
 		overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), coldFrom: p.ColdFrom, coldFor: p.ColdFor,
 		coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan, drainOnly: p.OnlyDrainBinds,
 		tellMost: p.MaxMessageBytes / entryBytes, watching: p.ListOnRequest}
@@ -222,7 +194,8 @@
 	bound := math.Inf(1)
 	for _, t := range p.OpTypes {
 		d.types = append(d.types, &opKind{need: t.Need, maxAge: t.MaxAge, effect: t.Effect, scope: t.Scope,
-			window: t.Window, target: t.LatencyTarget, took: t.LatencyTarget / 3, value: t.Value})
+			window: t.Window, target: t.LatencyTarget, lateBy: t.LateValue,
+			took: t.LatencyTarget / 3, value: t.Value})
 		if t.Need == Bounded {
 			bound = min(bound, t.MaxAge)
 		}
@@ -273,7 +246,7 @@
 			h := fnv.New32a()
 			h.Write([]byte(e.Member))
 			m = &member{id: e.Member, hash: h.Sum32(), group: d.groupAt(e.Group), position: -1, slow: 1,
-				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1)}
+				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1), window: 2 * startWindow}
 			m.zone, m.far = e.Zone, e.Zone != d.zone
 			d.members[e.Member] = m
 			m.group.members = append(m.group.members, m)
@@ -329,7 +302,7 @@
 func (d *Driver) take(ev *Event) {
 	k := d.types[ev.OpType]
 	g := d.groupAt(ev.Group)
-	o := &op{id: ev.Op, kind: k, group: g, session: ev.Session, arrived: d.now, plain: true}
+	o := &op{id: ev.Op, kind: k, group: g, session: ev.Session, arrived: d.now}
 	o.until = d.now + max(ev.Left-d.margin, 0)
 	if k.need == Session {
 		o.needPos = -1
@@ -390,16 +363,17 @@
 	if o.kind.need >= Fresh {
 		to = g.slot
 	} else {
-		to = d.replica(o)
-		if to == nil && d.checks && !o.missed {
+		var fresh bool
+		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
 			to = d.advanced(o)
 		}
-		if to == nil && g.slot != nil && !(g.slot.aside && o.isOut()) {
-			to = g.slot
+		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom) {
+			to = p
 		}
-		if to == nil && o.kind.need == Any {
+		if to == nil && !fresh && o.kind.need == Any {
 			to = d.anyone(o)
 		}
+		o.stalled = o.stalled || to == nil && !fresh
 	}
 	if to != nil && d.allowed(o, to) && d.admits(to, o.kind) {
 		d.send(o, to)
@@ -410,7 +384,7 @@
 
 // hold keeps an op until the slot is filled, a replica is fresh enough or a member admits it.
 func (d *Driver) hold(o *op) {
-	o.held, o.plain = true, false
+	o.held = true
 	o.group.held++
 	if o.group.held > heldCap {
 		d.finish(o)
@@ -432,30 +406,31 @@
 
 // replica is the companion rule: among the replicas fresh enough, the one with fewest own sends in flight,
 // a cold one counting as smaller. Distance and slowness only tip near ties. A member set aside gets one
-// trial when its pause is over, by a read that may run again elsewhere.
-func (d *Driver) replica(o *op) *member {
+// trial when its pause is over, by a read that may run again elsewhere. It also says whether any was fresh.
+func (d *Driver) replica(o *op) (*member, bool) {
 	var best *member
-	least := math.Inf(1)
+	least, fresh := math.Inf(1), false
 	for _, m := range o.group.members {
-		if m == o.group.slot || m.draining || o.triedAt(m) || !d.admits(m, o.kind) {
+		if m == o.group.slot || m.draining || o.triedAt(m) {
 			continue
 		}
 		if m.aside {
-			if d.now >= m.trialAt && o.kind.effect == Retryable && !o.isOut() && (d.checks || d.fresh(o, m)) {
+			if d.admits(m, o.kind) && d.now >= m.trialAt && o.kind.effect == Retryable && !o.isOut() && (d.checks || d.fresh(o, m)) {
 				m.pause = min(2*m.pause, trialMost)
 				m.trialAt = d.now + m.pause
-				return m
+				return m, true
 			}
 			continue
 		}
 		if !d.fresh(o, m) {
 			continue
 		}
-		if l := d.load(m); l < least {
+		fresh = true
+		if l := d.load(m); l < least && d.admits(m, o.kind) {
 			best, least = m, l
 		}
 	}
-	return best
+	return best, fresh
 }
 
 func (d *Driver) load(m *member) float64 {
@@ -526,10 +501,11 @@
 	return d.coldFrom + (1-d.coldFrom)*max(age, 0)/d.coldFor
 }
 
-// admits paces a member that starts slowly. For a cold one it is a budget in work, whatever the op: a share
-// of what this driver sends a member on average, so that all drivers together stay under the multiple.
+// admits says whether a member has room: in its window, after its last full reply, and, while it is cold, in
+// its budget. The budget is in work, whatever the op: a share of what this driver has answered by a member
+// on average, so that all drivers together stay under the multiple.
 func (d *Driver) admits(m *member, k *opKind) bool {
-	if m.window > 0 && float64(m.inFlight) >= m.window {
+	if float64(m.inFlight) >= m.window || d.now < m.fullAt {
 		return false
 	}
 	w := d.warmth(m)
@@ -542,6 +518,36 @@
 	return m.credit >= k.took
 }
 
+// pace moves a member's window: up by one a windowful of answers, down when too many of them are slow or the
+// member is full. Guards against queues at members whatever fills them; it could harm where ops of one type
+// turn long by themselves, which costs waiting here instead of there.
+func (d *Driver) pace(m *member, slow bool, full bool) {
+	x := 0.0
+	if slow || full {
+		x = 1
+	}
+	m.late += (x - m.late) * 2 * smooth
+	if full || m.late > slowLimit {
+		if d.now-m.cutAt > d.usual() {
+			m.window, m.cutAt = max(m.window*shrink, 1), d.now
+		}
+	} else if float64(m.inFlight+1) >= m.window*headroom {
+		m.window += 1 / m.window
+	}
+	if full {
+		m.fullAt = d.now + d.usual()*d.chance()
+	}
+}
+
+// usual is the time that a good answer of the quickest op type takes.
+func (d *Driver) usual() float64 {
+	t := math.Inf(1)
+	for _, k := range d.types {
+		t = min(t, k.took)
+	}
+	return t
+}
+
 func (g *group) serving() int {
 	n := 0
 	for _, m := range g.members {
@@ -557,13 +563,9 @@
 		o.held = false
 		o.group.held--
 	}
-	if len(o.sends) > 0 {
-		o.plain = false
-	}
 	o.sends = append(o.sends, send{to: m, at: d.now, open: true})
 	m.inFlight++
 	m.credit -= o.kind.took
-	o.group.work += o.kind.took
 	d.act(Action{Kind: ActSend, Op: o.id, Member: m.id, Wait: o.until + d.margin - d.now})
 }
 
@@ -615,6 +617,8 @@
 		if m.errors > errorLimit && !m.aside {
 			d.setAside(m, false, "errors")
 		}
+	case Full:
+		d.pace(m, false, true)
 	case Miss:
 		if o.kind.need == Write {
 			if m.group.slot == m {
@@ -665,20 +669,13 @@
 	m.slow += (min(took/o.kind.took, 5) - m.slow) * smooth * 3
 	o.kind.took += (took - o.kind.took) * smooth
 	m.news, m.good = true, true
-	if m.window > 0 {
-		if m.window++; m.window > fullWindow {
-			m.window = 0
-		}
-	}
+	o.group.work += o.kind.took
+	d.pace(m, took > slowShare*o.kind.target, false)
 	if m.aside {
 		d.welcome(m, "answers")
 	}
-	if o.plain && o.kind.need != Write && !o.done {
-		late := 0.0
-		if d.now-o.arrived > o.kind.target {
-			late = 1
-		}
-		o.group.strain += (late - o.group.strain) * smooth
+	if !o.done {
+		d.feel(o, d.now-o.arrived > o.kind.target)
 	}
 	if o.kind.need == Write && !d.carried && ev.Position > 0 {
 		g := o.group
@@ -692,6 +689,17 @@
 	}
 }
 
+// feel notes whether a read came too late for want of room.
+func (d *Driver) feel(o *op, late bool) {
+	x := 0.0
+	if late {
+		x = 1
+	}
+	if !o.stalled && o.kind.need != Write {
+		o.group.strain += (x - o.group.strain) * smooth
+	}
+}
+
 // learn takes role and position from an answer. What an answer says is as old as the answer, not its arrival:
 // a primary stands at the present, so its position dates it; without one the time of its send does.
 func (d *Driver) learn(m *member, ev *Event, at float64, write bool) {
@@ -760,7 +768,7 @@
 func (d *Driver) fill(m *member, when float64, by string) {
 	g := m.group
 	if g.slot != nil || g.last != nil {
-		m.window = startWindow // slow start: all drivers let go of their held writes at about the same time
+		m.window = min(m.window, startWindow) // slow start: all drivers let go of their held writes at about the same time
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
 	if m.aside && by != "list" {
@@ -832,7 +840,7 @@
 // welcome takes a member back, slowly.
 func (d *Driver) welcome(m *member, by string) {
 	m.aside, m.backAt, m.errors, m.owed = false, d.now, 0, 0
-	m.window = startWindow
+	m.window = min(m.window, startWindow)
 	m.heard = d.now
 	d.log("group %d: %s is back (%s)", m.group.id, m.id, by)
 }
@@ -919,6 +927,12 @@
 		return
 	}
 	if o.held {
+		k := o.kind
+		if !o.stalled && k.lateBy == 0 && d.now-o.arrived > k.target-k.took/2 {
+			d.feel(o, true)
+			d.finish(o) // no answer could earn anything any more
+			return
+		}
 		d.route(o)
 		if o.held && o.kind.need >= Fresh {
 			d.tryRole(o)
@@ -938,7 +952,8 @@
 	age := d.now - newest
 	if stuck && age >= min(2*o.kind.took, o.kind.target) {
 		d.route(o)
-	} else if o.kind.effect == Retryable && age >= max(lateShare*o.kind.target, 2*o.kind.took) && d.spare >= 1 {
+	} else if o.kind.effect == Retryable && age >= max(lateShare*o.kind.target, 2*o.kind.took) && d.spare >= 1 &&
+		o.group.strain < strainFree {
 		before := len(o.sends)
 		d.route(o)
 		d.spare -= float64(len(o.sends) - before)
@@ -985,7 +1000,7 @@
 		if m == g.slot {
 			limit = silentWrites
 		}
-		if m.quiet >= limit && m.longest >= silentLeast {
+		if m.quiet >= limit*max(m.slow, 1) && m.longest >= silentLeast {
 			d.setAside(m, true, "silent")
 		}
 	}
