--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,11 +32,12 @@
 	errorLimit   = 0.5   // share of errors that sets a member aside
 	trialFirst   = 250.0 // first wait before a member set aside gets a trial
 	trialMost    = 2000.0
-	lateShare    = 0.5  // of the latency target: a send this old may get a second copy
-	copyShare    = 0.05 // second copies for lateness, per op
-	startWindow  = 4.0  // sends that may be out at a member that has just come to its place
-	slowShare    = 0.6  // of the latency target: an answer that took longer counts as slow
-	slowLimit    = 0.2  // share of slow answers from which a member's window shrinks
+	lateShare    = 0.5 // of the latency target: a send this old may get a second copy
+	copyShare    = 0.1 // further sends beside one that is out, per good answer, and how many may be saved up
+	copyMost     = 10.0
+	startWindow  = 4.0 // sends that may be out at a member that has just come to its place
+	easyShare    = 0.5 // of the latency target: a member whose answers take longer on average has too much
+	easyLeast    = 1.5 // but not less than so many times the best smoothed time
 	shrink       = 0.85
 	headroom     = 0.5 // share of its window up to which a primary takes other reads
 	coldShare    = 0.6 // of the budget that a cold member can bear
@@ -44,6 +45,7 @@
 	strainSlope  = 1.2
 	farPenalty   = 0.3 // in sends in flight
 	slowPenalty  = 0.3
+	peerWeight   = 0.3 // of a peer's sends in flight against own ones
 	smooth       = 0.03
 )
 
@@ -53,7 +55,7 @@
 	scope                 Scope
 	maxAge, window        float64
 	target, value, lateBy float64 // lateBy: the share of value that a late answer earns
-	took                  float64 // smoothed time of good answers
+	took, best            float64 // smoothed time of good answers; the same at its lowest, rising slowly
 }
 
 type group struct {
@@ -83,9 +85,11 @@
 	draining, gone, listed bool    // listed: the list calls it primary
 	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
 	inFlight               int
+	busy                   float64 // inFlight, smoothed
+	peers                  []peerLoad
 	heard, owed            float64 // last word of any kind; unanswered time since then of sends that ended, in usual times
 	quiet, longest         float64 // the same with the sends that are out; the longest of those
-	errors, slow, late     float64 // smoothed: share of errors, times over the usual ones, share of slow answers
+	errors, slow, late     float64 // smoothed: share of errors, times over the usual ones, times over the easy ones
 	aside                  bool
 	asideAt, backAt        float64
 	pause, trialAt         float64
@@ -94,6 +98,9 @@
 	news, good             bool    // what peers may be told
 }
 
+// peerLoad is what one peer has in flight at a member.
+type peerLoad struct{ inFlight, at float64 }
+
 type send struct {
 	to     *member
 	at     float64
@@ -164,7 +171,7 @@
 			d.sweep()
 			d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
 		case EvMessage:
-			d.hear(ev.Data)
+			d.hear(ev.From, ev.Data)
 		}
 	}
 	return d.out
@@ -195,13 +202,13 @@
 	for _, t := range p.OpTypes {
 		d.types = append(d.types, &opKind{need: t.Need, maxAge: t.MaxAge, effect: t.Effect, scope: t.Scope,
 			window: t.Window, target: t.LatencyTarget, lateBy: t.LateValue,
-			took: t.LatencyTarget / 3, value: t.Value})
+			took: t.LatencyTarget / 3, best: t.LatencyTarget / 3, value: t.Value})
 		if t.Need == Bounded {
 			bound = min(bound, t.MaxAge)
 		}
 	}
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.tellEvery = min(max(bound/4, 10*p.Tick), probeEvery)
+		d.tellEvery = min(max(bound/4, 10*p.Tick), probeEvery) * max(1, float64(p.Drivers-1)/3)
 		d.tellAt = d.now + d.tellEvery*d.chance()
 	}
 	if d.watching {
@@ -321,7 +328,6 @@
 	}
 	d.ops[o.id] = o
 	g.live = append(g.live, o)
-	d.spare = min(d.spare+copyShare, 10)
 	if d.turnAway(o) {
 		d.finish(o)
 		return
@@ -434,13 +440,24 @@
 }
 
 func (d *Driver) load(m *member) float64 {
-	l := float64(m.inFlight+1)/d.warmth(m) + slowPenalty*m.slow + 0.05*d.chance()
+	l := float64(m.inFlight+1)/d.warmth(m) + slowPenalty*m.slow + 0.05*d.chance() + peerWeight*d.others(m)
 	if m.far {
 		l += farPenalty
 	}
 	return l
 }
 
+// others is what peers last said they have in flight at a member.
+func (d *Driver) others(m *member) float64 {
+	n := 0.0
+	for i := range m.peers {
+		if d.now-m.peers[i].at < 5*d.tellEvery {
+			n += m.peers[i].inFlight
+		}
+	}
+	return n
+}
+
 // advanced is the replica with the newest known position, tried where replicas check reads.
 func (d *Driver) advanced(o *op) *member {
 	var best *member
@@ -518,16 +535,15 @@
 	return m.credit >= k.took
 }
 
-// pace moves a member's window: up by one a windowful of answers, down when too many of them are slow or the
-// member is full. Guards against queues at members whatever fills them; it could harm where ops of one type
-// turn long by themselves, which costs waiting here instead of there.
-func (d *Driver) pace(m *member, slow bool, full bool) {
-	x := 0.0
-	if slow || full {
-		x = 1
-	}
-	m.late += (x - m.late) * 2 * smooth
-	if full || m.late > slowLimit {
+// easy is the mean time of answers above which a member has more work than it should.
+func (k *opKind) easy() float64 { return max(easyShare*k.target, easyLeast*k.best) }
+
+// pace moves a member's window: up by one a windowful of answers, down when they take too long on average or
+// the member is full. Guards against queues at members whatever fills them; it could harm where ops of one
+// type turn long by themselves, which costs waiting here instead of there.
+func (d *Driver) pace(m *member, x float64, full bool) {
+	m.late += (min(x, 5) - m.late) * 2 * smooth
+	if full || m.late > 1 {
 		if d.now-m.cutAt > d.usual() {
 			m.window, m.cutAt = max(m.window*shrink, 1), d.now
 		}
@@ -603,6 +619,7 @@
 		m.heard, m.owed = d.now, 0
 		d.learn(m, ev, s.at, o.kind.need == Write)
 	case TimedOut, Cancelled:
+		d.pace(m, (d.now-s.at)/o.kind.easy(), false) // the member may still be at work on it
 		m.owed += max(d.now-max(s.at, m.heard), 0) / o.kind.took
 	case ConnectFailed, Reset:
 		if s.at >= m.backAt {
@@ -618,7 +635,7 @@
 			d.setAside(m, false, "errors")
 		}
 	case Full:
-		d.pace(m, false, true)
+		d.pace(m, 1, true)
 	case Miss:
 		if o.kind.need == Write {
 			if m.group.slot == m {
@@ -669,8 +686,10 @@
 	m.slow += (min(took/o.kind.took, 5) - m.slow) * smooth * 3
 	o.kind.took += (took - o.kind.took) * smooth
 	m.news, m.good = true, true
+	d.spare = min(d.spare+copyShare, copyMost)
 	o.group.work += o.kind.took
-	d.pace(m, took > slowShare*o.kind.target, false)
+	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*smooth/20, o.kind.took)
+	d.pace(m, took/o.kind.easy(), false)
 	if m.aside {
 		d.welcome(m, "answers")
 	}
@@ -950,10 +969,9 @@
 		}
 	}
 	age := d.now - newest
-	if stuck && age >= min(2*o.kind.took, o.kind.target) {
-		d.route(o)
-	} else if o.kind.effect == Retryable && age >= max(lateShare*o.kind.target, 2*o.kind.took) && d.spare >= 1 &&
-		o.group.strain < strainFree {
+	late := o.kind.effect == Retryable && age >= max(lateShare*o.kind.target, 2*o.kind.took) &&
+		d.spare >= copyMost/2 && o.group.strain < strainFree // half is kept for the stuck
+	if late || stuck && d.spare >= 1 && age >= min(2*o.kind.took, o.kind.target) {
 		before := len(o.sends)
 		d.route(o)
 		d.spare -= float64(len(o.sends) - before)
@@ -985,6 +1003,7 @@
 func (d *Driver) silence(g *group) {
 	for _, m := range g.members {
 		m.quiet, m.longest = m.owed, m.owed
+		m.busy += (float64(m.inFlight) - m.busy) * min((d.now-d.swept)/probeEvery, 1)
 	}
 	for _, o := range g.live {
 		for i := range o.sends {
@@ -995,10 +1014,14 @@
 			}
 		}
 	}
+	all := 0.0
 	for _, m := range g.members {
-		limit := silentReads
+		all += m.quiet
+	}
+	for _, m := range g.members {
+		limit := silentReads + 2*(all-m.quiet)/float64(max(len(g.members)-1, 1))
 		if m == g.slot {
-			limit = silentWrites
+			limit += silentWrites - silentReads
 		}
 		if m.quiet >= limit*max(m.slow, 1) && m.longest >= silentLeast {
 			d.setAside(m, true, "silent")
@@ -1006,7 +1029,7 @@
 	}
 }
 
-const entryBytes = 11 // hash of the id, position in whole milliseconds, flags
+const entryBytes = 12 // hash of the id, position in whole milliseconds, flags, sends in flight
 
 // tell sends peers what this driver's own sends taught it since its last message. It costs a few bytes and
 // keeps positions, the primary's place and members' health known between sparse sends. It could harm only
@@ -1019,7 +1042,7 @@
 				continue
 			}
 			m.news = false
-			var e [entryBytes + 1]byte
+			var e [entryBytes]byte
 			binary.BigEndian.PutUint32(e[:], m.hash)
 			binary.BigEndian.PutUint64(e[4:], uint64(max(m.position, 0))<<16)
 			if g.slot == m {
@@ -1029,7 +1052,8 @@
 				e[10] |= 2
 			}
 			m.good = false
-			data = append(data, e[:entryBytes]...)
+			e[11] = byte(min(m.busy*4, 255))
+			data = append(data, e[:]...)
 		}
 	}
 	if len(data) > 0 {
@@ -1038,7 +1062,7 @@
 }
 
 // hear takes a peer's message.
-func (d *Driver) hear(data []byte) {
+func (d *Driver) hear(from int, data []byte) {
 	for ; len(data) >= entryBytes; data = data[entryBytes:] {
 		m := d.byHash[binary.BigEndian.Uint32(data)]
 		if m == nil {
@@ -1046,6 +1070,10 @@
 		}
 		position := float64(binary.BigEndian.Uint64(data[3:]) & (1<<56 - 1) >> 8)
 		m.position = max(m.position, position)
+		for from >= len(m.peers) {
+			m.peers = append(m.peers, peerLoad{at: math.Inf(-1)})
+		}
+		m.peers[from] = peerLoad{float64(data[11]) / 4, d.now}
 		if data[10]&1 != 0 && position > 0 {
 			d.primarySeen(m, d.zero+position, "peer")
 		}
