Refuse reads without room early; windows follow the group's mean time too

Cause: a read refused just before its latency target came back at once as a client's next try that could only be late, and took the room of one that could be in time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,11 +32,12 @@
 	errorLimit   = 0.5   // share of errors that sets a member aside
 	trialFirst   = 250.0 // first wait before a member set aside gets a trial
 	trialMost    = 2000.0
-	lateShare    = 0.5 // of the latency target: a send this old may get a second copy
-	copyShare    = 0.1 // further sends beside one that is out, per good answer, and how many may be saved up
+	holdShare    = 0.1 // of the latency target: how long a read waits for room before it is refused
+	lateShare    = 0.5  // of the latency target: a send this old may get a second copy
+	copyShare    = 0.1  // further sends beside one that is out, per good answer, and how many may be saved up
 	copyMost     = 10.0
 	startWindow  = 4.0 // sends that may be out at a member that has just come to its place
-	easyShare    = 0.5 // of the latency target: a member whose answers take longer on average has too much
+	easyShare    = 0.4 // of the latency target: a member whose answers take longer on average has too much
 	easyLeast    = 1.5 // but not less than so many times the best smoothed time
 	shrink       = 0.85
 	headroom     = 0.5 // share of its window up to which a primary takes other reads
@@ -72,6 +73,7 @@
 	trial           *op     // a held write out at a member whose role is not known
 	work, rate      float64 // own work answered: since the last sweep, and smoothed, in usual ms a ms
 	strain          float64 // share of reads that came too late for want of room
+	late            float64 // times over the easy ones at the replicas
 	forgotten       float64 // commits up to here may have left the sessions' memory
 	sessions, older map[int64]float64
 }
@@ -253,7 +255,7 @@
 			h := fnv.New32a()
 			h.Write([]byte(e.Member))
 			m = &member{id: e.Member, hash: h.Sum32(), group: d.groupAt(e.Group), position: -1, slow: 1,
-				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1), window: 2 * startWindow}
+				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1), window: 0.5 * startWindow}
 			m.zone, m.far = e.Zone, e.Zone != d.zone
 			d.members[e.Member] = m
 			m.group.members = append(m.group.members, m)
@@ -542,13 +544,24 @@
 // the member is full. Guards against queues at members whatever fills them; it could harm where ops of one
 // type turn long by themselves, which costs waiting here instead of there.
 func (d *Driver) pace(m *member, x float64, full bool) {
+	g, over := m.group, 0.0
 	m.late += (min(x, 5) - m.late) * 2 * smooth
-	if full || m.late > 1 {
+	if m == g.slot {
+		over = m.late
+	} else {
+		g.late += (min(x, 5) - g.late) * 2 * smooth
+		over = (m.late + g.late) / 2
+	}
+	if full || over > 1 {
 		if d.now-m.cutAt > d.usual() {
 			m.window, m.cutAt = max(m.window*shrink, 1), d.now
 		}
 	} else if float64(m.inFlight+1) >= m.window*headroom {
-		m.window += 1 / m.window
+		if m.cutAt == 0 {
+			m.window++ // until the first cut
+		} else {
+			m.window += 1 / m.window
+		}
 	}
 	if full {
 		m.fullAt = d.now + d.usual()*d.chance()
@@ -947,9 +960,8 @@
 	}
 	if o.held {
 		k := o.kind
-		if !o.stalled && k.lateBy == 0 && d.now-o.arrived > k.target-k.took/2 {
-			d.feel(o, true)
-			d.finish(o) // no answer could earn anything any more
+		if !o.stalled && k.need < Fresh && d.now-o.arrived > holdShare*k.target {
+			d.finish(o) // while a further try by the client can still be in time
 			return
 		}
 		d.route(o)
