--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,13 +37,13 @@
 	copyShare    = 0.1  // further sends beside one that is out, per good answer, and how many may be saved up
 	copyMost     = 10.0
 	startWindow  = 4.0 // sends that may be out at a member that has just come to its place
-	easyShare    = 0.35 // of the latency target: a member whose answers take longer on average has too much
-	easyLeast    = 1.3 // but not less than so many times the best smoothed time
+	easyShare    = 0.28 // of the latency target: a member whose answers take longer on average has too much
+	easyLeast    = 1.15 // but not less than so many times the best smoothed time
 	shrink       = 0.85
 	headroom     = 0.5 // share of its window up to which a primary takes other reads
 	coldShare    = 0.6 // of the budget that a cold member can bear
-	strainFree   = 0.15
-	strainSlope  = 1.2
+	strainFree   = 0.08
+	strainSlope  = 1.5
 	farPenalty   = 0.3 // in sends in flight
 	slowPenalty  = 0.3
 	peerWeight   = 0.3 // of a peer's sends in flight against own ones
