--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,11 +33,12 @@
 	trialFirst   = 250.0 // first wait before a member set aside gets a trial
 	trialMost    = 2000.0
 	holdShare    = 0.1 // of the latency target: how long a read waits for room before it is refused
-	lateShare    = 0.5  // of the latency target: a send this old may get a second copy
-	copyShare    = 0.1  // further sends beside one that is out, per good answer, and how many may be saved up
+	lateShare    = 0.5 // of the latency target: a send this old may get a second copy
+	copyShare    = 0.1 // further sends beside one that is out, per good answer, and how many may be saved up
 	copyMost     = 10.0
-	startWindow  = 4.0 // sends that may be out at a member that has just come to its place
+	startWindow  = 4.0  // sends that may be out at a member that has just come to its place
 	easyShare    = 0.28 // of the latency target: a member whose answers take longer on average has too much
+	easyMost     = 0.6
 	easyLeast    = 1.15 // but not less than so many times the best smoothed time
 	shrink       = 0.85
 	headroom     = 0.5 // share of its window up to which a primary takes other reads
@@ -51,6 +52,7 @@
 )
 
 type opKind struct {
+	index                 int
 	need                  Need
 	effect                Effect
 	scope                 Scope
@@ -70,11 +72,11 @@
 	live            []*op // unfinished ops in order of arrival
 	held            int
 	probeAt         float64
-	trial           *op     // a held write out at a member whose role is not known
-	work, rate      float64 // own work answered: since the last sweep, and smoothed, in usual ms a ms
-	strain          float64 // share of reads that came too late for want of room
-	late            float64 // times over the easy ones at the replicas
-	forgotten       float64 // commits up to here may have left the sessions' memory
+	trial           *op       // a held write out at a member whose role is not known
+	work, rate      float64   // own work answered: since the last sweep, and smoothed, in usual ms a ms
+	strain          []float64 // per op type: share of ops late or refused for want of room
+	late            float64   // times over the easy ones at the replicas
+	forgotten       float64   // commits up to here may have left the sessions' memory
 	sessions, older map[int64]float64
 }
 
@@ -201,8 +203,8 @@
 		d.advise = p.MaxRetryAfter
 	}
 	bound := math.Inf(1)
-	for _, t := range p.OpTypes {
-		d.types = append(d.types, &opKind{need: t.Need, maxAge: t.MaxAge, effect: t.Effect, scope: t.Scope,
+	for i, t := range p.OpTypes {
+		d.types = append(d.types, &opKind{index: i, need: t.Need, maxAge: t.MaxAge, effect: t.Effect, scope: t.Scope,
 			window: t.Window, target: t.LatencyTarget, lateBy: t.LateValue,
 			took: t.LatencyTarget / 3, best: t.LatencyTarget / 3, value: t.Value})
 		if t.Need == Bounded {
@@ -229,7 +231,8 @@
 func (d *Driver) groupAt(id int64) *group {
 	g := d.groupOf[id]
 	if g == nil {
-		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), sessions: map[int64]float64{}, forgotten: -1}
+		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), sessions: map[int64]float64{}, forgotten: -1,
+			strain: make([]float64, len(d.types))}
 		d.groupOf[id] = g
 		d.groups = append(d.groups, g)
 	}
@@ -341,7 +344,7 @@
 // Guards against queues in which every answer is late: bursts, overload, a shared slowdown, client retries.
 // It could harm where the strain is of one member only, which is why held and repeated ops do not count.
 func (d *Driver) turnAway(o *op) bool {
-	p := (o.group.strain - strainFree) * strainSlope
+	p := (o.group.strain[o.kind.index] - strainFree) * strainSlope
 	if p <= 0 || o.kind.need == Write {
 		return false
 	}
@@ -524,7 +527,11 @@
 // its budget. The budget is in work, whatever the op: a share of what this driver has answered by a member
 // on average, so that all drivers together stay under the multiple.
 func (d *Driver) admits(m *member, k *opKind) bool {
-	if float64(m.inFlight) >= m.window || d.now < m.fullAt {
+	limit := m.window
+	if k.need == Write {
+		limit *= 2 // nowhere else to go; other reads make way first
+	}
+	if float64(m.inFlight) >= limit || d.now < m.fullAt {
 		return false
 	}
 	w := d.warmth(m)
@@ -538,7 +545,7 @@
 }
 
 // easy is the mean time of answers above which a member has more work than it should.
-func (k *opKind) easy() float64 { return max(easyShare*k.target, easyLeast*k.best) }
+func (k *opKind) easy() float64 { return max(easyShare*k.target, min(easyLeast*k.best, easyMost*k.target)) }
 
 // pace moves a member's window: up by one a windowful of answers, down when they take too long on average or
 // the member is full. Guards against queues at members whatever fills them; it could harm where ops of one
@@ -701,7 +708,11 @@
 	m.news, m.good = true, true
 	d.spare = min(d.spare+copyShare, copyMost)
 	o.group.work += o.kind.took
-	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*smooth/20, o.kind.took)
+	rise := smooth / 20
+	if m.window <= 1 {
+		rise = smooth // it can't be this driver's sends that make the member slow
+	}
+	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
 	d.pace(m, took/o.kind.easy(), false)
 	if m.aside {
 		d.welcome(m, "answers")
@@ -728,7 +739,8 @@
 		x = 1
 	}
 	if !o.stalled && o.kind.need != Write {
-		o.group.strain += (x - o.group.strain) * smooth
+		s := &o.group.strain[o.kind.index]
+		*s += (x - *s) * 2 * smooth
 	}
 }
 
@@ -937,7 +949,9 @@
 		}
 		clear(g.live[len(live):])
 		g.live = live
-		g.strain -= g.strain * smooth * (d.now - d.swept) / probeEvery
+		for i := range g.strain {
+			g.strain[i] -= g.strain[i] * smooth * (d.now - d.swept) / probeEvery
+		}
 	}
 	d.swept = d.now
 	if d.watching && d.watchAt > 0 && d.now >= d.watchAt {
@@ -983,7 +997,7 @@
 	}
 	age := d.now - newest
 	late := o.kind.effect == Retryable && age >= max(lateShare*o.kind.target, 2*o.kind.took) &&
-		d.spare >= copyMost/2 && o.group.strain < strainFree // half is kept for the stuck
+		d.spare >= copyMost/2 && o.group.strain[o.kind.index] < strainFree // half is kept for the stuck
 	if late || stuck && d.spare >= 1 && age >= min(2*o.kind.took, o.kind.target) {
 		before := len(o.sends)
 		d.route(o)
