--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,7 @@
 	copyMost     = 10.0
 	startWindow  = 4.0  // sends that may be out at a member that has just come to its place
 	easyShare    = 0.28 // of the latency target: a member whose answers take longer on average has too much
+	floorShare   = 0.7  // of the sends usually out while times were easy: a window shrinks no further
 	easyMost     = 0.6
 	easyLeast    = 1.15 // but not less than so many times the best smoothed time
 	shrink       = 0.85
@@ -98,6 +99,7 @@
 	asideAt, backAt        float64
 	pause, trialAt         float64
 	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
+	proven                 float64 // sends usually out while times were easy
 	credit, creditAt       float64 // work that a cold member may still get
 	news, good             bool    // what peers may be told
 }
@@ -545,7 +547,9 @@
 }
 
 // easy is the mean time of answers above which a member has more work than it should.
-func (k *opKind) easy() float64 { return max(easyShare*k.target, min(easyLeast*k.best, easyMost*k.target)) }
+func (k *opKind) easy() float64 {
+	return max(easyShare*k.target, min(easyLeast*k.best, easyMost*k.target))
+}
 
 // pace moves a member's window: up by one a windowful of answers, down when they take too long on average or
 // the member is full. Guards against queues at members whatever fills them; it could harm where ops of one
@@ -559,9 +563,12 @@
 		g.late += (min(x, 5) - g.late) * 2 * smooth
 		over = (m.late + g.late) / 2
 	}
+	if !full && over <= 1 {
+		m.proven += (float64(m.inFlight+1) - m.proven) * smooth / 3
+	}
 	if full || over > 1 {
 		if d.now-m.cutAt > d.usual() {
-			m.window, m.cutAt = max(m.window*shrink, 1), d.now
+			m.window, m.cutAt = max(m.window*shrink, 1, m.proven*floorShare), d.now
 		}
 	} else if float64(m.inFlight+1) >= m.window*headroom {
 		if m.cutAt == 0 {
@@ -709,7 +716,7 @@
 	d.spare = min(d.spare+copyShare, copyMost)
 	o.group.work += o.kind.took
 	rise := smooth / 20
-	if m.window <= 1 {
+	if m.window <= max(1, m.proven*floorShare) {
 		rise = smooth // it can't be this driver's sends that make the member slow
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
