--- a/logic/logic.go
+++ b/logic/logic.go
@@ -862,11 +862,15 @@
 	d.report(m, &ev.Report, d.now-ev.Took)
 }
 
-// release routes the held ops of a group, oldest first; route holds again what cannot go yet.
+// release routes the held ops of a group, oldest first; route holds again what cannot go yet. Those that can
+// still meet their latency target go first: after an outage a queue that is served strictly by age can stay
+// long for good, and then every op in it is late. It could harm old ops under lasting want of room.
 func (d *Driver) release(g *group) {
-	for _, o := range g.live {
-		if o.held && !o.done {
-			d.route(o)
+	for _, late := range [...]bool{false, true} {
+		for _, o := range g.live {
+			if o.held && !o.done && late == (d.now-o.arrived+o.kind.took > o.kind.target) {
+				d.route(o)
+			}
 		}
 	}
 }
@@ -945,6 +949,7 @@
 			g.rate += (g.work/dt - g.rate) * min(dt/d.rateSpan(), 1)
 			g.work = 0
 		}
+		d.release(g)
 		live := g.live[:0]
 		for _, o := range g.live {
 			if !o.done {
@@ -980,16 +985,13 @@
 		return
 	}
 	if o.held {
+		d.tryRole(o)
 		k := o.kind
 		if !o.stalled && k.need < Fresh && d.now-o.arrived > holdShare*k.target {
 			d.feel(o, true)
 			d.finish(o) // while a further try by the client can still be in time
 			return
 		}
-		d.route(o)
-		if o.held && o.kind.need >= Fresh {
-			d.tryRole(o)
-		}
 		return
 	}
 	if !d.overlap || o.kind.effect == NonRetryable {
@@ -1017,7 +1019,7 @@
 // tell the role too.
 func (d *Driver) tryRole(o *op) {
 	g := o.group
-	if g.slot != nil || g.trial != nil || d.reports || o.kind.need != Write || len(o.sends) >= d.sendCap-1 {
+	if !o.held || g.slot != nil || g.trial != nil || d.reports || o.kind.need != Write || len(o.sends) >= d.sendCap-1 {
 		return
 	}
 	for _, m := range g.members {
