--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,9 @@
 	coldShare    = 0.6 // of the budget that a cold member can bear
 	strainFree   = 0.08
 	strainSlope  = 1.5
-	farPenalty   = 0.3 // in sends in flight
+	farPenalty   = 0.3  // in sends in flight
+	apartLong    = 1000 // long reads: the order of replicas counts before anything else
+	apartFresh   = 1.0  // reads of any age: so many sends in flight more at a replica that is fresh
 	slowPenalty  = 0.3
 	peerWeight   = 0.3 // of a peer's sends in flight against own ones
 	smooth       = 0.03
@@ -142,6 +144,7 @@
 	zone                      string
 	zero                      float64
 	sweepGap, margin, swept   float64
+	bound                     float64 // the tightest bound on the age of data
 	checks, roleLate, carried bool
 	reports, cancels, overlap bool
 	drainOnly, watching       bool
@@ -213,6 +216,7 @@
 			bound = min(bound, t.MaxAge)
 		}
 	}
+	d.bound = bound
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
 		d.tellEvery = min(max(bound/4, 10*p.Tick), probeEvery) * max(1, float64(p.Drivers-1)/3)
 		d.tellAt = d.now + d.tellEvery*d.chance()
@@ -439,7 +443,7 @@
 			continue
 		}
 		fresh = true
-		if l := d.load(m); l < least && d.admits(m, o.kind) {
+		if l := d.load(m) + d.apart(o, m); l < least && d.admits(m, o.kind) {
 			best, least = m, l
 		}
 	}
@@ -454,6 +458,24 @@
 	return l
 }
 
+// apart keeps reads that need fresh data and reads that do not from spoiling each other's replicas. A read
+// that usually takes longer than the tightest bound on age can leave a replica that applies nothing
+// meanwhile useless for the others: such reads fill one replica after another, in an order that is the same
+// at every driver. Other reads that every member may answer rather go to replicas that are behind. It could
+// harm where long reads block nothing: their replicas are then used more than others, up to their windows.
+func (d *Driver) apart(o *op, m *member) float64 {
+	if o.kind.need != Any || math.IsInf(d.bound, 1) {
+		return 0
+	}
+	if o.kind.took > d.bound {
+		return float64(m.hash) / (1 << 32) * apartLong
+	}
+	if m.position >= d.now-d.zero-d.bound {
+		return apartFresh
+	}
+	return 0
+}
+
 // others is what peers last said they have in flight at a member.
 func (d *Driver) others(m *member) float64 {
 	n := 0.0
