Keep long reads to a fifth of the replicas and let them wait there

Long reads that found no room used to spill and blocked every replica in turn (positions up to 15 s behind).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,9 +46,9 @@
 	coldShare    = 0.6 // of the budget that a cold member can bear
 	strainFree   = 0.08
 	strainSlope  = 1.5
-	farPenalty   = 0.3  // in sends in flight
-	apartLong    = 1000 // long reads: the order of replicas counts before anything else
-	apartFresh   = 1.0  // reads of any age: so many sends in flight more at a replica that is fresh
+	farPenalty   = 0.3 // in sends in flight
+	apartShare   = 0.2 // of the replicas take the long reads
+	apartFresh   = 1.0 // reads of any age: so many sends in flight more at a replica that is fresh
 	slowPenalty  = 0.3
 	peerWeight   = 0.3 // of a peer's sends in flight against own ones
 	smooth       = 0.03
@@ -384,7 +384,8 @@
 		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
 			to = d.advanced(o)
 		}
-		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom) {
+		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom) &&
+			!(fresh && d.long(o)) {
 			to = p
 		}
 		if to == nil && !fresh && o.kind.need == Any {
@@ -460,15 +461,27 @@
 
 // apart keeps reads that need fresh data and reads that do not from spoiling each other's replicas. A read
 // that usually takes longer than the tightest bound on age can leave a replica that applies nothing
-// meanwhile useless for the others: such reads fill one replica after another, in an order that is the same
-// at every driver. Other reads that every member may answer rather go to replicas that are behind. It could
+// meanwhile useless for the others: such reads keep to a few replicas, the same at every driver, and wait for
+// room there. Other reads that every member may answer rather go to replicas that are behind. It could
 // harm where long reads block nothing: their replicas are then used more than others, up to their windows.
 func (d *Driver) apart(o *op, m *member) float64 {
-	if o.kind.need != Any || math.IsInf(d.bound, 1) {
+	if o.kind.need != Any {
 		return 0
 	}
-	if o.kind.took > d.bound {
-		return float64(m.hash) / (1 << 32) * apartLong
+	if d.long(o) {
+		before, all := 0.0, 0.0
+		for _, other := range m.group.members {
+			if other == m.group.slot || other.draining || other.aside {
+				continue
+			}
+			if all++; other.hash < m.hash {
+				before++
+			}
+		}
+		if before >= max(1, all*apartShare) {
+			return math.Inf(1)
+		}
+		return before
 	}
 	if m.position >= d.now-d.zero-d.bound {
 		return apartFresh
@@ -476,6 +489,8 @@
 	return 0
 }
 
+func (d *Driver) long(o *op) bool { return o.kind.need == Any && o.kind.took > d.bound }
+
 // others is what peers last said they have in flight at a member.
 func (d *Driver) others(m *member) float64 {
 	n := 0.0
