--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,6 @@
 	heldCap      = 2000  // design: ops that one group may hold
 	silentReads  = 7.0   // answers owed, in times usually taken, before a replica is set aside
 	silentWrites = 9.0   // the same before the slot is emptied
-	silentLeast  = 2.5   // and for so many usual times, whatever is owed
 	errorLimit   = 0.5   // share of errors that sets a member aside
 	trialFirst   = 250.0 // first wait before a member set aside gets a trial
 	trialMost    = 2000.0
@@ -49,8 +48,6 @@
 	farPenalty   = 0.3 // in sends in flight
 	apartShare   = 0.2 // of the replicas take the long reads
 	apartFresh   = 1.0 // reads of any age: so many sends in flight more at a replica that is fresh
-	slowPenalty  = 0.3
-	peerWeight   = 0.3 // of a peer's sends in flight against own ones
 	smooth       = 0.03
 )
 
@@ -73,7 +70,7 @@
 	emptied         float64
 	silent          bool  // emptied by silence or a dead connection, not by the member's own word
 	live            []*op // unfinished ops in order of arrival
-	held            int
+	held, serving   int   // ops held; members not draining
 	probeAt         float64
 	trial           *op       // a held write out at a member whose role is not known
 	work, rate      float64   // own work answered: since the last sweep, and smoothed, in usual ms a ms
@@ -92,11 +89,9 @@
 	draining, gone, listed bool    // listed: the list calls it primary
 	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
 	inFlight               int
-	busy                   float64 // inFlight, smoothed
-	peers                  []peerLoad
 	heard, owed            float64 // last word of any kind; unanswered time since then of sends that ended, in usual times
-	quiet, longest         float64 // the same with the sends that are out; the longest of those
-	errors, slow, late     float64 // smoothed: share of errors, times over the usual ones, times over the easy ones
+	quiet                  float64 // the same with the sends that are out
+	errors, late           float64 // smoothed: share of errors, times over the easy ones
 	aside                  bool
 	asideAt, backAt        float64
 	pause, trialAt         float64
@@ -106,9 +101,6 @@
 	news, good             bool    // what peers may be told
 }
 
-// peerLoad is what one peer has in flight at a member.
-type peerLoad struct{ inFlight, at float64 }
-
 type send struct {
 	to     *member
 	at     float64
@@ -124,6 +116,7 @@
 	arrived, until float64 // its final answer is due by until
 	needPos        float64 // a session read's position
 	sends          []send
+	out            int // sends that are out
 	held, done     bool
 	stalled        bool // it waited for a primary or a position, not for room
 	missed         bool // a replica was too far behind for it
@@ -180,7 +173,7 @@
 			d.sweep()
 			d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
 		case EvMessage:
-			d.hear(ev.From, ev.Data)
+			d.hear(ev.Data)
 		}
 	}
 	return d.out
@@ -263,7 +256,7 @@
 		if m == nil {
 			h := fnv.New32a()
 			h.Write([]byte(e.Member))
-			m = &member{id: e.Member, hash: h.Sum32(), group: d.groupAt(e.Group), position: -1, slow: 1,
+			m = &member{id: e.Member, hash: h.Sum32(), group: d.groupAt(e.Group), position: -1,
 				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1), window: 0.5 * startWindow}
 			m.zone, m.far = e.Zone, e.Zone != d.zone
 			d.members[e.Member] = m
@@ -371,7 +364,7 @@
 		return
 	}
 	if len(o.sends) >= d.sendCap {
-		if !o.isOut() {
+		if o.out == 0 {
 			d.finish(o)
 		}
 		return
@@ -395,7 +388,7 @@
 	}
 	if to != nil && d.allowed(o, to) && d.admits(to, o.kind) {
 		d.send(o, to)
-	} else if !o.held && !o.isOut() {
+	} else if !o.held && o.out == 0 {
 		d.hold(o)
 	}
 }
@@ -423,7 +416,7 @@
 }
 
 // replica is the companion rule: among the replicas fresh enough, the one with fewest own sends in flight,
-// a cold one counting as smaller. Distance and slowness only tip near ties. A member set aside gets one
+// a cold one counting as smaller. Distance only tips near ties. A member set aside gets one
 // trial when its pause is over, by a read that may run again elsewhere. It also says whether any was fresh.
 func (d *Driver) replica(o *op) (*member, bool) {
 	var best *member
@@ -433,7 +426,7 @@
 			continue
 		}
 		if m.aside {
-			if d.admits(m, o.kind) && d.now >= m.trialAt && o.kind.effect == Retryable && !o.isOut() && (d.checks || d.fresh(o, m)) {
+			if d.admits(m, o.kind) && d.now >= m.trialAt && o.kind.effect == Retryable && o.out == 0 && (d.checks || d.fresh(o, m)) {
 				m.pause = min(2*m.pause, trialMost)
 				m.trialAt = d.now + m.pause
 				return m, true
@@ -452,7 +445,7 @@
 }
 
 func (d *Driver) load(m *member) float64 {
-	l := float64(m.inFlight+1)/d.warmth(m) + slowPenalty*m.slow + 0.05*d.chance() + peerWeight*d.others(m)
+	l := float64(m.inFlight+1)/d.warmth(m) + 0.05*d.chance()
 	if m.far {
 		l += farPenalty
 	}
@@ -491,17 +484,6 @@
 
 func (d *Driver) long(o *op) bool { return o.kind.need == Any && o.kind.took > d.bound }
 
-// others is what peers last said they have in flight at a member.
-func (d *Driver) others(m *member) float64 {
-	n := 0.0
-	for i := range m.peers {
-		if d.now-m.peers[i].at < 5*d.tellEvery {
-			n += m.peers[i].inFlight
-		}
-	}
-	return n
-}
-
 // advanced is the replica with the newest known position, tried where replicas check reads.
 func (d *Driver) advanced(o *op) *member {
 	var best *member
@@ -529,25 +511,22 @@
 
 // allowed holds the rules on a single send: drains, one effect, scope and window of a token, overlap.
 func (d *Driver) allowed(o *op, m *member) bool {
-	if m.draining || o.done || len(o.sends) >= d.sendCap {
-		return false
-	}
+	return !m.draining && !o.done && len(o.sends) < d.sendCap && (o.out == 0 || d.overlap) && d.mayRepeat(o, m)
+}
+
+// mayRepeat says whether what an op's earlier sends may have done allows another to m, or anywhere for nil.
+func (d *Driver) mayRepeat(o *op, m *member) bool {
 	for i := range o.sends {
 		s := &o.sends[i]
-		if s.open && !d.overlap {
-			return false
-		}
-		if s.proved {
+		if s.proved || o.kind.effect == Retryable {
 			continue
 		}
-		switch o.kind.effect {
-		case NonRetryable:
+		if o.kind.effect == NonRetryable || d.now >= s.at+o.kind.window-d.margin {
+			return false
+		}
+		if m != nil && (o.kind.scope == ScopeGroup && m.group != s.to.group ||
+			o.kind.scope == ScopeZone && m.zone != s.to.zone) {
 			return false
-		case Tokened:
-			if d.now >= s.at+o.kind.window-d.margin || o.kind.scope == ScopeGroup && m.group != s.to.group ||
-				o.kind.scope == ScopeZone && m.zone != s.to.zone {
-				return false
-			}
 		}
 	}
 	return true
@@ -577,7 +556,7 @@
 	if w == 1 {
 		return true
 	}
-	pace := d.coldPace * w * m.group.rate / float64(max(m.group.serving(), 1))
+	pace := d.coldPace * w * m.group.rate / float64(max(m.group.serving, 1))
 	m.credit = min(m.credit+pace*(d.now-m.creditAt), max(pace*d.coldSpan/4, k.took))
 	m.creditAt = d.now
 	return m.credit >= k.took
@@ -628,16 +607,6 @@
 	return t
 }
 
-func (g *group) serving() int {
-	n := 0
-	for _, m := range g.members {
-		if !m.draining {
-			n++
-		}
-	}
-	return n
-}
-
 func (d *Driver) send(o *op, m *member) {
 	if o.held {
 		o.held = false
@@ -645,19 +614,11 @@
 	}
 	o.sends = append(o.sends, send{to: m, at: d.now, open: true})
 	m.inFlight++
+	o.out++
 	m.credit -= o.kind.took
 	d.act(Action{Kind: ActSend, Op: o.id, Member: m.id, Wait: o.until + d.margin - d.now})
 }
 
-func (o *op) isOut() bool {
-	for i := range o.sends {
-		if o.sends[i].open {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *op) triedAt(m *member) bool {
 	for i := range o.sends {
 		if o.sends[i].to == m {
@@ -677,6 +638,7 @@
 	m := s.to
 	s.open = false
 	m.inFlight--
+	o.out--
 	s.proved = ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot
 	switch ev.Outcome {
 	case OK, Miss, Full, Fault:
@@ -714,40 +676,27 @@
 	}
 	switch {
 	case o.done:
-		if !o.isOut() {
+		if o.out == 0 {
 			delete(d.ops, o.id)
 		}
 	case ev.Closed:
 		d.close(o)
 	case ev.Outcome == TimedOut && d.now >= o.until:
 		d.finish(o)
-	case o.isOut():
+	case o.out > 0:
 	case ev.Outcome == Full:
 		d.hold(o) // the next sweep tries again, elsewhere if it can
-	case d.mayRepeat(o):
+	case d.mayRepeat(o, nil):
 		d.route(o)
 	default:
 		d.finish(o) // what may have run and may not run again is given up at once
 	}
 }
 
-// mayRepeat says whether any further send of an op can ever be allowed.
-func (d *Driver) mayRepeat(o *op) bool {
-	for i := range o.sends {
-		s := &o.sends[i]
-		if !s.proved && (o.kind.effect == NonRetryable ||
-			o.kind.effect == Tokened && d.now >= s.at+o.kind.window-d.margin) {
-			return false
-		}
-	}
-	return true
-}
-
 // good takes what an answer in full teaches of times, strain and sessions.
 func (d *Driver) good(o *op, m *member, at float64, ev *Event) {
 	took := d.now - at
 	m.errors -= m.errors * 0.15
-	m.slow += (min(took/o.kind.took, 5) - m.slow) * smooth * 3
 	o.kind.took += (took - o.kind.took) * smooth
 	m.news, m.good = true, true
 	d.spare = min(d.spare+copyShare, copyMost)
@@ -965,7 +914,7 @@
 		o.held = false
 		o.group.held--
 	}
-	if !o.isOut() {
+	if o.out == 0 {
 		delete(d.ops, o.id)
 		return
 	}
@@ -992,7 +941,7 @@
 			if !o.done {
 				d.attend(o)
 			}
-			if !o.done || o.isOut() {
+			if !o.done || o.out > 0 {
 				live = append(live, o)
 			}
 		}
@@ -1027,7 +976,8 @@
 		if !o.stalled && k.need < Fresh && d.now-o.arrived > holdShare*k.target {
 			d.feel(o, true)
 			d.finish(o) // while a further try by the client can still be in time
-			return
+		} else if !d.mayRepeat(o, nil) {
+			d.finish(o) // its token has run out
 		}
 		return
 	}
@@ -1075,34 +1025,35 @@
 // slowdown keeps it from acting on all members at once.
 func (d *Driver) silence(g *group) {
 	for _, m := range g.members {
-		m.quiet, m.longest = m.owed, m.owed
-		m.busy += (float64(m.inFlight) - m.busy) * min((d.now-d.swept)/probeEvery, 1)
+		m.quiet = m.owed
 	}
 	for _, o := range g.live {
 		for i := range o.sends {
 			if s := &o.sends[i]; s.open {
-				wait := (d.now - max(s.at, s.to.heard)) / o.kind.took
-				s.to.quiet += wait
-				s.to.longest = max(s.to.longest, wait)
+				s.to.quiet += (d.now - max(s.at, s.to.heard)) / o.kind.took
 			}
 		}
 	}
 	all := 0.0
+	g.serving = 0
 	for _, m := range g.members {
 		all += m.quiet
+		if !m.draining {
+			g.serving++
+		}
 	}
 	for _, m := range g.members {
 		limit := silentReads + 2*(all-m.quiet)/float64(max(len(g.members)-1, 1))
 		if m == g.slot {
 			limit += silentWrites - silentReads
 		}
-		if m.quiet >= limit*max(m.slow, 1) && m.longest >= silentLeast {
+		if m.quiet >= limit {
 			d.setAside(m, true, "silent")
 		}
 	}
 }
 
-const entryBytes = 12 // hash of the id, position in whole milliseconds, flags, sends in flight
+const entryBytes = 11 // hash of the id, position in whole milliseconds, flags
 
 // tell sends peers what this driver's own sends taught it since its last message. It costs a few bytes and
 // keeps positions, the primary's place and members' health known between sparse sends. It could harm only
@@ -1115,7 +1066,7 @@
 				continue
 			}
 			m.news = false
-			var e [entryBytes]byte
+			var e [entryBytes + 1]byte
 			binary.BigEndian.PutUint32(e[:], m.hash)
 			binary.BigEndian.PutUint64(e[4:], uint64(max(m.position, 0))<<16)
 			if g.slot == m {
@@ -1125,8 +1076,7 @@
 				e[10] |= 2
 			}
 			m.good = false
-			e[11] = byte(min(m.busy*4, 255))
-			data = append(data, e[:]...)
+			data = append(data, e[:entryBytes]...)
 		}
 	}
 	if len(data) > 0 {
@@ -1135,7 +1085,7 @@
 }
 
 // hear takes a peer's message.
-func (d *Driver) hear(from int, data []byte) {
+func (d *Driver) hear(data []byte) {
 	for ; len(data) >= entryBytes; data = data[entryBytes:] {
 		m := d.byHash[binary.BigEndian.Uint32(data)]
 		if m == nil {
@@ -1143,10 +1093,6 @@
 		}
 		position := float64(binary.BigEndian.Uint64(data[3:]) & (1<<56 - 1) >> 8)
 		m.position = max(m.position, position)
-		for from >= len(m.peers) {
-			m.peers = append(m.peers, peerLoad{at: math.Inf(-1)})
-		}
-		m.peers[from] = peerLoad{float64(data[11]) / 4, d.now}
 		if data[10]&1 != 0 && position > 0 {
 			d.primarySeen(m, d.zero+position, "peer")
 		}
