--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -25,7 +25,8 @@
 	outcomes = map[string]logic.Outcome{"pass": logic.OK, "none_here": logic.Miss, "no_room": logic.Full,
 		"no_route": logic.ConnectFailed, "stale_send": logic.Moot, "fault": logic.Fault,
 		"too_slow": logic.TimedOut, "cut": logic.Reset, "undone": logic.Cancelled}
-	phases    = map[string]logic.Phase{"healthy": logic.Ready, "cordoned": logic.Draining, "deregistered": logic.Gone}
+	phases = map[string]logic.Phase{"healthy": logic.Ready, "cordoned": logic.Draining,
+		"deregistered": logic.Gone}
 	listKinds = map[string]logic.ListKind{"Partial": logic.ListChanges, "Complete": logic.ListFull,
 		"Persisted": logic.ListCached, "Error": logic.ListFailed}
 )
@@ -196,7 +197,7 @@
 		ev.Send, ev.Took = int(f.num("attempt")), ms(f.opt("delay_seen"))
 		ev.Outcome, ev.Report, ev.Closed = f.outcome(), f.report(), f.flag("settled")
 		note := int64(f.opt("progress"))
-		ev.Position, ev.Role = float64(note/4), logic.Role(note%4)
+		ev.Note = logic.Sight{Role: logic.Role(note % 4), Position: float64(note / 4)}
 	case "CLIENT_GONE":
 		ev.Kind, ev.Op = logic.EvGone, f.need("txn")
 	case "MAIL":
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -88,8 +88,8 @@
 }
 
 // report reads the load report, skipping values that the module has no use for.
-func (f *fields) report() logic.Report {
-	var r logic.Report
+func (f *fields) report() logic.Sight {
+	var r logic.Sight
 	text := f.get("usage")
 	for text != "" {
 		var item string
@@ -103,9 +103,9 @@
 			f.fail("%s: report value %s is not a number: %q", f.name, name, value)
 		}
 		if name == "x0" {
-			r.HasPosition, r.Position = true, n*1000
-		} else {
-			r.HasRole, r.Primary = true, n == 1
+			r.Position = n * 1000
+		} else if r.Role = logic.Replica; n == 1 {
+			r.Role = logic.Primary
 		}
 	}
 	return r
--- a/internal/benchwire/opening.go
+++ b/internal/benchwire/opening.go
@@ -86,7 +86,8 @@
 		return nil, nil, fmt.Errorf("setup: %v", err)
 	}
 	if len(s.Family.Needs) != len(s.Profiles) {
-		return nil, nil, fmt.Errorf("setup: %d profiles but %d needs_by_class", len(s.Profiles), len(s.Family.Needs))
+		return nil, nil, fmt.Errorf("setup: %d profiles but %d needs_by_class", len(s.Profiles),
+			len(s.Family.Needs))
 	}
 	o := &logic.Opening{
 		Seed: seed, Index: s.Index, Drivers: s.Siblings, Zone: s.Zone, Tick: ms(s.Tick),
--- a/logic/api.go
+++ b/logic/api.go
@@ -102,7 +102,7 @@
 	EvOpen    EventKind = iota // Opening
 	EvMembers                  // List, Members
 	EvOp                       // Op, OpType, Group, Session, Left, WroteAgo
-	EvAnswer                   // Op, Send, Member, Outcome, Role, Position, Closed, Report
+	EvAnswer                   // Op, Send, Member, Outcome, Note, Closed, Report
 	EvProbed                   // Member, Outcome, Report, Took
 	EvGone                     // Op
 	EvTimer
@@ -163,12 +163,10 @@
 	Replica
 )
 
-// Report is what a member tells of itself beside an answer or to a probe.
-type Report struct {
-	HasRole     bool
-	Primary     bool
-	HasPosition bool
-	Position    float64 // milliseconds after PositionZero
+// Sight is what a member tells of itself, in an answer's note or a load report.
+type Sight struct {
+	Role     Role
+	Position float64 // milliseconds after PositionZero up to which it has applied all commits; 0 for unknown
 }
 
 // Event is one thing that happened; Kind says which fields count.
@@ -187,10 +185,9 @@
 	Member   string
 	Outcome  Outcome
 	Took     float64
-	Role     Role
-	Position float64 // milliseconds after PositionZero, 0 for unknown
+	Note     Sight
 	Closed   bool
-	Report   Report
+	Report   Sight
 	From     int
 	Data     []byte
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,108 +23,91 @@
 
 // Tuned values. Those that weigh time are multiples of what is observed or of the opening's own figures.
 const (
-	probeEvery   = 200.0 // design: probes of a group whose slot is empty
-	probeIdle    = 5.0   // the same while it is full: one in so many
-	heldCap      = 2000  // design: ops that one group may hold
-	silentReads  = 7.0   // answers owed, in times usually taken, before a replica is set aside
-	silentWrites = 9.0   // the same before the slot is emptied
-	errorLimit   = 0.5   // share of errors that sets a member aside
-	trialFirst   = 250.0 // first wait before a member set aside gets a trial
-	trialMost    = 2000.0
-	holdShare    = 0.1 // of the latency target: how long a read waits for room before it is refused
-	lateShare    = 0.5 // of the latency target: a send this old may get a second copy
-	copyShare    = 0.1 // further sends beside one that is out, per good answer, and how many may be saved up
-	copyMost     = 10.0
-	startWindow  = 4.0  // sends that may be out at a member that has just come to its place
-	easyShare    = 0.28 // of the latency target: a member whose answers take longer on average has too much
-	floorShare   = 0.7  // of the sends usually out while times were easy: a window shrinks no further
-	easyMost     = 0.6
-	easyLeast    = 1.15 // but not less than so many times the best smoothed time
-	shrink       = 0.85
-	headroom     = 0.5 // share of its window up to which a primary takes other reads
-	coldShare    = 0.6 // of the budget that a cold member can bear
-	strainFree   = 0.08
-	strainSlope  = 1.5
-	farPenalty   = 0.3 // in sends in flight
-	apartShare   = 0.2 // of the replicas take the long reads
-	apartFresh   = 1.0 // reads of any age: so many sends in flight more at a replica that is fresh
-	smooth       = 0.03
+	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
+	heldCap                 = 2000          // design: ops that one group may hold, and sessions remembered
+	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
+	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
+	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
+	holdShare               = 0.1           // of the latency target: a read waits so long for room
+	lateShare               = 0.5           // of the latency target: a send so old may get a second copy
+	copyShare, copyMost     = 0.1, 10.0     // sends beside one that is out: earned by a good answer; saved up
+	startWindow             = 4.0           // sends that may be out at a member that has just come to its place
+	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
+	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
+	easyLeast, easyMost     = 1.15, 0.6     // and so many times the best mean, up to this share of the target
+	headroom                = 0.5           // share of its window up to which a primary takes other reads
+	coldShare               = 0.6           // of the budget that a cold member can bear
+	strainFree, strainSlope = 0.08, 1.5     // strain without effect; chance of refusal for strain beyond
+	farPenalty              = 0.3           // of a send in flight, for a member in another zone
+	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
+	smooth                  = 0.03
 )
 
 type opKind struct {
-	index                 int
-	need                  Need
-	effect                Effect
-	scope                 Scope
-	maxAge, window        float64
-	target, value, lateBy float64 // lateBy: the share of value that a late answer earns
-	took, best            float64 // smoothed time of good answers; the same at its lowest, rising slowly
+	index          int
+	need           Need
+	effect         Effect
+	scope          Scope
+	maxAge, window float64
+	target, value  float64
+	took, best     float64 // smoothed time of good answers; the same at its lowest, rising slowly
 }
 
 type group struct {
-	id              int64
-	members         []*member
-	slot            *member // the writer slot: the believed primary, nil while empty
-	last            *member // who was in the slot when it was emptied
-	seen            float64 // time of the newest evidence that filled the slot
-	emptied         float64
-	silent          bool  // emptied by silence or a dead connection, not by the member's own word
-	live            []*op // unfinished ops in order of arrival
-	held, serving   int   // ops held; members not draining
-	probeAt         float64
-	trial           *op       // a held write out at a member whose role is not known
-	work, rate      float64   // own work answered: since the last sweep, and smoothed, in usual ms a ms
-	strain          []float64 // per op type: share of ops late or refused for want of room
-	late            float64   // times over the easy ones at the replicas
-	forgotten       float64   // commits up to here may have left the sessions' memory
-	sessions, older map[int64]float64
+	id, held, serving int64 // held: ops held; serving: members not draining
+	members           []*member
+	slot, last        *member // the writer slot: the believed primary, nil while empty; who was there before
+	seen, emptied     float64 // time of the newest evidence that filled the slot; when it was emptied
+	silent            bool    // emptied by silence or a dead connection, not by the member's own word
+	live              []*op   // unfinished ops in order of arrival
+	probeAt           float64
+	trial             *op               // a held write out at a member whose role is not known
+	work, rate        float64           // own work answered: since the last sweep; smoothed, in usual ms a ms
+	strain            []float64         // per op type: share of ops late or refused for want of room
+	late              float64           // times over the easy ones at the replicas
+	sessions, older   map[int64]float64 // commits of sessions, where sessions do not carry them
+	forgotten         float64           // commits up to here may have left that memory
 }
 
 type member struct {
-	id, zone               string
-	hash                   uint32
-	group                  *group
-	far                    bool
-	started                float64
-	draining, gone, listed bool    // listed: the list calls it primary
-	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
-	inFlight               int
-	heard, owed            float64 // last word of any kind; unanswered time since then of sends that ended, in usual times
-	quiet                  float64 // the same with the sends that are out
-	errors, late           float64 // smoothed: share of errors, times over the easy ones
-	aside                  bool
-	asideAt, backAt        float64
-	pause, trialAt         float64
-	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
-	proven                 float64 // sends usually out while times were easy
-	credit, creditAt       float64 // work that a cold member may still get
-	news, good             bool    // what peers may be told
+	id, zone              string
+	hash                  uint32
+	group                 *group
+	draining, listed, far bool // listed: the list calls it primary
+	started               float64
+	position, replicaAt   float64 // replicaAt: when it last said that it is a replica
+	inFlight              int
+	heard, owed, quiet    float64 // last word; usual times unanswered since: of ended sends, with those out
+	errors, late, proven  float64 // smoothed: share of errors, times over the easy, sends out while so
+	asideAt, backAt       float64
+	pause, trialAt        float64
+	window, cutAt, fullAt float64 // sends that may be out, when that was last cut, and no sends before fullAt
+	credit, creditAt      float64 // work that a cold member may still get
+	aside, news, good     bool    // news, good: what peers may be told
 }
 
 type send struct {
-	to     *member
-	at     float64
-	open   bool
-	proved bool // known never to have run
+	to           *member
+	at           float64
+	open, proved bool // proved: known never to have run
 }
 
 type op struct {
-	id             string
-	kind           *opKind
-	group          *group
-	session        int64
-	arrived, until float64 // its final answer is due by until
-	needPos        float64 // a session read's position
-	sends          []send
-	out            int // sends that are out
-	held, done     bool
-	stalled        bool // it waited for a primary or a position, not for room
-	missed         bool // a replica was too far behind for it
+	id                      string
+	kind                    *opKind
+	group                   *group
+	session                 int64
+	arrived, until, needPos float64 // its final answer is due by until; needPos: a session read's position
+	sends                   []send
+	out                     int // sends that are out
+	held, done              bool
+	stalled, missed         bool // it waited for a primary or a position, not for room; a replica was behind
 }
 
 // Driver decides for one driver.
 type Driver struct {
-	now                       float64
+	now, zero, bound          float64 // bound: the tightest bound on the age of data
+	zone                      string
 	out                       []Action
 	state                     uint64
 	types                     []*opKind
@@ -133,15 +116,11 @@
 	groups                    []*group
 	groupOf                   map[int64]*group
 	ops                       map[string]*op
-	spare                     float64 // second copies that may be sent
-	zone                      string
-	zero                      float64
 	sweepGap, margin, swept   float64
-	bound                     float64 // the tightest bound on the age of data
 	checks, roleLate, carried bool
 	reports, cancels, overlap bool
-	drainOnly, watching       bool
-	advise                    float64
+	drainOnly                 bool
+	spare, advise             float64 // spare: sends beside one that is out that may be made
 	sendCap, tellMost         int
 	coldFrom, coldFor         float64
 	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
@@ -164,7 +143,9 @@
 		case EvAnswer:
 			d.answer(ev)
 		case EvProbed:
-			d.probed(ev)
+			if m := d.members[ev.Member]; m != nil && ev.Outcome == OK {
+				d.learn(m, ev.Report, now-ev.Took-probeEvery, "report")
+			}
 		case EvGone:
 			if o := d.ops[ev.Op]; o != nil && !o.done {
 				d.close(o)
@@ -194,27 +175,25 @@
 		reports: p.ReportsByProbe && p.MayProbe, cancels: p.MayCancel,
 		overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), coldFrom: p.ColdFrom, coldFor: p.ColdFor,
 		coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan, drainOnly: p.OnlyDrainBinds,
-		tellMost: p.MaxMessageBytes / entryBytes, watching: p.ListOnRequest}
+		tellMost: p.MaxMessageBytes / entryBytes}
 	d.margin = d.sweepGap + 2*p.Tick
-	d.chance()
 	if p.MayAdviseRetry {
 		d.advise = p.MaxRetryAfter
 	}
-	bound := math.Inf(1)
+	d.bound = math.Inf(1)
 	for i, t := range p.OpTypes {
-		d.types = append(d.types, &opKind{index: i, need: t.Need, maxAge: t.MaxAge, effect: t.Effect, scope: t.Scope,
-			window: t.Window, target: t.LatencyTarget, lateBy: t.LateValue,
+		d.types = append(d.types, &opKind{index: i, need: t.Need, maxAge: t.MaxAge, effect: t.Effect,
+			scope: t.Scope, window: t.Window, target: t.LatencyTarget,
 			took: t.LatencyTarget / 3, best: t.LatencyTarget / 3, value: t.Value})
 		if t.Need == Bounded {
-			bound = min(bound, t.MaxAge)
+			d.bound = min(d.bound, t.MaxAge)
 		}
 	}
-	d.bound = bound
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.tellEvery = min(max(bound/4, 10*p.Tick), probeEvery) * max(1, float64(p.Drivers-1)/3)
+		d.tellEvery = min(max(d.bound/4, 10*p.Tick), probeEvery) * max(1, float64(p.Drivers-1)/3)
 		d.tellAt = d.now + d.tellEvery*d.chance()
 	}
-	if d.watching {
+	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
 	}
 	d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
@@ -246,9 +225,7 @@
 		d.watchAt = d.now + d.watchWait*(0.5+d.chance())
 		return
 	}
-	if ev.List != ListCached {
-		d.watchWait = 0
-	}
+	d.watchWait = 0
 	named := map[*member]bool{}
 	for i := range ev.Members {
 		e := &ev.Members[i]
@@ -257,14 +234,14 @@
 			h := fnv.New32a()
 			h.Write([]byte(e.Member))
 			m = &member{id: e.Member, hash: h.Sum32(), group: d.groupAt(e.Group), position: -1,
-				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1), window: 0.5 * startWindow}
+				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1),
+				window: startWindow / 2}
 			m.zone, m.far = e.Zone, e.Zone != d.zone
 			d.members[e.Member] = m
 			m.group.members = append(m.group.members, m)
-			if _, taken := d.byHash[m.hash]; taken {
+			_, taken := d.byHash[m.hash]
+			if d.byHash[m.hash] = m; taken {
 				d.byHash[m.hash] = nil // two members of one hash: peers cannot tell us of either
-			} else {
-				d.byHash[m.hash] = m
 			}
 		}
 		named[m] = true
@@ -273,19 +250,19 @@
 			d.leave(m, e.Phase)
 			continue
 		}
-		m.draining, m.gone = false, false
+		m.draining = false
 		if e.Started > m.started {
 			m.started = e.Started
 			m.credit, m.creditAt = 0, d.now
 			if g.slot == m && e.Started > g.seen {
-				d.empty(m, false, "restarted") // a primary that starts again comes back as a replica
+				d.empty(m, false, "restarted") // it comes back as a replica
 			}
 		}
-		newly := e.Primary && !m.listed
-		m.listed = e.Primary
-		if newly && g.slot == nil && g.last != m && m.replicaAt <= g.emptied && (d.roleLate || g.last == nil) {
+		if e.Primary && !m.listed && g.slot == nil && m.replicaAt <= g.emptied &&
+			(g.last == nil || d.roleLate && g.last != m) {
 			d.fill(m, math.Inf(-1), "list")
 		}
+		m.listed = e.Primary
 	}
 	if ev.List != ListChanges {
 		for _, g := range d.groups {
@@ -303,7 +280,7 @@
 	if p == Gone && !m.draining && d.drainOnly {
 		return // such a list does not establish which members are up
 	}
-	m.draining, m.gone = true, p == Gone
+	m.draining = true
 	if m.group.slot == m {
 		d.empty(m, false, "drains")
 	}
@@ -359,30 +336,24 @@
 // it is empty; other reads go to the replica that is fresh enough and least in use, else to the primary.
 func (d *Driver) route(o *op) {
 	g := o.group
-	if d.now >= o.until {
+	if d.now >= o.until || len(o.sends) >= d.sendCap && o.out == 0 {
 		d.finish(o)
 		return
 	}
-	if len(o.sends) >= d.sendCap {
-		if o.out == 0 {
-			d.finish(o)
-		}
-		return
-	}
 	var to *member
 	if o.kind.need >= Fresh {
 		to = g.slot
 	} else {
 		var fresh bool
 		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
-			to = d.advanced(o)
+			to = d.farthest(o, false)
 		}
 		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom) &&
 			!(fresh && d.long(o)) {
 			to = p
 		}
 		if to == nil && !fresh && o.kind.need == Any {
-			to = d.anyone(o)
+			to = d.farthest(o, true)
 		}
 		o.stalled = o.stalled || to == nil && !fresh
 	}
@@ -396,8 +367,7 @@
 // hold keeps an op until the slot is filled, a replica is fresh enough or a member admits it.
 func (d *Driver) hold(o *op) {
 	o.held = true
-	o.group.held++
-	if o.group.held > heldCap {
+	if o.group.held++; o.group.held > heldCap {
 		d.finish(o)
 	}
 }
@@ -426,7 +396,8 @@
 			continue
 		}
 		if m.aside {
-			if d.admits(m, o.kind) && d.now >= m.trialAt && o.kind.effect == Retryable && o.out == 0 && (d.checks || d.fresh(o, m)) {
+			if d.now >= m.trialAt && o.kind.effect == Retryable && o.out == 0 && d.admits(m, o.kind) &&
+				(d.checks || d.fresh(o, m)) {
 				m.pause = min(2*m.pause, trialMost)
 				m.trialAt = d.now + m.pause
 				return m, true
@@ -452,26 +423,22 @@
 	return l
 }
 
-// apart keeps reads that need fresh data and reads that do not from spoiling each other's replicas. A read
-// that usually takes longer than the tightest bound on age can leave a replica that applies nothing
-// meanwhile useless for the others: such reads keep to a few replicas, the same at every driver, and wait for
-// room there. Other reads that every member may answer rather go to replicas that are behind. It could
-// harm where long reads block nothing: their replicas are then used more than others, up to their windows.
+// apart keeps reads from spoiling replicas for those that need fresh data. A read that usually takes longer
+// than the tightest bound on age may keep a replica from applying the log: such reads keep to a few replicas,
+// the same at every driver, and wait for room there. Others that every member may answer rather go to
+// replicas that are behind. It could harm where long reads block nothing: their replicas are used more.
 func (d *Driver) apart(o *op, m *member) float64 {
 	if o.kind.need != Any {
 		return 0
 	}
 	if d.long(o) {
-		before, all := 0.0, 0.0
+		before := 0.0
 		for _, other := range m.group.members {
-			if other == m.group.slot || other.draining || other.aside {
-				continue
-			}
-			if all++; other.hash < m.hash {
+			if other != m.group.slot && !other.draining && !other.aside && other.hash < m.hash {
 				before++
 			}
 		}
-		if before >= max(1, all*apartShare) {
+		if before >= max(1, float64(m.group.serving-1)*apartShare) {
 			return math.Inf(1)
 		}
 		return before
@@ -484,25 +451,13 @@
 
 func (d *Driver) long(o *op) bool { return o.kind.need == Any && o.kind.took > d.bound }
 
-// advanced is the replica with the newest known position, tried where replicas check reads.
-func (d *Driver) advanced(o *op) *member {
+// farthest is the replica with the newest known position, tried where replicas check reads. As a last resort
+// of a read that every member may answer it takes any member, even one set aside.
+func (d *Driver) farthest(o *op, last bool) *member {
 	var best *member
 	for _, m := range o.group.members {
-		if m == o.group.slot || m.draining || m.aside || o.triedAt(m) || !d.admits(m, o.kind) {
-			continue
-		}
-		if best == nil || m.position > best.position {
-			best = m
-		}
-	}
-	return best
-}
-
-// anyone is the last resort of a read that every member may answer: even one set aside.
-func (d *Driver) anyone(o *op) *member {
-	var best *member
-	for _, m := range o.group.members {
-		if !m.draining && !o.triedAt(m) && (best == nil || m.inFlight < best.inFlight) {
+		if !m.draining && !o.triedAt(m) && (last || m != o.group.slot && !m.aside) && d.admits(m, o.kind) &&
+			(best == nil || m.position > best.position) {
 			best = m
 		}
 	}
@@ -567,15 +522,14 @@
 	return max(easyShare*k.target, min(easyLeast*k.best, easyMost*k.target))
 }
 
-// pace moves a member's window: up by one a windowful of answers, down when they take too long on average or
-// the member is full. Guards against queues at members whatever fills them; it could harm where ops of one
-// type turn long by themselves, which costs waiting here instead of there.
-func (d *Driver) pace(m *member, x float64, full bool) {
-	g, over := m.group, 0.0
+// pace moves a member's window: up by one a windowful of answers, down when they take long on average or the
+// member is full. Guards against queues at members whatever fills them; it could harm where ops of one type
+// turn long by themselves, which costs waiting here instead of there.
+func (d *Driver) pace(m *member, k *opKind, x float64, full bool) {
+	g := m.group
 	m.late += (min(x, 5) - m.late) * 2 * smooth
-	if m == g.slot {
-		over = m.late
-	} else {
+	over := m.late
+	if m != g.slot {
 		g.late += (min(x, 5) - g.late) * 2 * smooth
 		over = (m.late + g.late) / 2
 	}
@@ -583,28 +537,15 @@
 		m.proven += (float64(m.inFlight+1) - m.proven) * smooth / 3
 	}
 	if full || over > 1 {
-		if d.now-m.cutAt > d.usual() {
+		if d.now-m.cutAt > k.took {
 			m.window, m.cutAt = max(m.window*shrink, 1, m.proven*floorShare), d.now
 		}
 	} else if float64(m.inFlight+1) >= m.window*headroom {
-		if m.cutAt == 0 {
-			m.window++ // until the first cut
-		} else {
-			m.window += 1 / m.window
-		}
+		m.window += 1 / m.window
 	}
 	if full {
-		m.fullAt = d.now + d.usual()*d.chance()
-	}
-}
-
-// usual is the time that a good answer of the quickest op type takes.
-func (d *Driver) usual() float64 {
-	t := math.Inf(1)
-	for _, k := range d.types {
-		t = min(t, k.took)
+		m.fullAt = d.now + k.took*d.chance()
 	}
-	return t
 }
 
 func (d *Driver) send(o *op, m *member) {
@@ -640,35 +581,34 @@
 	m.inFlight--
 	o.out--
 	s.proved = ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot
-	switch ev.Outcome {
-	case OK, Miss, Full, Fault:
+	if note := ev.Note; ev.Outcome == OK || ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == Fault {
 		m.heard, m.owed = d.now, 0
-		d.learn(m, ev, s.at, o.kind.need == Write)
+		if o.kind.need == Write && note.Position > 0 {
+			note.Position-- // commits are rounded up
+		}
+		d.learn(m, note, s.at, "answer")
+		d.learn(m, ev.Report, s.at-probeEvery, "report")
+	}
+	switch ev.Outcome {
+	case OK:
+		d.good(o, m, s.at, ev)
 	case TimedOut, Cancelled:
-		d.pace(m, (d.now-s.at)/o.kind.easy(), false) // the member may still be at work on it
+		d.pace(m, o.kind, (d.now-s.at)/o.kind.easy(), false) // the member may still be at work on it
 		m.owed += max(d.now-max(s.at, m.heard), 0) / o.kind.took
 	case ConnectFailed, Reset:
 		if s.at >= m.backAt {
 			d.setAside(m, true, "connection")
 		}
-	}
-	switch ev.Outcome {
-	case OK:
-		d.good(o, m, s.at, ev)
 	case Fault:
-		m.errors += (1 - m.errors) * 0.15
-		if m.errors > errorLimit && !m.aside {
+		if m.errors += (1 - m.errors) * errorWeight; m.errors > errorLimit {
 			d.setAside(m, false, "errors")
 		}
 	case Full:
-		d.pace(m, 1, true)
+		d.pace(m, o.kind, 1, true)
 	case Miss:
-		if o.kind.need == Write {
-			if m.group.slot == m {
-				d.empty(m, false, "miss")
-			}
-		} else {
-			o.missed = true
+		o.missed = true
+		if o.kind.need == Write && m.group.slot == m {
+			d.empty(m, false, "miss")
 		}
 	}
 	if o.group.trial == o {
@@ -696,7 +636,7 @@
 // good takes what an answer in full teaches of times, strain and sessions.
 func (d *Driver) good(o *op, m *member, at float64, ev *Event) {
 	took := d.now - at
-	m.errors -= m.errors * 0.15
+	m.errors -= m.errors * errorWeight
 	o.kind.took += (took - o.kind.took) * smooth
 	m.news, m.good = true, true
 	d.spare = min(d.spare+copyShare, copyMost)
@@ -706,16 +646,16 @@
 		rise = smooth // it can't be this driver's sends that make the member slow
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
-	d.pace(m, took/o.kind.easy(), false)
+	d.pace(m, o.kind, took/o.kind.easy(), false)
 	if m.aside {
 		d.welcome(m, "answers")
 	}
 	if !o.done {
-		d.feel(o, d.now-o.arrived > o.kind.target)
+		d.feel(o, min(math.Floor((d.now-o.arrived)/o.kind.target), 1))
 	}
-	if o.kind.need == Write && !d.carried && ev.Position > 0 {
+	if o.kind.need == Write && !d.carried && ev.Note.Position > 0 {
 		g := o.group
-		g.sessions[o.session] = ev.Position
+		g.sessions[o.session] = ev.Note.Position
 		if len(g.sessions) > heldCap {
 			for _, at := range g.older { // a maximum: the order of the map is of no account
 				g.forgotten = max(g.forgotten, at)
@@ -726,86 +666,50 @@
 }
 
 // feel notes whether a read came too late for want of room.
-func (d *Driver) feel(o *op, late bool) {
-	x := 0.0
-	if late {
-		x = 1
-	}
+func (d *Driver) feel(o *op, late float64) {
 	if !o.stalled && o.kind.need != Write {
 		s := &o.group.strain[o.kind.index]
-		*s += (x - *s) * 2 * smooth
+		*s += (late - *s) * 2 * smooth
 	}
 }
 
-// learn takes role and position from an answer. What an answer says is as old as the answer, not its arrival:
-// a primary stands at the present, so its position dates it; without one the time of its send does.
-func (d *Driver) learn(m *member, ev *Event, at float64, write bool) {
-	pos := ev.Position
-	if write && pos > 0 {
-		pos-- // commits are rounded up
-	}
-	if pos > m.position {
-		m.position, m.news = pos, true
-	}
-	if ev.Role == Primary {
-		when := at
-		if pos > 0 {
-			when = d.zero + pos
-		}
-		d.primarySeen(m, when, "answer")
-	} else if ev.Role == Replica {
-		d.replicaSeen(m)
+// learn takes role and position from an answer or a report. What they say is as old as they are, not as their
+// arrival: a primary stands at the present, so its position dates it; without one the time of asking does.
+func (d *Driver) learn(m *member, s Sight, asked float64, by string) {
+	if s.Position > m.position {
+		m.position, m.news = s.Position, true
 	}
-	d.report(m, &ev.Report, at)
-}
-
-// report takes a load report. One that shows a primary is as old as the position it shows.
-func (d *Driver) report(m *member, r *Report, at float64) {
-	if r.HasPosition && r.Position > m.position {
-		m.position = r.Position
+	when := asked
+	if s.Position > 0 {
+		when = d.zero + s.Position
 	}
-	if !r.HasRole {
-		return
-	}
-	if !r.Primary {
-		if d.zero+r.Position >= m.group.seen {
-			d.replicaSeen(m)
+	if s.Role == Primary {
+		d.primarySeen(m, when, by)
+	} else if s.Role == Replica && (by != "report" || when >= m.group.seen) {
+		m.replicaAt = d.now
+		if m.group.slot == m {
+			d.empty(m, false, "replica")
 		}
-	} else if r.HasPosition {
-		d.primarySeen(m, d.zero+r.Position, "report")
-	} else if m.group.slot == nil {
-		d.primarySeen(m, at-probeEvery, "report")
-	}
-}
-
-func (d *Driver) replicaSeen(m *member) {
-	m.replicaAt = d.now
-	if m.group.slot == m {
-		d.empty(m, false, "replica")
 	}
 }
 
-// primarySeen fills the slot, unless the evidence is no newer than what stands against it: an emptying by
-// the member's own word or, for another member, the newest sight of a primary.
+// primarySeen fills the slot, unless the evidence is no newer than what stands against it.
 func (d *Driver) primarySeen(m *member, when float64, by string) {
 	g := m.group
 	if g.slot == m {
 		g.seen = max(g.seen, when)
 		return
 	}
-	if m.draining || when <= g.seen {
-		return
+	unsaid := m == g.last && when <= g.emptied && !(g.silent && m.heard == d.now) // a silent one may speak again
+	if !m.draining && when > g.seen && m.replicaAt <= when && !unsaid {
+		d.fill(m, when, by)
 	}
-	if m == g.last && when <= g.emptied && !(g.silent && m.heard == d.now) || m.replicaAt > when {
-		return
-	}
-	d.fill(m, when, by)
 }
 
 func (d *Driver) fill(m *member, when float64, by string) {
 	g := m.group
 	if g.slot != nil || g.last != nil {
-		m.window = min(m.window, startWindow) // slow start: all drivers let go of their held writes at about the same time
+		m.window = min(m.window, startWindow) // all drivers let go of held writes at about the same time
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
 	if m.aside && by != "list" {
@@ -831,7 +735,7 @@
 	}
 	g.probeAt = d.now + probeEvery
 	if g.slot != nil {
-		g.probeAt = d.now + probeEvery*probeIdle
+		g.probeAt = d.now + probeIdle
 	}
 	for _, m := range g.members {
 		if !m.draining {
@@ -840,17 +744,9 @@
 	}
 }
 
-func (d *Driver) probed(ev *Event) {
-	m := d.members[ev.Member]
-	if m == nil || ev.Outcome != OK {
-		return
-	}
-	d.report(m, &ev.Report, d.now-ev.Took)
-}
-
-// release routes the held ops of a group, oldest first; route holds again what cannot go yet. Those that can
-// still meet their latency target go first: after an outage a queue that is served strictly by age can stay
-// long for good, and then every op in it is late. It could harm old ops under lasting want of room.
+// release routes the held ops of a group, oldest first, those that can still meet their latency target before
+// the others: after an outage a queue served strictly by age can stay long for good, and then every op in it
+// is late. It could harm old ops under lasting want of room.
 func (d *Driver) release(g *group) {
 	for _, late := range [...]bool{false, true} {
 		for _, o := range g.live {
@@ -880,9 +776,8 @@
 
 // welcome takes a member back, slowly.
 func (d *Driver) welcome(m *member, by string) {
-	m.aside, m.backAt, m.errors, m.owed = false, d.now, 0, 0
+	m.aside, m.backAt, m.heard, m.errors, m.owed = false, d.now, d.now, 0, 0
 	m.window = min(m.window, startWindow)
-	m.heard = d.now
 	d.log("group %d: %s is back (%s)", m.group.id, m.id, by)
 }
 
@@ -925,14 +820,13 @@
 	}
 }
 
-// sweep does what time brings: silence, searches, final answers that fall due, held ops, further sends,
-// messages.
+// sweep does what time brings.
 func (d *Driver) sweep() {
 	for _, g := range d.groups {
 		d.silence(g)
 		d.search(g)
 		if dt := d.now - d.swept; dt > 0 {
-			g.rate += (g.work/dt - g.rate) * min(dt/d.rateSpan(), 1)
+			g.rate += (g.work/dt - g.rate) * min(dt/max(d.coldSpan, 5*probeEvery), 1)
 			g.work = 0
 		}
 		d.release(g)
@@ -952,7 +846,7 @@
 		}
 	}
 	d.swept = d.now
-	if d.watching && d.watchAt > 0 && d.now >= d.watchAt {
+	if d.watchAt > 0 && d.now >= d.watchAt {
 		d.watchAt = 0
 		d.act(Action{Kind: ActWatch})
 	}
@@ -962,8 +856,6 @@
 	}
 }
 
-func (d *Driver) rateSpan() float64 { return max(d.coldSpan, 5*probeEvery) }
-
 // attend looks after one unfinished op.
 func (d *Driver) attend(o *op) {
 	if d.now >= o.until {
@@ -971,13 +863,13 @@
 		return
 	}
 	if o.held {
-		d.tryRole(o)
-		k := o.kind
-		if !o.stalled && k.need < Fresh && d.now-o.arrived > holdShare*k.target {
-			d.feel(o, true)
+		if crowded := !o.stalled && o.kind.need < Fresh && d.now-o.arrived > holdShare*o.kind.target; crowded {
+			d.feel(o, 1)
 			d.finish(o) // while a further try by the client can still be in time
 		} else if !d.mayRepeat(o, nil) {
 			d.finish(o) // its token has run out
+		} else {
+			d.tryRole(o)
 		}
 		return
 	}
@@ -1001,12 +893,12 @@
 	}
 }
 
-// tryRole lets one held write at a time find the primary where no probe can tell it: a miss proves that the
-// write did not run. It acts only on members of which nothing was heard for a while, as answers to reads
-// tell the role too.
+// tryRole lets one held write at a time find the primary where no probe can tell it: a miss proves that it
+// did not run. It tries only members that said nothing for a while, as answers to reads tell the role too.
 func (d *Driver) tryRole(o *op) {
 	g := o.group
-	if !o.held || g.slot != nil || g.trial != nil || d.reports || o.kind.need != Write || len(o.sends) >= d.sendCap-1 {
+	if g.slot != nil || g.trial != nil || d.reports || o.kind.need != Write ||
+		len(o.sends) >= d.sendCap-1 {
 		return
 	}
 	for _, m := range g.members {
@@ -1019,10 +911,9 @@
 	}
 }
 
-// silence sets aside a member that owes more than chance explains. Were answers to come at random at the
-// usual rate, none would for so long with a chance of e to the power of minus the sum. Guards against
-// hung and vanished members, cut links and stopped processes alike; a usual time that follows a shared
-// slowdown keeps it from acting on all members at once.
+// silence sets aside a member that owes more than chance explains: were answers to come at random at the
+// usual rate, none would for so long with a chance of e to minus the sum. Guards against hung and vanished
+// members, cut links and stopped processes; it must stand out, lest a shared slowdown pass for it.
 func (d *Driver) silence(g *group) {
 	for _, m := range g.members {
 		m.quiet = m.owed
@@ -1045,7 +936,7 @@
 	for _, m := range g.members {
 		limit := silentReads + 2*(all-m.quiet)/float64(max(len(g.members)-1, 1))
 		if m == g.slot {
-			limit += silentWrites - silentReads
+			limit += silentSlot - silentReads
 		}
 		if m.quiet >= limit {
 			d.setAside(m, true, "silent")
