--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -136,8 +136,8 @@
 		return nil
 	case "LIST":
 		return s.list(f)
-	case "ENTRY":
-		return fmt.Errorf("ENTRY outside a LIST")
+	case "ENTRY", "TURN":
+		return fmt.Errorf("%s inside a batch, outside its place", f.name)
 	}
 	ev := logic.Event{}
 	switch f.name {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -170,7 +170,7 @@
 func (d *Driver) open(p *Opening) {
 	*d = Driver{now: d.now, out: d.out, state: p.Seed, zone: p.Zone, zero: p.PositionZero, swept: d.now,
 		members: map[string]*member{}, byHash: map[uint32]*member{}, groupOf: map[int64]*group{},
-		ops: map[string]*op{}, sweepGap: max(p.Tick, 4), checks: p.Checks != ChecksNone,
+		ops: map[string]*op{}, sweepGap: max(p.Tick, 4), spare: copyMost / 2, checks: p.Checks != ChecksNone,
 		roleLate: p.ListRole == RoleLate, carried: p.SessionCarried,
 		reports: p.ReportsByProbe && p.MayProbe, cancels: p.MayCancel,
 		overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), coldFrom: p.ColdFrom, coldFor: p.ColdFor,
