--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	easyLeast, easyMost     = 1.15, 0.6     // and so many times the best mean, up to this share of the target
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	coldShare               = 0.6           // of the budget that a cold member can bear
-	strainFree, strainSlope = 0.08, 1.5     // strain without effect; chance of refusal for strain beyond
+	strainFree, strainSlope = 0.04, 2.0     // strain without effect; chance of refusal for strain beyond
 	farPenalty              = 0.3           // of a send in flight, for a member in another zone
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
 	smooth                  = 0.03
