--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,13 +28,13 @@
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
-	holdShare               = 0.1           // of the latency target: a read waits so long for room
+	holdShare = 0.04          // of the latency target: a read waits so long for room
 	lateShare               = 0.5           // of the latency target: a send so old may get a second copy
 	copyShare, copyMost     = 0.1, 10.0     // sends beside one that is out: earned by a good answer; saved up
 	startWindow             = 4.0           // sends that may be out at a member that has just come to its place
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
-	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
-	easyLeast, easyMost     = 1.15, 0.6     // and so many times the best mean, up to this share of the target
+	easyShare = 0.28          // of the latency target: a mean time so long is easy for a member
+	easyLeast, easyMost = 1.07, 0.6      // and so many times the best mean, up to this share of the target
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	coldShare               = 0.6           // of the budget that a cold member can bear
 	strainFree, strainSlope = 0.04, 2.0     // strain without effect; chance of refusal for strain beyond
