--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	coldShare               = 0.6           // of the budget that a cold member can bear
 	strainFree, strainSlope = 0.04, 2.0     // strain without effect; chance of refusal for strain beyond
-	farPenalty              = 0.3           // of a send in flight, for a member in another zone
+	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
 	smooth                  = 0.03
 )
@@ -412,7 +412,7 @@
 }
 
 func (d *Driver) load(m *member) float64 {
-	l := float64(m.inFlight+1)/d.warmth(m) + 0.05*d.chance()
+	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*m.late + 0.05*d.chance()
 	if m.far {
 		l += farPenalty
 	}
