--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,11 +6,12 @@
 // goroutines and nothing outside itself. docs/design.md tells which parts come from the design.
 //
 // The ordinary path of an op is route. Six mechanisms stand beside the design:
-//  1. silence: a member that owes more answers than chance explains is set aside, and empties the slot;
-//  2. setting aside for errors and dead connections, return by peers' word, own trial or its own answer;
-//  3. further sends: where the op's effect allows, for sends that failed, are stuck or are late, on a budget;
-//  4. slow start: a refilled slot, a returned member and a cold member take work at a growing pace;
-//  5. turning away: under strain new ops are refused by chance, the cheaper for their work more often;
+//  1. setting aside: a member that owes more answers than chance explains, fails or breaks connections gets
+//     nothing for a while, and loses the slot; it returns by peers' word, own trial or its own answer;
+//  2. further sends: where the op's effect allows, for sends that failed, are stuck or are late, on a budget;
+//  3. pace: a window on own sends at each member, a budget for cold ones, held ops in time released first;
+//  4. turning away: under strain new reads are refused by chance, the cheaper for their work more often;
+//  5. keeping apart: long reads go to few replicas, lest they keep all of them from applying the log;
 //  6. word to peers: short messages with positions, the primary seen and members that answer well.
 
 import (
