Take a replica that falls behind for a crowded one

Told from slow log application by its rise and fall with the sends out. It could harm where the log alone is slow.

--- a/internal/benchwire/opening.go
+++ b/internal/benchwire/opening.go
@@ -94,13 +94,16 @@
 		Positions: s.Family.Stamps, SessionCarried: s.Family.WriteMarks == "brought",
 		PositionZero: ms(s.Family.PositionZero), ListOnRequest: s.Registry == "on_request",
 		MayProbe: s.Limits.MayProbe, MayCancel: s.Limits.Cancel, MayMessage: s.Limits.Peers,
-		MayOverlap: s.Limits.ParallelTries, MayAdviseRetry: s.Limits.RetryAfter,
-		MaxRetryAfter: ms(s.Limits.MaxRetryAfter), SendCap: s.Limits.SendCap,
-		ColdFrom: s.Rules.ColdFrom, ColdFor: ms(s.Rules.Cold), FallMultiple: s.Rules.TipMultiple,
+		MayOverlap: s.Limits.ParallelTries,
+		SendCap:    s.Limits.SendCap,
+		ColdFrom:   s.Rules.ColdFrom, ColdFor: ms(s.Rules.Cold), FallMultiple: s.Rules.TipMultiple,
 		FallSpan: ms(s.Rules.Fall), DrainGrace: ms(s.Rules.StopSending),
 		OnlyDrainBinds: s.Rules.OnlyDrainingBind, ConnectTimeout: ms(s.Limits.ConnectTimeout),
 		MaxMessageBytes: maxMessage,
 	}
+	if s.Limits.RetryAfter {
+		o.MaxRetryAfter = ms(s.Limits.MaxRetryAfter)
+	}
 	for _, f := range s.Report.Fields {
 		if f == "x1" && s.Report.Source != "silent" {
 			o.ReportsByProbe = true
--- a/logic/api.go
+++ b/logic/api.go
@@ -81,9 +81,8 @@
 	MayProbe        bool
 	MayCancel       bool
 	MayMessage      bool
-	MayOverlap      bool // two sends of an op may be out at once
-	MayAdviseRetry  bool
-	MaxRetryAfter   float64
+	MayOverlap      bool    // two sends of an op may be out at once
+	MaxRetryAfter   float64 // 0: a busy reply can't advise
 	SendCap         int
 	ColdFrom        float64
 	ColdFor         float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,6 +20,7 @@
 	"hash/fnv"
 	"math"
 	"math/bits"
+	"slices"
 )
 
 // Tuned values. Those that weigh time are multiples of what is observed or of the opening's own figures.
@@ -37,6 +38,7 @@
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
+	behind                  = 1.5           // times over the easy ones: an answer of a replica that is not fresh
 	coldShare               = 0.6           // of the budget that a cold member can bear
 	strainFree, strainSlope = 0.04, 2.0     // strain without effect; chance of refusal for strain beyond
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
@@ -174,13 +176,10 @@
 		ops: map[string]*op{}, sweepGap: max(p.Tick, 4), spare: copyMost / 2, checks: p.Checks != ChecksNone,
 		roleLate: p.ListRole == RoleLate, carried: p.SessionCarried,
 		reports: p.ReportsByProbe && p.MayProbe, cancels: p.MayCancel,
-		overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), coldFrom: p.ColdFrom, coldFor: p.ColdFor,
-		coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan, drainOnly: p.OnlyDrainBinds,
+		overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), advise: p.MaxRetryAfter,
+		coldFrom: p.ColdFrom, coldFor: p.ColdFor, coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan, drainOnly: p.OnlyDrainBinds,
 		tellMost: p.MaxMessageBytes / entryBytes}
 	d.margin = d.sweepGap + 2*p.Tick
-	if p.MayAdviseRetry {
-		d.advise = p.MaxRetryAfter
-	}
 	d.bound = math.Inf(1)
 	for i, t := range p.OpTypes {
 		d.types = append(d.types, &opKind{index: i, need: t.Need, maxAge: t.MaxAge, effect: t.Effect,
@@ -288,8 +287,7 @@
 
 // take accepts a new op.
 func (d *Driver) take(ev *Event) {
-	k := d.types[ev.OpType]
-	g := d.groupAt(ev.Group)
+	k, g := d.types[ev.OpType], d.groupAt(ev.Group)
 	o := &op{id: ev.Op, kind: k, group: g, session: ev.Session, arrived: d.now, needPos: -1}
 	o.until = d.now + max(ev.Left-d.margin, 0)
 	if k.need == Session {
@@ -325,8 +323,7 @@
 	for _, k := range d.types {
 		best = max(best, k.value/k.took)
 	}
-	cheap := 1 - o.kind.value/o.kind.took/best
-	return d.chance() < min(p*(0.5+cheap), 0.9)
+	return d.chance() < min(p*(1.5-o.kind.value/o.kind.took/best), 0.9)
 }
 
 // route is the ordinary path of an op: writes and fresh reads go to the writer slot's primary and wait while
@@ -650,7 +647,11 @@
 		rise = smooth // it can't be this driver's sends that make the member slow
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
-	d.pace(m, o.kind, took/d.easy(o.kind), false)
+	x := took / d.easy(o.kind)
+	if o.group.slot != m && m.position < d.now-d.zero-d.bound && !slices.ContainsFunc(d.types, d.long) {
+		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
+	}
+	d.pace(m, o.kind, x, false)
 	if m.aside {
 		d.welcome(m, "answers")
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -265,3 +265,21 @@
 	r.answer("a", m, OK, Replica, r.now+1)
 	r.want(r.op("s2", session, 1000) == m, "a read at a replica that has it")
 }
+
+// A replica that falls behind under load has too much work, even if it answers as quickly as ever.
+func TestReplicaThatFallsBehindGetsLess(t *testing.T) {
+	r := start(t, opening())
+	for i := range 200 {
+		id := fmt.Sprint("a", i)
+		if m := r.op(id, anyRead, 1200); m != "" {
+			r.wait(5)
+			lag := 10.0
+			if m == "s" {
+				lag = 900
+			}
+			r.answer(id, m, OK, Replica, r.now-lag)
+		}
+	}
+	behind, well := r.d.members["s"], r.d.members["r"]
+	r.want(behind.late > 1.2 && well.late < 0.5, fmt.Sprintf("s over its easy times, has %.2f", behind.late))
+}
