--- a/logic/logic.go
+++ b/logic/logic.go
@@ -174,11 +174,10 @@
 	*d = Driver{now: d.now, out: d.out, state: p.Seed, zone: p.Zone, zero: p.PositionZero, swept: d.now,
 		members: map[string]*member{}, byHash: map[uint32]*member{}, groupOf: map[int64]*group{},
 		ops: map[string]*op{}, sweepGap: max(p.Tick, 4), spare: copyMost / 2, checks: p.Checks != ChecksNone,
-		roleLate: p.ListRole == RoleLate, carried: p.SessionCarried,
-		reports: p.ReportsByProbe && p.MayProbe, cancels: p.MayCancel,
-		overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), advise: p.MaxRetryAfter,
-		coldFrom: p.ColdFrom, coldFor: p.ColdFor, coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan, drainOnly: p.OnlyDrainBinds,
-		tellMost: p.MaxMessageBytes / entryBytes}
+		roleLate: p.ListRole == RoleLate, carried: p.SessionCarried, reports: p.ReportsByProbe && p.MayProbe,
+		cancels: p.MayCancel, overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), advise: p.MaxRetryAfter,
+		coldFrom: p.ColdFrom, coldFor: p.ColdFor, coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan,
+		drainOnly: p.OnlyDrainBinds, tellMost: p.MaxMessageBytes / entryBytes}
 	d.margin = d.sweepGap + 2*p.Tick
 	d.bound = math.Inf(1)
 	for i, t := range p.OpTypes {
