--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
-	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; its answers' times over the easy
+	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare               = 0.6           // of the budget that a cold member can bear
 	strainFree, strainSlope = 0.04, 2.0     // strain without effect; chance of refusal for strain beyond
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
@@ -647,7 +647,8 @@
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
 	x := took / d.easy(o.kind)
-	if o.group.slot != m && m.position < d.now-d.zero-d.bound*behindShare && !slices.ContainsFunc(d.types, d.long) {
+	fresh := m == o.group.slot || m.position >= d.now-d.zero-d.bound*behindShare
+	if !fresh && !slices.ContainsFunc(d.types, d.long) {
 		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
 	}
 	d.pace(m, o.kind, x, false)
