--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
 	holdShare               = 0.04          // of the latency target: a read waits so long for room
 	lateShare               = 0.5           // of the latency target: a send so old may get a second copy
-	copyShare, copyMost     = 0.1, 10.0     // sends beside one that is out: earned by a good answer; saved up
+	copyShare, copyMost     = 0.05, 10.0    // sends beside one that is out: earned by a good answer; saved up
 	startWindow             = 4.0           // sends that may be out at a member that has just come to its place
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
@@ -40,7 +40,7 @@
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare               = 0.6           // of the budget that a cold member can bear
-	strainFree, strainSlope = 0.04, 2.0     // strain without effect; chance of refusal for strain beyond
+	strainFree, strainSlope = 0.02, 2.0     // strain without effect; chance of refusal for strain beyond
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
 	smooth                  = 0.03
