--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,7 +8,7 @@
 // The ordinary path of an op is route. Six mechanisms stand beside the design:
 //  1. setting aside: a member that owes more answers than chance explains, fails or breaks connections gets
 //     nothing for a while, and loses the slot; it returns by peers' word, own trial or its own answer;
-//  2. further sends: where the op's effect allows, for sends that failed, are stuck or are late, on a budget;
+//  2. further sends: where the op's effect allows, for sends that failed, and on a budget for stuck ones;
 //  3. pace: a window on own sends at each member, a budget for cold ones, held ops in time released first;
 //  4. turning away: under strain new reads are refused by chance, the cheaper for their work more often;
 //  5. keeping apart: long reads go to few replicas, lest they keep all of them from applying the log;
@@ -31,8 +31,7 @@
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
 	holdShare               = 0.04          // of the latency target: a read waits so long for room
-	lateShare               = 0.5           // of the latency target: a send so old may get a second copy
-	copyShare, copyMost     = 0.05, 10.0    // sends beside one that is out: earned by a good answer; saved up
+	copyShare, copyMost     = 0.03, 10.0    // sends beside one that is stuck: earned by a good answer; saved up
 	startWindow             = 4.0           // sends that may be out at a member that has just come to its place
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
@@ -40,7 +39,7 @@
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare               = 0.6           // of the budget that a cold member can bear
-	strainFree, strainSlope = 0.02, 2.0     // strain without effect; chance of refusal for strain beyond
+	strainSlope             = 2.0           // chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
 	smooth                  = 0.03
@@ -314,7 +313,7 @@
 // Guards against queues in which every answer is late: bursts, overload, a shared slowdown, client retries.
 // It could harm where the strain is of one member only, which is why held and repeated ops do not count.
 func (d *Driver) turnAway(o *op) bool {
-	p := (o.group.strain[o.kind.index] - strainFree) * strainSlope
+	p := o.group.strain[o.kind.index] * strainSlope
 	if p <= 0 || o.kind.need == Write {
 		return false
 	}
@@ -884,9 +883,7 @@
 		}
 	}
 	age := d.now - newest
-	late := o.kind.effect == Retryable && age >= max(lateShare*o.kind.target, 2*o.kind.took) &&
-		d.spare >= copyMost/2 && o.group.strain[o.kind.index] < strainFree // half is kept for the stuck
-	if late || stuck && d.spare >= 1 && age >= min(2*o.kind.took, o.kind.target) {
+	if stuck && d.spare >= 1 && age >= min(2*o.kind.took, o.kind.target) {
 		before := len(o.sends)
 		d.route(o)
 		d.spare -= float64(len(o.sends) - before)
