--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -249,7 +249,7 @@
 			return fmt.Errorf("ENTRY has the unknown phase %q", e.need("phase"))
 		}
 		entries = append(entries, logic.ListEntry{Member: e.need("member"), Phase: phase, Zone: e.get("zone"),
-			Started: ms(e.opt("born")), Group: int64(e.opt("cluster")), Weight: e.opt("weight"),
+			Started: ms(e.opt("born")), Group: int64(e.opt("cluster")),
 			Primary: e.flag("head")})
 		if e.err != nil {
 			return e.err
--- a/internal/benchwire/opening.go
+++ b/internal/benchwire/opening.go
@@ -9,19 +9,17 @@
 
 // setup is the part of the opening JSON that the module is told of; other keys are skipped.
 type setup struct {
-	Index    int    `json:"index"`
 	Siblings int    `json:"siblings"`
 	Zone     string `json:"zone"`
 	Tick     float64
 	Profiles []struct {
-		Name      string
-		Aim       float64
-		Deadline  float64
-		Effect    string
-		KeyScope  string `json:"key_scope"`
-		Window    float64
-		Points    float64
-		LateWorth float64 `json:"late_worth"`
+		Name     string
+		Aim      float64
+		Deadline float64
+		Effect   string
+		KeyScope string `json:"key_scope"`
+		Window   float64
+		Points   float64
 	}
 	Family struct {
 		Checks       string
@@ -29,18 +27,16 @@
 		OldestData   []float64 `json:"oldest_data"`
 		PositionZero float64   `json:"position_zero"`
 		ShowsRole    string    `json:"shows_role"`
-		Stamps       bool
-		WriteMarks   string `json:"write_marks"`
+		WriteMarks   string    `json:"write_marks"`
 	} `json:"family_info"`
 	Limits struct {
-		Cancel         bool
-		ConnectTimeout float64 `json:"connect_timeout"`
-		MayProbe       bool    `json:"may_probe"`
-		ParallelTries  bool    `json:"parallel_tries"`
-		Peers          bool
-		RetryAfter     bool    `json:"retry_after"`
-		MaxRetryAfter  float64 `json:"max_retry_after"`
-		SendCap        int     `json:"send_cap"`
+		Cancel        bool
+		MayProbe      bool `json:"may_probe"`
+		ParallelTries bool `json:"parallel_tries"`
+		Peers         bool
+		RetryAfter    bool    `json:"retry_after"`
+		MaxRetryAfter float64 `json:"max_retry_after"`
+		SendCap       int     `json:"send_cap"`
 	} `json:"policy_limits"`
 	Registry string `json:"registry_mode"`
 	Report   struct {
@@ -52,7 +48,6 @@
 		ColdFrom         float64 `json:"cold_from"`
 		Fall             float64
 		TipMultiple      float64 `json:"tip_multiple"`
-		StopSending      float64 `json:"stop_sending_within"`
 		OnlyDrainingBind bool    `json:"only_draining_binds"`
 	}
 }
@@ -90,15 +85,15 @@
 			len(s.Family.Needs))
 	}
 	o := &logic.Opening{
-		Seed: seed, Index: s.Index, Drivers: s.Siblings, Zone: s.Zone, Tick: ms(s.Tick),
-		Positions: s.Family.Stamps, SessionCarried: s.Family.WriteMarks == "brought",
-		PositionZero: ms(s.Family.PositionZero), ListOnRequest: s.Registry == "on_request",
+		Seed: seed, Drivers: s.Siblings, Zone: s.Zone, Tick: ms(s.Tick),
+		SessionCarried: s.Family.WriteMarks == "brought",
+		PositionZero:   ms(s.Family.PositionZero), ListOnRequest: s.Registry == "on_request",
 		MayProbe: s.Limits.MayProbe, MayCancel: s.Limits.Cancel, MayMessage: s.Limits.Peers,
 		MayOverlap: s.Limits.ParallelTries,
 		SendCap:    s.Limits.SendCap,
 		ColdFrom:   s.Rules.ColdFrom, ColdFor: ms(s.Rules.Cold), FallMultiple: s.Rules.TipMultiple,
-		FallSpan: ms(s.Rules.Fall), DrainGrace: ms(s.Rules.StopSending),
-		OnlyDrainBinds: s.Rules.OnlyDrainingBind, ConnectTimeout: ms(s.Limits.ConnectTimeout),
+		FallSpan:        ms(s.Rules.Fall),
+		OnlyDrainBinds:  s.Rules.OnlyDrainingBind,
 		MaxMessageBytes: maxMessage,
 	}
 	if s.Limits.RetryAfter {
@@ -119,7 +114,7 @@
 	names := map[string]int{}
 	for i, p := range s.Profiles {
 		t := logic.OpType{Name: p.Name, Window: ms(p.Window), LatencyTarget: ms(p.Aim),
-			OpTimeout: ms(p.Deadline), Value: p.Points, LateValue: p.LateWorth}
+			OpTimeout: ms(p.Deadline), Value: p.Points}
 		if t.Need, err = word(needs, s.Family.Needs[i], "needs_by_class"); err != nil {
 			return nil, nil, err
 		}
--- a/logic/api.go
+++ b/logic/api.go
@@ -60,20 +60,17 @@
 	LatencyTarget float64
 	OpTimeout     float64
 	Value         float64
-	LateValue     float64
 }
 
 // Opening is what a driver is told when it starts. Times are milliseconds.
 type Opening struct {
 	Seed            uint64
-	Index           int
 	Drivers         int
 	Zone            string
 	OpTypes         []OpType
 	Tick            float64
 	Checks          Checks
 	ListRole        ListRole
-	Positions       bool // every answer carries a position
 	SessionCarried  bool // session reads say how long ago the session wrote; else the driver remembers
 	PositionZero    float64
 	ListOnRequest   bool
@@ -88,9 +85,7 @@
 	ColdFor         float64
 	FallMultiple    float64
 	FallSpan        float64
-	DrainGrace      float64
 	OnlyDrainBinds  bool
-	ConnectTimeout  float64
 	MaxMessageBytes int
 }
 
@@ -134,7 +129,6 @@
 	Zone    string
 	Started float64 // clock time, 0 for long ago
 	Group   int64
-	Weight  float64
 	Primary bool
 }
 
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -14,9 +14,9 @@
 
 func opening() *Opening {
 	return &Opening{Seed: 7, Drivers: 2, Zone: "a", Tick: 5, Checks: ChecksRefuse, ListRole: RoleAtStart,
-		Positions: true, SessionCarried: true, ReportsByProbe: true, MayProbe: true, MayCancel: true,
+		SessionCarried: true, ReportsByProbe: true, MayProbe: true, MayCancel: true,
 		MayOverlap: true, SendCap: 8, ColdFrom: 0.2, ColdFor: 10000, FallMultiple: 2.5, FallSpan: 1500,
-		DrainGrace: 500, ConnectTimeout: 250, MaxMessageBytes: 256, OpTypes: []OpType{
+		MaxMessageBytes: 256, OpTypes: []OpType{
 			{Need: Bounded, MaxAge: 200, LatencyTarget: 250, OpTimeout: 1000, Value: 2},
 			{Need: Any, LatencyTarget: 300, OpTimeout: 1200, Value: 1},
 			{Need: Write, Effect: NonRetryable, LatencyTarget: 500, OpTimeout: 2000, Value: 3, Window: 3000},
