One check for how far behind a member is; fields nobody reads go; a clearer input error

The test of a position against an age stood three times in the module and is now one function. An op type's name, a message's sender and an answer's time reached the module and were read by nothing. A malformed entry in a list was reported as a list cut short, and NaN passed for a number: both now name what is wrong, with tests. Two comments said what the code no longer does. Decisions unchanged.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -194,7 +194,7 @@
 		ev.Outcome, ev.Report = f.outcome(), f.report()
 	case "VERDICT":
 		ev.Kind, ev.Op, ev.Member = logic.EvAnswer, f.need("txn"), f.need("member")
-		ev.Send, ev.Took = int(f.num("attempt")), ms(f.opt("delay_seen"))
+		ev.Send = int(f.num("attempt"))
 		ev.Outcome, ev.Report, ev.Closed = f.outcome(), f.report(), f.flag("settled")
 		note := int64(f.opt("progress"))
 		ev.Note = logic.Sight{Role: logic.Role(note % 4), Position: float64(note / 4)}
@@ -205,7 +205,7 @@
 		if f.err == nil && err != nil {
 			return fmt.Errorf("payload: %v", err)
 		}
-		ev.Kind, ev.From, ev.Data = logic.EvMessage, int(f.num("who")), data
+		ev.Kind, ev.Data = logic.EvMessage, data
 	default:
 		return nil // later additions to the wire, and HEADERS, which no op type here has
 	}
@@ -238,8 +238,10 @@
 	var entries []logic.ListEntry
 	for range n {
 		e, err := s.read()
-		if err != nil {
+		if err == io.EOF {
 			return fmt.Errorf("LIST of %d items is cut short", n)
+		} else if err != nil {
+			return err
 		}
 		if e.name != "ENTRY" {
 			return fmt.Errorf("want ENTRY, have %s", e.name)
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -52,6 +52,8 @@
 		"MAIL who=1 payload=!":                                      "line 8: payload:",
 		"STATUS_BACK member=a:1 result=pass usage=x0:many":          "line 8: STATUS_BACK: report value x0 is not a number",
 		"LIST table=1 items=2\nENTRY member=a:1 phase=healthy\nEND": "line 10: want ENTRY, have END",
+		"LIST table=1 items=1\nENTRY member":                        "line 9: ENTRY: not a name=value part",
+		"WORK_ITEM txn=01 category=w grace=NaN cluster_no=1":        "line 8: WORK_ITEM: grace is not a number",
 		"OPEN_INSTANCE init_seed=1 setup={":                         "line 8: setup:",
 		"TURN wall=1 serial=2":                                      "line 8: TURN inside a batch",
 	} {
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -71,7 +72,7 @@
 		return 0
 	}
 	n, err := strconv.ParseFloat(v, 64)
-	if err != nil {
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
 		f.fail("%s: %s is not a number: %q", f.name, key, v)
 	}
 	return n
--- a/internal/benchwire/opening.go
+++ b/internal/benchwire/opening.go
@@ -113,7 +113,7 @@
 	}
 	names := map[string]int{}
 	for i, p := range s.Profiles {
-		t := logic.OpType{Name: p.Name, Window: ms(p.Window), LatencyTarget: ms(p.Aim),
+		t := logic.OpType{Window: ms(p.Window), LatencyTarget: ms(p.Aim),
 			OpTimeout: ms(p.Deadline), Value: p.Points}
 		if t.Need, err = word(needs, s.Family.Needs[i], "needs_by_class"); err != nil {
 			return nil, nil, err
--- a/logic/api.go
+++ b/logic/api.go
@@ -51,7 +51,6 @@
 
 // OpType describes one kind of op. Times are milliseconds.
 type OpType struct {
-	Name          string
 	Need          Need
 	MaxAge        float64
 	Effect        Effect
@@ -100,7 +99,7 @@
 	EvProbed                   // Member, Outcome, Report, Took
 	EvGone                     // Op
 	EvTimer
-	EvMessage // From, Data
+	EvMessage // Data
 )
 
 // ListKind says how Members relates to the list known so far.
@@ -181,7 +180,6 @@
 	Note     Sight
 	Closed   bool
 	Report   Sight
-	From     int
 	Data     []byte
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -311,7 +311,7 @@
 
 // turnAway refuses by chance under strain. A type that earns little for its work is refused more often.
 // Guards against queues in which every answer is late: bursts, overload, a shared slowdown, client retries.
-// It could harm where the strain is of one member only, which is why held and repeated ops do not count.
+// It could harm where the strain is of one member only; ops that waited for a primary do not count.
 func (d *Driver) turnAway(o *op) bool {
 	p := o.group.strain[o.kind.index] * strainSlope
 	if p <= 0 || o.kind.need == Write {
@@ -364,13 +364,16 @@
 	}
 }
 
+// within says whether a member is known to have applied all that is older than age.
+func (d *Driver) within(m *member, age float64) bool { return m.position >= d.now-d.zero-age }
+
 // fresh says whether what is known of a member's position covers the op's need, were it sent now.
 func (d *Driver) fresh(o *op, m *member) bool {
 	switch o.kind.need {
 	case Any:
 		return true
 	case Bounded:
-		return m.position >= d.now-d.zero-o.kind.maxAge
+		return d.within(m, o.kind.maxAge)
 	case Session:
 		return o.needPos < 0 || m.position >= o.needPos
 	}
@@ -435,7 +438,7 @@
 		}
 		return before
 	}
-	if m.position >= d.now-d.zero-d.bound {
+	if d.within(m, d.bound) {
 		return apartFresh
 	}
 	return 0
@@ -509,7 +512,7 @@
 	return m.credit >= k.took
 }
 
-// easy is the mean time of answers above which a member has too much work. Long reads are too rare for more.
+// easy is the mean time of answers above which a member has too much work. Long reads are too rare to learn.
 func (d *Driver) easy(k *opKind) float64 {
 	if d.long(k) {
 		return easyMost * k.target
@@ -646,8 +649,7 @@
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
 	x := took / d.easy(o.kind)
-	fresh := m == o.group.slot || m.position >= d.now-d.zero-d.bound*behindShare
-	if !fresh && !slices.ContainsFunc(d.types, d.long) {
+	if m != o.group.slot && !d.within(m, d.bound*behindShare) && !slices.ContainsFunc(d.types, d.long) {
 		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
 	}
 	d.pace(m, o.kind, x, false)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -219,9 +219,9 @@
 	e := make([]byte, entryBytes)
 	e[0], e[1], e[2], e[3] = byte(m.hash>>24), byte(m.hash>>16), byte(m.hash>>8), byte(m.hash)
 	e[11] = 2
-	r.step(Event{Kind: EvMessage, From: 1, Data: e})
+	r.step(Event{Kind: EvMessage, Data: e})
 	r.want(!m.aside, "it back on a peer's word of good answers")
-	r.step(Event{Kind: EvMessage, From: 1, Data: e[:7]}, Event{Kind: EvMessage, From: 1})
+	r.step(Event{Kind: EvMessage, Data: e[:7]}, Event{Kind: EvMessage})
 }
 
 // Where probes tell no role, one held write at a time looks for the primary: a miss proves it did not run.
