A cold member's first credit comes by chance

The first credit is now a random part of one op's work, so all drivers together spend what they are due.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -237,7 +237,7 @@
 			h.Write([]byte(e.Member))
 			m = &member{id: e.Member, hash: h.Sum32() >> 8, group: d.groupAt(e.Group), position: -1,
 				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1),
-				window: startWindow / 2}
+				window: startWindow / 2, credit: d.chance() * d.types[0].took, creditAt: d.now}
 			m.zone, m.far = e.Zone, e.Zone != d.zone
 			d.members[e.Member] = m
 			m.group.members = append(m.group.members, m)
@@ -255,7 +255,7 @@
 		m.draining = false
 		if e.Started > m.started {
 			m.started = e.Started
-			m.credit, m.creditAt = 0, d.now
+			m.credit, m.creditAt = d.chance()*d.types[0].took, d.now
 			if g.slot == m && e.Started > g.seen {
 				d.empty(m, false, "restarted") // it comes back as a replica
 			}
