Word to peers carries how long the last answer took; a crowd spreads by chance

With 92 drivers and 51 members nothing is in flight at most members when an op is placed, so near ties went to the near zone: two members of a unit had 31 sends a second and three had 13, and the two were slow. Every driver now hears about how long answers take everywhere.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,7 +84,7 @@
 	errors, late, proven  float64 // smoothed: share of errors, times over the easy, sends out while so
 	asideAt, backAt       float64
 	pause, trialAt        float64
-	toldAt                float64 // when a driver last told the others of it
+	toldAt, ease          float64 // when a driver last told of it; times over the easy one of the last own answer
 	window, cutAt, fullAt float64 // sends that may be out, when that was last cut, and no sends before fullAt
 	credit, creditAt      float64 // work that a cold member may still get
 	aside, news, good     bool    // news, good: what peers may be told
@@ -415,7 +415,7 @@
 }
 
 func (d *Driver) load(m *member) float64 {
-	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*m.late + 0.05*d.chance()
+	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*m.late + 0.05*min(d.crowd, 10)*d.chance()
 	if m.far {
 		l += farPenalty
 	}
@@ -527,7 +527,7 @@
 // pace moves a member's window: up by one a windowful of answers, down when they take long on average or the
 // member is full. Guards against queues at members whatever fills them; it could harm where ops of one type
 // turn long by themselves, which costs waiting here instead of there.
-func (d *Driver) pace(m *member, k *opKind, x float64, full bool) {
+func (d *Driver) pace(m *member, k *opKind, x float64, full, own bool) {
 	g := m.group
 	m.late += (min(x, 5) - m.late) * 2 * smooth
 	over := m.late
@@ -535,14 +535,17 @@
 		g.late += (min(x, 5) - g.late) * 2 * smooth
 		over = (m.late + g.late) / 2
 	}
-	if !full && over <= 1 {
+	if own {
+		m.ease, m.news = x, true
+	}
+	if own && !full && over <= 1 {
 		m.proven += (float64(m.inFlight+1) - m.proven) * smooth / 3
 	}
 	if full || over > 1 {
 		if d.now-m.cutAt > k.took {
 			m.window, m.cutAt = max(m.window*shrink, 1, m.proven*floorShare), d.now
 		}
-	} else if float64(m.inFlight+1) >= m.window*headroom {
+	} else if own && float64(m.inFlight+1) >= m.window*headroom {
 		m.window += 1 / m.window
 	}
 	if full {
@@ -599,7 +602,7 @@
 	case OK:
 		d.good(o, m, s.at, ev)
 	case TimedOut, Cancelled:
-		d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false) // the member may still be at work on it
+		d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false, true) // the member may still be at work on it
 		m.owed += max(d.now-max(s.at, m.heard), 0) / o.kind.took
 	case ConnectFailed, Reset:
 		if s.at >= m.backAt {
@@ -611,7 +614,7 @@
 		}
 		o.failed = m
 	case Full:
-		d.pace(m, o.kind, 1, true)
+		d.pace(m, o.kind, 1, true, true)
 	case Miss:
 		o.missed = true
 		if o.kind.need == Write && m.group.slot == m {
@@ -662,7 +665,7 @@
 	if m != o.group.slot && !d.within(m, d.bound*behindShare) && !slices.ContainsFunc(d.types, d.long) {
 		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
 	}
-	d.pace(m, o.kind, x, false)
+	d.pace(m, o.kind, x, false, true)
 	if m.aside {
 		d.welcome(m, "answers")
 	}
@@ -958,6 +961,7 @@
 
 const (
 	tellPrimary, tellGood = 1, 2
+	easeStep, easeShift   = 6.0, 3 // five of the flags: times over the easy one, in sixths
 	tellRange             = 1 << 24
 	entryBytes            = 7 // 24 bits each for the hash of the id and the position, between them eight flags
 )
@@ -981,10 +985,11 @@
 			if m.good {
 				flags |= tellGood
 			}
+			flags |= uint64(min(m.ease*easeStep, 31)) << easeShift
 			if m.position > 0 && d.within(m, tellRange/2) {
 				position = uint64(m.position) % tellRange
 			}
-			m.good, m.toldAt = false, d.now
+			m.good, m.ease, m.toldAt = false, 0, d.now
 			word := binary.BigEndian.AppendUint64(nil, uint64(m.hash)<<32|flags<<24|position)
 			data = append(data, word[8-entryBytes:]...)
 		}
@@ -1012,6 +1017,9 @@
 		if flags&tellPrimary != 0 && position > 0 {
 			d.primarySeen(m, d.zero+position, "peer")
 		}
+		if ease := float64(flags>>easeShift&31) / easeStep; ease > 0 {
+			d.pace(m, d.types[0], ease, false, false)
+		}
 		if flags&tellGood != 0 && m.aside && d.now > m.asideAt+m.pause {
 			d.welcome(m, "peer")
 		}
