A member's share of ops follows the mean times that all drivers tell of

Where drivers are many a window can't bind: hardly a send is out at any member. There a read goes to a member by chance with 1/(times over the easy one) squared, and what replicas leave overflows to the primary by the same rule. It keeps no state of its own, unlike windows cut by words. It could harm where times are long by themselves: members then get a part of the ops that they could take.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,6 +102,7 @@
 	group                   *group
 	session                 int64
 	arrived, until, needPos float64 // its final answer is due by until; needPos: a session read's position
+	luck                    float64 // by chance: a window under one send admits so large a share of ops
 	sends                   []send
 	out                     int // sends that are out
 	held, done              bool
@@ -193,7 +194,7 @@
 	}
 	d.crowd = max(1, float64(p.Drivers)/3)
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery)
+		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery/2)
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
@@ -290,7 +291,7 @@
 // take accepts a new op.
 func (d *Driver) take(ev *Event) {
 	k, g := d.types[ev.OpType], d.groupAt(ev.Group)
-	o := &op{id: ev.Op, kind: k, group: g, session: ev.Session, arrived: d.now, needPos: -1}
+	o := &op{id: ev.Op, kind: k, group: g, session: ev.Session, arrived: d.now, needPos: -1, luck: d.chance()}
 	o.until = d.now + max(ev.Left-d.margin, 0)
 	if k.need == Session {
 		if !d.carried {
@@ -344,7 +345,7 @@
 		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
 			to = d.farthest(o, false)
 		}
-		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom) &&
+		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || max(float64(p.inFlight), 1-o.luck) < p.window*headroom) &&
 			!(fresh && d.long(o.kind)) {
 			to = p
 		}
@@ -353,7 +354,7 @@
 		}
 		o.stalled = o.stalled || to == nil && !fresh
 	}
-	if to != nil && d.allowed(o, to) && d.admits(to, o.kind) {
+	if to != nil && d.allowed(o, to) && d.admits(to, o) {
 		d.send(o, to)
 	} else if !o.held && o.out == 0 {
 		d.hold(o)
@@ -395,7 +396,7 @@
 			continue
 		}
 		if m.aside {
-			if d.now >= m.trialAt && o.kind.effect == Retryable && o.out == 0 && d.admits(m, o.kind) &&
+			if d.now >= m.trialAt && o.kind.effect == Retryable && o.out == 0 && d.admits(m, o) &&
 				(d.checks || d.fresh(o, m)) {
 				m.pause = min(2*m.pause, trialMost)
 				m.trialAt = d.now + m.pause
@@ -407,7 +408,7 @@
 			continue
 		}
 		fresh = true
-		if l := d.load(m) + d.apart(o, m); l < least && d.admits(m, o.kind) {
+		if l := d.load(m) + d.apart(o, m); l < least && d.admits(m, o) {
 			best, least = m, l
 		}
 	}
@@ -455,7 +456,7 @@
 func (d *Driver) farthest(o *op, last bool) *member {
 	var best *member
 	for _, m := range o.group.members {
-		if !m.draining && !o.triedAt(m) && (last || m != o.group.slot && !m.aside) && d.admits(m, o.kind) &&
+		if !m.draining && !o.triedAt(m) && (last || m != o.group.slot && !m.aside) && d.admits(m, o) &&
 			(best == nil || m.position > best.position) {
 			best = m
 		}
@@ -498,12 +499,12 @@
 // admits says whether a member has room: in its window, after its last full reply, and, while it is cold, in
 // its budget. The budget is in work, whatever the op: a share of what this driver has answered by a member
 // on average, so that all drivers together stay under the multiple.
-func (d *Driver) admits(m *member, k *opKind) bool {
-	limit := m.window
+func (d *Driver) admits(m *member, o *op) bool {
+	k, limit := o.kind, m.window
 	if k.need == Write {
 		limit *= 2 // nowhere else to go; other reads make way first
 	}
-	if float64(m.inFlight) >= limit || d.now < m.fullAt {
+	if float64(m.inFlight) >= limit || k.need != Write && o.luck >= d.share(m) || d.now < m.fullAt {
 		return false
 	}
 	w := d.warmth(m)
@@ -530,18 +531,17 @@
 func (d *Driver) pace(m *member, k *opKind, x float64, full, own bool) {
 	g := m.group
 	m.late += (min(x, 5) - m.late) * 2 * smooth
-	over := m.late
 	if m != g.slot {
 		g.late += (min(x, 5) - g.late) * 2 * smooth
-		over = (m.late + g.late) / 2
 	}
+	over := d.over(m)
 	if own {
 		m.ease, m.news = x, true
 	}
 	if own && !full && over <= 1 {
 		m.proven += (float64(m.inFlight+1) - m.proven) * smooth / 3
 	}
-	if full || over > 1 {
+	if own && (full || over > 1) {
 		if d.now-m.cutAt > k.took {
 			m.window, m.cutAt = max(m.window*shrink, 1, m.proven*floorShare), d.now
 		}
@@ -553,6 +553,23 @@
 	}
 }
 
+// share is the part of ops that a member gets where its window can't bind: among many drivers, each with hardly a
+// send out, it follows from the mean times that all of them tell of.
+func (d *Driver) share(m *member) float64 {
+	if d.crowd == 1 || m.proven >= 2 {
+		return 1
+	}
+	return min(1/(d.over(m)*d.over(m)), 1)
+}
+
+// over is the mean time at a member, among replicas half that of all, over the easy one.
+func (d *Driver) over(m *member) float64 {
+	if m == m.group.slot {
+		return m.late
+	}
+	return (m.late + m.group.late) / 2
+}
+
 func (d *Driver) unhold(o *op) {
 	if o.held {
 		o.held = false
@@ -916,7 +933,7 @@
 		return
 	}
 	for _, m := range g.members {
-		if m.aside || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) || !d.admits(m, o.kind) {
+		if m.aside || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) || !d.admits(m, o) {
 			continue
 		}
 		g.trial = o
