--- a/logic/logic.go
+++ b/logic/logic.go
@@ -194,7 +194,7 @@
 	}
 	d.crowd = max(1, float64(p.Drivers)/3)
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery/2)
+		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery)
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
