--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
+	shareFrom               = 1.4           // mean times over the easy one, above which a member gets a share
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare               = 0.6           // of the budget that a cold member can bear
@@ -345,7 +346,7 @@
 		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
 			to = d.farthest(o, false)
 		}
-		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || max(float64(p.inFlight), 1-o.luck) < p.window*headroom) &&
+		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom && d.spill(o)) &&
 			!(fresh && d.long(o.kind)) {
 			to = p
 		}
@@ -559,7 +560,14 @@
 	if d.crowd == 1 || m.proven >= 2 {
 		return 1
 	}
-	return min(1/(d.over(m)*d.over(m)), 1)
+	x := shareFrom / d.over(m)
+	return min(x*x, 1)
+}
+
+// spill says by chance whether a read that the replicas have no room for may try the primary: many drivers together
+// must not send it more than half of a replica's share before the first answers tell.
+func (d *Driver) spill(o *op) bool {
+	return d.crowd == 1 || 1-o.luck < headroom/float64(max(o.group.serving-1, 1))
 }
 
 // over is the mean time at a member, among replicas half that of all, over the easy one.
