--- a/logic/logic.go
+++ b/logic/logic.go
@@ -132,7 +132,7 @@
 	coldFrom, coldFor         float64
 	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
 	tellGap                   float64 // a member is told of so often by all drivers together; 0: no messages
-	crowd                     float64 // drivers by threes: what each may do unasked is divided by it
+	crowd, blur               float64 // drivers by threes: divides what each may do unasked; chance in placing
 	watchAt, watchWait        float64
 }
 
@@ -194,6 +194,7 @@
 		}
 	}
 	d.crowd = max(1, float64(p.Drivers)/3)
+	d.blur = 1 - 1/math.Sqrt(d.crowd)
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
 		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery)
 	}
@@ -416,12 +417,14 @@
 	return best, fresh
 }
 
+// load is what the companion rule compares: own sends in flight. The more drivers there are the less it tells, and
+// the more members are drawn by chance, in proportion: all drivers know the same of them and must not act as one.
 func (d *Driver) load(m *member) float64 {
-	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*m.late + 0.05*min(d.crowd, 10)*d.chance()
+	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*(1+2*d.blur)*m.late + 0.05*d.chance()
 	if m.far {
 		l += farPenalty
 	}
-	return l
+	return l * math.Pow(-math.Log(1-d.chance()), d.blur)
 }
 
 // apart keeps reads from spoiling replicas for those that need fresh data. A read that usually takes longer
