--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
+	blurLoss                = 4.0           // how fast chance in placing falls with the own sends out a member
 	shareFrom               = 1.4           // mean times over the easy one, above which a member gets a share
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
@@ -68,7 +69,7 @@
 	trial             *op               // a held write out at a member whose role is not known
 	work, rate        float64           // own work answered: since the last sweep; smoothed, in usual ms a ms
 	strain            []float64         // per op type: share of ops late or refused for want of room
-	late              float64           // times over the easy ones at the replicas
+	late, blur        float64           // times over the easy ones at the replicas; how little own sends tell, to 1
 	sessions, older   map[int64]float64 // commits of sessions, where sessions do not carry them
 	forgotten         float64           // commits up to here may have left that memory
 }
@@ -132,7 +133,7 @@
 	coldFrom, coldFor         float64
 	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
 	tellGap                   float64 // a member is told of so often by all drivers together; 0: no messages
-	crowd, blur               float64 // drivers by threes: divides what each may do unasked; chance in placing
+	crowd                     float64 // drivers by threes: divides what each may do unasked
 	watchAt, watchWait        float64
 }
 
@@ -194,7 +195,6 @@
 		}
 	}
 	d.crowd = max(1, float64(p.Drivers)/3)
-	d.blur = 1 - 1/math.Sqrt(d.crowd)
 	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
 		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery)
 	}
@@ -420,11 +420,11 @@
 // load is what the companion rule compares: own sends in flight. The more drivers there are the less it tells, and
 // the more members are drawn by chance, in proportion: all drivers know the same of them and must not act as one.
 func (d *Driver) load(m *member) float64 {
-	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*(1+2*d.blur)*m.late + 0.05*d.chance()
+	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*(1+2*m.group.blur)*m.late + 0.05*d.chance()
 	if m.far {
 		l += farPenalty
 	}
-	return l * math.Pow(-math.Log(1-d.chance()), d.blur)
+	return l * math.Pow(-math.Log(1-d.chance()), m.group.blur)
 }
 
 // apart keeps reads from spoiling replicas for those that need fresh data. A read that usually takes longer
@@ -560,17 +560,13 @@
 // share is the part of ops that a member gets where its window can't bind: among many drivers, each with hardly a
 // send out, it follows from the mean times that all of them tell of.
 func (d *Driver) share(m *member) float64 {
-	if d.crowd == 1 || m.proven >= 2 {
-		return 1
-	}
-	x := shareFrom / d.over(m)
-	return min(x*x, 1)
+	return math.Pow(min(shareFrom/d.over(m), 1), 2*m.group.blur)
 }
 
 // spill says by chance whether a read that the replicas have no room for may try the primary: many drivers together
 // must not send it more than half of a replica's share before the first answers tell.
 func (d *Driver) spill(o *op) bool {
-	return d.crowd == 1 || 1-o.luck < headroom/float64(max(o.group.serving-1, 1))
+	return (1-o.luck)*o.group.blur < headroom/float64(max(o.group.serving-1, 1))
 }
 
 // over is the mean time at a member, among replicas half that of all, over the easy one.
@@ -873,6 +869,9 @@
 		if dt := d.now - d.swept; dt > 0 {
 			g.rate += (g.work/dt - g.rate) * min(dt/max(d.coldSpan, 5*probeEvery), 1)
 			g.work = 0
+			if d.crowd > 1 {
+				g.blur = 1 / (1 + blurLoss*g.rate/float64(max(g.serving, 1)))
+			}
 		}
 		d.release(g)
 		live := g.live[:0]
