--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
-	blurLoss                = 4.0           // how fast chance in placing falls with the own sends out a member
+	blurLoss                = 10.0          // how fast chance in placing falls with the own sends out a member
 	shareFrom               = 1.4           // mean times over the easy one, above which a member gets a share
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
@@ -566,7 +566,7 @@
 // spill says by chance whether a read that the replicas have no room for may try the primary: many drivers together
 // must not send it more than half of a replica's share before the first answers tell.
 func (d *Driver) spill(o *op) bool {
-	return (1-o.luck)*o.group.blur < headroom/float64(max(o.group.serving-1, 1))
+	return (1-o.luck)*o.group.blur*o.group.blur < headroom/float64(max(o.group.serving-1, 1))
 }
 
 // over is the mean time at a member, among replicas half that of all, over the easy one.
