--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
 	blurLoss                = 10.0          // how fast chance in placing falls with the own sends out a member
-	shareFrom               = 1.4           // mean times over the easy one, above which a member gets a share
+	shareFrom               = 1.2           // mean times over the easy one, above which a member gets a share
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare               = 0.6           // of the budget that a cold member can bear
@@ -560,7 +560,11 @@
 // share is the part of ops that a member gets where its window can't bind: among many drivers, each with hardly a
 // send out, it follows from the mean times that all of them tell of.
 func (d *Driver) share(m *member) float64 {
-	return math.Pow(min(shareFrom/d.over(m), 1), 2*m.group.blur)
+	if d.crowd == 1 {
+		return 1
+	}
+	x := min(shareFrom/d.over(m), 1)
+	return x * x
 }
 
 // spill says by chance whether a read that the replicas have no room for may try the primary: many drivers together
