--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	holdShare               = 0.04          // of the latency target: a read waits so long for room
 	copyShare, copyMost     = 0.03, 10.0    // sends beside one that is stuck: earned by a good answer; saved up
 	startWindow             = 4.0           // sends that may be out at a member that has just come to its place
+	startLate               = 2.0           // times over the easy ones, taken for a new primary's of many drivers
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
@@ -504,11 +505,11 @@
 // its budget. The budget is in work, whatever the op: a share of what this driver has answered by a member
 // on average, so that all drivers together stay under the multiple.
 func (d *Driver) admits(m *member, o *op) bool {
-	k, limit := o.kind, m.window
+	k, limit, share := o.kind, m.window, d.share(m)
 	if k.need == Write {
-		limit *= 2 // nowhere else to go; other reads make way first
+		limit, share = 2*limit, 2*share // nowhere else to go; other reads make way first
 	}
-	if float64(m.inFlight) >= limit || k.need != Write && o.luck >= d.share(m) || d.now < m.fullAt {
+	if float64(m.inFlight) >= limit || o.luck >= share || d.now < m.fullAt {
 		return false
 	}
 	w := d.warmth(m)
@@ -757,6 +758,9 @@
 	g := m.group
 	if g.slot != nil || g.last != nil {
 		m.window = min(m.window, startWindow) // all drivers let go of held writes at about the same time
+		if d.crowd > 1 {
+			m.late = max(m.late, startLate)
+		}
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
 	if m.aside {
