--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,24 +26,20 @@
 // Tuned values. Those that weigh time are multiples of what is observed or of the opening's own figures.
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
-	probers                 = 8.0           // drivers, about, that probe a member at a time, chosen by chance
-	heldCap                 = 2000          // design: ops that one group may hold, and sessions remembered
+	probers, heldCap        = 8.0, 2000     // drivers, about, that probe a member at a time; design: held ops of a group
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
 	holdShare               = 0.04          // of the latency target: a read waits so long for room
 	copyShare, copyMost     = 0.03, 10.0    // sends beside one that is stuck: earned by a good answer; saved up
-	startWindow             = 4.0           // sends that may be out at a member that has just come to its place
-	startLate               = 2.0           // times over the easy ones, taken for a new primary's of many drivers
+	startWindow, startLate  = 4.0, 2.0      // sends out at a member new to its place; times over the easy ones there
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
-	blurLoss                = 10.0          // how fast chance in placing falls with the own sends out a member
-	shareFrom               = 1.2           // mean times over the easy one, above which a member gets a share
+	shareFrom, blurLoss     = 1.2, 10.0     // mean times that begin to cut a share; how own sends lessen chance
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
-	coldShare               = 0.6           // of the budget that a cold member can bear
-	strainSlope             = 2.0           // chance of refusal for strain
+	coldShare, strainSlope  = 0.6, 2.0      // of a cold member's budget; chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
 	smooth                  = 0.03
@@ -71,7 +67,7 @@
 	work, rate        float64           // own work answered: since the last sweep; smoothed, in usual ms a ms
 	strain            []float64         // per op type: share of ops late or refused for want of room
 	late, blur        float64           // times over the easy ones at the replicas; how little own sends tell, to 1
-	sessions, older   map[int64]float64 // commits of sessions, where sessions do not carry them
+	sessions          map[int64]float64 // commits of sessions, where sessions do not carry them
 	forgotten         float64           // commits up to here may have left that memory
 }
 
@@ -79,18 +75,18 @@
 	id, zone              string
 	hash                  uint32
 	group                 *group
-	draining, listed, far bool // listed: the list calls it primary
-	started               float64
+	draining, listed, far bool    // listed: the list calls it primary
 	position, replicaAt   float64 // replicaAt: when it last said that it is a replica
 	inFlight              int
 	heard, owed, quiet    float64 // last word; usual times unanswered since: of ended sends, with those out
 	errors, late, proven  float64 // smoothed: share of errors, times over the easy, sends out while so
-	asideAt, backAt       float64
-	pause, trialAt        float64
-	toldAt, ease          float64 // when a driver last told of it; times over the easy one of the last own answer
+	over, ease, toldAt    float64 // late, half of all where a replica; the last own; when a driver told of it
+	started, asideAt      float64
+	backAt, pause         float64
 	window, cutAt, fullAt float64 // sends that may be out, when that was last cut, and no sends before fullAt
 	credit, creditAt      float64 // work that a cold member may still get
-	aside, news, good     bool    // news, good: what peers may be told
+	trialAt               float64
+	aside, news, good     bool // news, good: what peers may be told
 }
 
 type send struct {
@@ -105,7 +101,7 @@
 	group                   *group
 	session                 int64
 	arrived, until, needPos float64 // its final answer is due by until; needPos: a session read's position
-	luck                    float64 // by chance: a window under one send admits so large a share of ops
+	luck                    float64 // by chance: a member takes it up to so large a share
 	sends                   []send
 	out                     int // sends that are out
 	held, done              bool
@@ -133,8 +129,7 @@
 	sendCap, tellMost         int
 	coldFrom, coldFor         float64
 	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
-	tellGap                   float64 // a member is told of so often by all drivers together; 0: no messages
-	crowd                     float64 // drivers by threes: divides what each may do unasked
+	tellGap, crowd            float64 // all drivers tell of a member so often, 0: never; drivers by threes
 	watchAt, watchWait        float64
 }
 
@@ -240,9 +235,8 @@
 			h := fnv.New32a()
 			h.Write([]byte(e.Member))
 			m = &member{id: e.Member, hash: h.Sum32() >> 8, group: d.groupAt(e.Group), position: -1,
-				heard: d.now, replicaAt: math.Inf(-1), started: e.Started, backAt: math.Inf(-1),
-				window: startWindow / 2, credit: d.chance() * d.types[0].took, creditAt: d.now}
-			m.zone, m.far = e.Zone, e.Zone != d.zone
+				heard: d.now, replicaAt: math.Inf(-1), backAt: math.Inf(-1), window: startWindow / 2,
+				zone: e.Zone, far: e.Zone != d.zone}
 			d.members[e.Member] = m
 			m.group.members = append(m.group.members, m)
 			_, taken := d.byHash[m.hash]
@@ -298,12 +292,7 @@
 	o.until = d.now + max(ev.Left-d.margin, 0)
 	if k.need == Session {
 		if !d.carried {
-			o.needPos = g.forgotten
-			if at, ok := g.sessions[o.session]; ok {
-				o.needPos = at
-			} else if at, ok := g.older[o.session]; ok {
-				o.needPos = at
-			}
+			o.needPos = max(g.forgotten, g.sessions[o.session])
 		} else if ev.WroteAgo > 0 {
 			o.needPos = d.now - d.zero - ev.WroteAgo + 1
 		}
@@ -348,9 +337,9 @@
 		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
 			to = d.farthest(o, false)
 		}
-		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || float64(p.inFlight) < p.window*headroom && d.spill(o)) &&
-			!(fresh && d.long(o.kind)) {
-			to = p
+		if p := g.slot; to == nil && p != nil && !p.aside && (!fresh || !d.long(o.kind) &&
+			float64(p.inFlight) < p.window*headroom && (1-o.luck)*g.blur*g.blur*float64(g.serving) < headroom) {
+			to = p // all drivers together spill to it no more than half of a replica's reads
 		}
 		if to == nil && !fresh && o.kind.need == Any {
 			to = d.farthest(o, true)
@@ -378,14 +367,12 @@
 // fresh says whether what is known of a member's position covers the op's need, were it sent now.
 func (d *Driver) fresh(o *op, m *member) bool {
 	switch o.kind.need {
-	case Any:
-		return true
 	case Bounded:
 		return d.within(m, o.kind.maxAge)
 	case Session:
-		return o.needPos < 0 || m.position >= o.needPos
+		return o.needPos <= 0 || m.position >= o.needPos
 	}
-	return false
+	return o.kind.need == Any
 }
 
 // replica is the companion rule: among the replicas fresh enough, the one with fewest own sends in flight,
@@ -536,52 +523,38 @@
 func (d *Driver) pace(m *member, k *opKind, x float64, full, own bool) {
 	g := m.group
 	m.late += (min(x, 5) - m.late) * 2 * smooth
-	if m != g.slot {
+	if m.over = m.late; m != g.slot {
 		g.late += (min(x, 5) - g.late) * 2 * smooth
+		m.over = (m.late + g.late) / 2
 	}
-	over := d.over(m)
-	if own {
-		m.ease, m.news = x, true
+	if !own {
+		return
 	}
-	if own && !full && over <= 1 {
-		m.proven += (float64(m.inFlight+1) - m.proven) * smooth / 3
+	if m.ease, m.news = x, true; full {
+		m.fullAt = d.now + k.took*d.chance()
 	}
-	if own && (full || over > 1) {
+	if full || m.over > 1 {
 		if d.now-m.cutAt > k.took {
 			m.window, m.cutAt = max(m.window*shrink, 1, m.proven*floorShare), d.now
 		}
-	} else if own && float64(m.inFlight+1) >= m.window*headroom {
-		m.window += 1 / m.window
+		return
 	}
-	if full {
-		m.fullAt = d.now + k.took*d.chance()
+	m.proven += (float64(m.inFlight+1) - m.proven) * smooth / 3
+	if float64(m.inFlight+1) >= m.window*headroom {
+		m.window += 1 / m.window
 	}
 }
 
-// share is the part of ops that a member gets where its window can't bind: among many drivers, each with hardly a
-// send out, it follows from the mean times that all of them tell of.
+// share is the part of ops that a member gets where its window can't bind: among many drivers, each with hardly
+// a send out, it follows from the mean times that all of them tell of.
 func (d *Driver) share(m *member) float64 {
 	if d.crowd == 1 {
 		return 1
 	}
-	x := min(shareFrom/d.over(m), 1)
+	x := min(shareFrom/m.over, 1)
 	return x * x
 }
 
-// spill says by chance whether a read that the replicas have no room for may try the primary: many drivers together
-// must not send it more than half of a replica's share before the first answers tell.
-func (d *Driver) spill(o *op) bool {
-	return (1-o.luck)*o.group.blur*o.group.blur < headroom/float64(max(o.group.serving-1, 1))
-}
-
-// over is the mean time at a member, among replicas half that of all, over the easy one.
-func (d *Driver) over(m *member) float64 {
-	if m == m.group.slot {
-		return m.late
-	}
-	return (m.late + m.group.late) / 2
-}
-
 func (d *Driver) unhold(o *op) {
 	if o.held {
 		o.held = false
@@ -599,12 +572,7 @@
 }
 
 func (o *op) triedAt(m *member) bool {
-	for i := range o.sends {
-		if o.sends[i].to == m {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(o.sends, func(s send) bool { return s.to == m })
 }
 
 // answer takes the end of a send.
@@ -704,11 +672,8 @@
 	if o.kind.need == Write && !d.carried && ev.Note.Position > 0 {
 		g := o.group
 		g.sessions[o.session] = ev.Note.Position
-		if len(g.sessions) > heldCap {
-			for _, at := range g.older { // a maximum: the order of the map is of no account
-				g.forgotten = max(g.forgotten, at)
-			}
-			g.older, g.sessions = g.sessions, map[int64]float64{}
+		if len(g.sessions) > heldCap { // from now on every session read needs the last commit seen here
+			g.forgotten, g.sessions = d.now-d.zero, map[int64]float64{}
 		}
 	}
 }
@@ -760,6 +725,7 @@
 		m.window = min(m.window, startWindow) // all drivers let go of held writes at about the same time
 		if d.crowd > 1 {
 			m.late = max(m.late, startLate)
+			m.over = m.late
 		}
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
@@ -838,10 +804,7 @@
 	if o.done {
 		return
 	}
-	ran := false
-	for i := range o.sends {
-		ran = ran || !o.sends[i].proved
-	}
+	ran := slices.ContainsFunc(o.sends, func(s send) bool { return !s.proved })
 	if !ran || o.kind.effect == Retryable || o.kind.effect == Tokened && o.kind.scope == ScopeAll {
 		wait := 0.0
 		if o.group.slot == nil {
@@ -909,37 +872,28 @@
 
 // attend looks after one unfinished op.
 func (d *Driver) attend(o *op) {
-	if d.now >= o.until {
-		d.finish(o)
-		return
-	}
-	if o.held {
-		if crowded := !o.stalled && o.kind.need < Fresh && d.now-o.arrived > holdShare*o.kind.target; crowded {
-			d.feel(o, 1)
-			d.finish(o) // while a further try by the client can still be in time
-		} else if !d.mayRepeat(o, nil) {
-			d.finish(o) // its token has run out
-		} else {
-			d.tryRole(o)
+	switch {
+	case d.now >= o.until || o.held && !d.mayRepeat(o, nil):
+		d.finish(o) // its time or its token has run out
+	case o.held && !o.stalled && o.kind.need < Fresh && d.now-o.arrived > holdShare*o.kind.target:
+		d.feel(o, 1)
+		d.finish(o) // while a further try by the client can still be in time
+	case o.held:
+		d.tryRole(o)
+	case d.overlap && o.kind.effect != NonRetryable && d.spare >= 1:
+		newest := 0.0
+		for i := range o.sends {
+			if s := &o.sends[i]; s.open && !s.to.aside {
+				return
+			} else if s.open {
+				newest = max(newest, s.at)
+			}
 		}
-		return
-	}
-	if !d.overlap || o.kind.effect == NonRetryable {
-		return
-	}
-	stuck, newest := true, 0.0
-	for i := range o.sends {
-		if s := &o.sends[i]; s.open {
-			stuck = stuck && s.to.aside
-			newest = max(newest, s.at)
+		if before := len(o.sends); d.now-newest >= min(2*o.kind.took, o.kind.target) {
+			d.route(o) // all that it waits for are set aside
+			d.spare -= float64(len(o.sends) - before)
 		}
 	}
-	age := d.now - newest
-	if stuck && d.spare >= 1 && age >= min(2*o.kind.took, o.kind.target) {
-		before := len(o.sends)
-		d.route(o)
-		d.spare -= float64(len(o.sends) - before)
-	}
 }
 
 // tryRole lets one held write at a time find the primary where no probe can tell it: a miss proves that it
