A driver's own pause is nobody's silence; a refused connection is no verdict; word of silence; trials spread

A driver that stood still found its timer first and read its own pause as the members' silence, and the answers' times as the members': the evidence is the clock, as its own timer comes every tick. A refused connection sets a member aside only when nobody, this driver or a peer, heard from it of late. A member set aside for silence is told of, and believed only where nobody heard from it for a quarter second.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,7 +26,8 @@
 // Tuned values. Those that weigh time are multiples of what is observed or of the opening's own figures.
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
-	probers, heldCap        = 8.0, 2000     // drivers, about, that probe a member at a time; design: held ops of a group
+	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; design: ops held
+	pauseLeast              = 20.0          // sweeps missed that tell that this driver stood still
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
@@ -86,7 +87,8 @@
 	window, cutAt, fullAt float64 // sends that may be out, when that was last cut, and no sends before fullAt
 	credit, creditAt      float64 // work that a cold member may still get
 	trialAt               float64
-	aside, news, good     bool // news, good: what peers may be told
+	aside, mute           bool // mute: set aside for silence
+	news, good            bool // what peers may be told
 }
 
 type send struct {
@@ -130,12 +132,16 @@
 	coldFrom, coldFor         float64
 	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
 	tellGap, crowd            float64 // all drivers tell of a member so often, 0: never; drivers by threes
-	watchAt, watchWait        float64
+	watchAt, watchWait, woke  float64 // woke: when this driver last came back from a pause of its own
 }
 
 // Step takes what happened at now and returns what is to be done.
 func (d *Driver) Step(now float64, events []Event) []Action {
+	if now-d.now > pauseLeast*d.sweepGap {
+		d.woke = now // it stood still itself: that is nobody's silence, and answers' times tell nothing
+	}
 	d.now, d.out = now, d.out[:0]
+	due := false
 	for i := range events {
 		ev := &events[i]
 		switch ev.Kind {
@@ -156,12 +162,15 @@
 				d.close(o)
 			}
 		case EvTimer:
-			d.sweep()
-			d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
+			due = true
 		case EvMessage:
 			d.hear(ev.Data)
 		}
 	}
+	if due { // after the answers that came with the timer
+		d.sweep()
+		d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
+	}
 	return d.out
 }
 
@@ -190,9 +199,9 @@
 			d.bound = min(d.bound, t.MaxAge)
 		}
 	}
-	d.crowd = max(1, float64(p.Drivers)/3)
-	if p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
+	if d.crowd = 1; p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
 		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery)
+		d.crowd = max(1, float64(p.Drivers)/3)
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
@@ -389,7 +398,7 @@
 			if d.now >= m.trialAt && o.kind.effect == Retryable && o.out == 0 && d.admits(m, o) &&
 				(d.checks || d.fresh(o, m)) {
 				m.pause = min(2*m.pause, trialMost)
-				m.trialAt = d.now + m.pause
+				m.trialAt = d.after(m.pause)
 				return m, true
 			}
 			continue
@@ -522,6 +531,9 @@
 // turn long by themselves, which costs waiting here instead of there.
 func (d *Driver) pace(m *member, k *opKind, x float64, full, own bool) {
 	g := m.group
+	if d.woke == d.now {
+		return
+	}
 	m.late += (min(x, 5) - m.late) * 2 * smooth
 	if m.over = m.late; m != g.slot {
 		g.late += (min(x, 5) - g.late) * 2 * smooth
@@ -600,9 +612,11 @@
 		d.good(o, m, s.at, ev)
 	case TimedOut, Cancelled:
 		d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false, true) // the member may still be at work on it
-		m.owed += max(d.now-max(s.at, m.heard), 0) / o.kind.took
+		m.owed += (d.now - max(s.at, m.heard, d.woke)) / o.kind.took
 	case ConnectFailed, Reset:
-		if s.at >= m.backAt {
+		if ev.Outcome == ConnectFailed && m.heard > s.at-2*max(d.tellGap, o.kind.took) {
+			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
+		} else if s.at >= m.backAt {
 			d.setAside(m, true, "connection")
 		}
 	case Fault:
@@ -649,7 +663,9 @@
 			d.setAside(f, false, "errors")
 		}
 	}
-	o.kind.took += (took - o.kind.took) * smooth
+	if d.woke < d.now {
+		o.kind.took += (took - o.kind.took) * smooth
+	}
 	m.news, m.good = true, true
 	d.spare = min(d.spare+copyShare, copyMost)
 	o.group.work += o.kind.took
@@ -785,13 +801,19 @@
 	if m.pause == 0 || d.now-m.backAt > 10*m.pause {
 		m.pause = trialFirst
 	}
-	m.aside, m.asideAt, m.trialAt, m.good = true, d.now, d.now+m.pause, false
+	m.aside, m.asideAt, m.trialAt, m.good = true, d.now, d.after(m.pause), false
 	d.log("group %d: %s set aside: %s", m.group.id, m.id, why)
+	if m.mute = silent; silent && why != "peer" {
+		m.news, m.toldAt = true, d.now-d.tellGap
+	}
 	if silent && m.group.slot == m {
 		d.empty(m, true, why)
 	}
 }
 
+// after is a time to act after a pause, for many drivers spread so that they act together as often as three.
+func (d *Driver) after(pause float64) float64 { return d.now + pause*(1+2*(d.crowd-1)*d.chance()) }
+
 // welcome takes a member back, slowly.
 func (d *Driver) welcome(m *member, by string) {
 	m.aside, m.backAt, m.heard, m.errors, m.owed = false, d.now, d.now, 0, 0
@@ -924,7 +946,7 @@
 	for _, o := range g.live {
 		for i := range o.sends {
 			if s := &o.sends[i]; s.open {
-				s.to.quiet += (d.now - max(s.at, s.to.heard)) / o.kind.took
+				s.to.quiet += (d.now - max(s.at, s.to.heard, d.woke)) / o.kind.took
 			}
 		}
 	}
@@ -949,10 +971,10 @@
 }
 
 const (
-	tellPrimary, tellGood = 1, 2
-	easeStep, easeShift   = 6.0, 3 // five of the flags: times over the easy one, in sixths
-	tellRange             = 1 << 24
-	entryBytes            = 7 // 24 bits each for the hash of the id and the position, between them eight flags
+	tellPrimary, tellGood, tellSilent = 1, 2, 4
+	easeStep, easeShift               = 6.0, 3 // five of the flags: times over the easy one, in sixths
+	tellRange                         = 1 << 24
+	entryBytes                        = 7 // 24 bits each for the hash of the id and the position, between them eight flags
 )
 
 // tell sends peers what this driver's own sends taught it, of members that no driver has told of for a while: so
@@ -974,6 +996,9 @@
 			if m.good {
 				flags |= tellGood
 			}
+			if m.aside && m.mute {
+				flags |= tellSilent
+			}
 			flags |= uint64(min(m.ease*easeStep, 31)) << easeShift
 			if m.position > 0 && d.within(m, tellRange/2) {
 				position = uint64(m.position) % tellRange
@@ -1009,6 +1034,11 @@
 		if ease := float64(flags>>easeShift&31) / easeStep; ease > 0 {
 			d.pace(m, d.types[0], ease, false, false)
 		}
+		if flags&tellSilent != 0 && d.now-m.heard > max(2*d.tellGap, trialFirst) {
+			d.setAside(m, true, "peer")
+		} else if flags&tellGood != 0 {
+			m.heard, m.owed = d.now, 0
+		}
 		if flags&tellGood != 0 && m.aside && d.now > m.asideAt+m.pause {
 			d.welcome(m, "peer")
 		}
