--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,18 +1,17 @@
 package logic
 
 // A Driver is the decision module for one driver of a cluster. Give a zero Driver an EvOpen event first; then
-// call Step with the clock (milliseconds) and all that has happened since the last call, in order, and carry
-// out the actions it returns, in order. The types at its door are in api.go. It keeps no clock, no
-// goroutines and nothing outside itself. docs/design.md tells which parts come from the design.
+// call Step with the clock (milliseconds) and all that has happened since, in order, and carry out the
+// actions that it returns, in order. The types at its door are in api.go; docs/design.md tells what comes
+// from the design.
 //
 // The ordinary path of an op is route. Six mechanisms stand beside the design:
-//  1. setting aside: a member that owes more answers than chance explains, fails or breaks connections gets
-//     nothing for a while, and loses the slot; it returns by peers' word, own trial or its own answer;
+//  1. setting aside: a member that is silent, fails or cuts connections, until a trial, an answer or a word;
 //  2. further sends: where the op's effect allows, for sends that failed, and on a budget for stuck ones;
-//  3. pace: a window on own sends at each member, a budget for cold ones, held ops in time released first;
+//  3. pace: a window on own sends or a share of ops at each member, a budget for cold ones, timely ops first;
 //  4. turning away: under strain new reads are refused by chance, the cheaper for their work more often;
 //  5. keeping apart: long reads go to few replicas, lest they keep all of them from applying the log;
-//  6. word to peers: short messages with positions, the primary seen and members that answer well.
+//  6. word to peers: positions, the primary seen, who answers and how fast, who is silent.
 
 import (
 	"encoding/binary"
@@ -27,19 +26,19 @@
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
 	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; design: ops held
-	pauseLeast              = 20.0          // sweeps missed that tell that this driver stood still
+	pauseLeast, tellBudget  = 20.0, 30000.0 // sweeps missed: a pause; words a second, by threes of drivers
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
 	holdShare               = 0.04          // of the latency target: a read waits so long for room
 	copyShare, copyMost     = 0.03, 10.0    // sends beside one that is stuck: earned by a good answer; saved up
-	startWindow, startLate  = 4.0, 2.0      // sends out at a member new to its place; times over the easy ones there
+	startWindow, startLate  = 4.0, 2.0      // sends out at a new primary; times over the easy ones there
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
 	shareFrom, blurLoss     = 1.2, 10.0     // mean times that begin to cut a share; how own sends lessen chance
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
-	behindShare, behind     = 0.25, 1.5     // of the tightest bound: a replica is behind; times over easy for it
+	behindShare, behind     = 0.25, 1.2     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare, strainSlope  = 0.6, 2.0      // of a cold member's budget; chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
@@ -64,31 +63,29 @@
 	silent            bool    // emptied by silence or a dead connection, not by the member's own word
 	live              []*op   // unfinished ops in order of arrival
 	probeAt           float64
-	trial             *op               // a held write out at a member whose role is not known
-	work, rate        float64           // own work answered: since the last sweep; smoothed, in usual ms a ms
-	strain            []float64         // per op type: share of ops late or refused for want of room
-	late, blur        float64           // times over the easy ones at the replicas; how little own sends tell, to 1
-	sessions          map[int64]float64 // commits of sessions, where sessions do not carry them
-	forgotten         float64           // commits up to here may have left that memory
+	trial             *op       // a held write out at a member whose role is not known
+	work, rate        float64   // own work answered: since the last sweep; smoothed, in usual ms a ms
+	strain            []float64 // per op type: share of ops late or refused for want of room
+	late, blur        float64   // times over the easy ones at the replicas; how little own sends tell, to 1
+	commit            float64   // the last that own writes have seen, for sessions that do not carry theirs
 }
 
 type member struct {
-	id, zone              string
-	hash                  uint32
-	group                 *group
-	draining, listed, far bool    // listed: the list calls it primary
-	position, replicaAt   float64 // replicaAt: when it last said that it is a replica
-	inFlight              int
-	heard, owed, quiet    float64 // last word; usual times unanswered since: of ended sends, with those out
-	errors, late, proven  float64 // smoothed: share of errors, times over the easy, sends out while so
-	over, ease, toldAt    float64 // late, half of all where a replica; the last own; when a driver told of it
-	started, asideAt      float64
-	backAt, pause         float64
-	window, cutAt, fullAt float64 // sends that may be out, when that was last cut, and no sends before fullAt
-	credit, creditAt      float64 // work that a cold member may still get
-	trialAt               float64
-	aside, mute           bool // mute: set aside for silence
-	news, good            bool // what peers may be told
+	id, zone               string
+	hash                   uint32
+	group                  *group
+	draining, listed, far  bool    // listed: the list calls it primary
+	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
+	inFlight               int
+	heard, owed, quiet     float64 // last word; usual times unanswered since: of ended sends, with those out
+	errors, late, proven   float64 // smoothed: share of errors, times over the easy, sends out while so
+	over, ease, toldAt     float64 // late, half of all where a replica; the last own; when a driver told of it
+	started, asideAt       float64
+	backAt, pause, trialAt float64
+	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
+	credit, creditAt       float64 // work that a cold member may still get
+	aside, news            bool    // news: to tell peers
+	say                    uint64  // and the flags that go with it
 }
 
 type send struct {
@@ -101,9 +98,8 @@
 	id                      string
 	kind                    *opKind
 	group                   *group
-	session                 int64
 	arrived, until, needPos float64 // its final answer is due by until; needPos: a session read's position
-	luck                    float64 // by chance: a member takes it up to so large a share
+	luck                    float64 // a member takes it by chance, up to so large a share
 	sends                   []send
 	out                     int // sends that are out
 	held, done              bool
@@ -129,9 +125,10 @@
 	drainOnly                 bool
 	spare, advise             float64 // spare: sends beside one that is out that may be made
 	sendCap, tellMost         int
-	coldFrom, coldFor         float64
-	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
-	tellGap, crowd            float64 // all drivers tell of a member so often, 0: never; drivers by threes
+	coldFrom, coldFor         float64 // then the multiple of its capacity that a cold member is sent at most
+	coldPace, coldSpan        float64
+	tellGap, tellLeast        float64 // all drivers tell of a member so often, 0: never; at the most often
+	words, crowd              float64 // heard in the last second, about; drivers by threes
 	watchAt, watchWait, woke  float64 // woke: when this driver last came back from a pause of its own
 }
 
@@ -200,7 +197,8 @@
 		}
 	}
 	if d.crowd = 1; p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.tellGap = min(max(d.bound/4, 10*p.Tick), probeEvery)
+		d.tellLeast = min(max(d.bound/4, 10*p.Tick), probeEvery)
+		d.tellGap = d.tellLeast
 		d.crowd = max(1, float64(p.Drivers)/3)
 	}
 	if p.ListOnRequest {
@@ -219,7 +217,7 @@
 func (d *Driver) groupAt(id int64) *group {
 	g := d.groupOf[id]
 	if g == nil {
-		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), sessions: map[int64]float64{}, forgotten: -1,
+		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1),
 			strain: make([]float64, len(d.types))}
 		d.groupOf[id] = g
 		d.groups = append(d.groups, g)
@@ -294,14 +292,13 @@
 	}
 }
 
-// take accepts a new op.
 func (d *Driver) take(ev *Event) {
 	k, g := d.types[ev.OpType], d.groupAt(ev.Group)
-	o := &op{id: ev.Op, kind: k, group: g, session: ev.Session, arrived: d.now, needPos: -1, luck: d.chance()}
+	o := &op{id: ev.Op, kind: k, group: g, arrived: d.now, needPos: -1, luck: d.chance()}
 	o.until = d.now + max(ev.Left-d.margin, 0)
 	if k.need == Session {
 		if !d.carried {
-			o.needPos = max(g.forgotten, g.sessions[o.session])
+			o.needPos = g.commit
 		} else if ev.WroteAgo > 0 {
 			o.needPos = d.now - d.zero - ev.WroteAgo + 1
 		}
@@ -315,9 +312,9 @@
 	d.route(o)
 }
 
-// turnAway refuses by chance under strain. A type that earns little for its work is refused more often.
-// Guards against queues in which every answer is late: bursts, overload, a shared slowdown, client retries.
-// It could harm where the strain is of one member only; ops that waited for a primary do not count.
+// turnAway refuses by chance under strain, types that earn little for their work more often. Guards against
+// queues in which every answer is late, whatever filled them. It could harm where the strain is of one member
+// only.
 func (d *Driver) turnAway(o *op) bool {
 	p := o.group.strain[o.kind.index] * strainSlope
 	if p <= 0 || o.kind.need == Write {
@@ -414,8 +411,8 @@
 	return best, fresh
 }
 
-// load is what the companion rule compares: own sends in flight. The more drivers there are the less it tells, and
-// the more members are drawn by chance, in proportion: all drivers know the same of them and must not act as one.
+// load is what the companion rule compares: own sends in flight. The fewer they are the more members are
+// drawn by chance, in proportion: many drivers know the same of them and must not act as one.
 func (d *Driver) load(m *member) float64 {
 	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*(1+2*m.group.blur)*m.late + 0.05*d.chance()
 	if m.far {
@@ -424,15 +421,13 @@
 	return l * math.Pow(-math.Log(1-d.chance()), m.group.blur)
 }
 
-// apart keeps reads from spoiling replicas for those that need fresh data. A read that usually takes longer
-// than the tightest bound on age may keep a replica from applying the log: such reads keep to a few replicas,
-// the same at every driver, and wait for room there. Others that every member may answer rather go to
-// replicas that are behind. It could harm where long reads block nothing: their replicas are used more.
+// apart keeps reads that may block the log, as they take longer than the tightest bound on age, to a few
+// replicas, the same at every driver, and rather puts other reads of any age where data is not fresh anyway.
+// It could harm where long reads block nothing: their replicas are used more.
 func (d *Driver) apart(o *op, m *member) float64 {
-	if o.kind.need != Any {
-		return 0
-	}
-	if d.long(o.kind) {
+	switch {
+	case o.kind.need != Any:
+	case d.long(o.kind):
 		before := 0.0
 		for _, other := range m.group.members {
 			if other != m.group.slot && !other.draining && !other.aside && other.hash < m.hash {
@@ -443,8 +438,7 @@
 			return math.Inf(1)
 		}
 		return before
-	}
-	if d.within(m, d.bound) {
+	case d.within(m, d.bound):
 		return apartFresh
 	}
 	return 0
@@ -474,14 +468,9 @@
 func (d *Driver) mayRepeat(o *op, m *member) bool {
 	for i := range o.sends {
 		s := &o.sends[i]
-		if s.proved || o.kind.effect == Retryable {
-			continue
-		}
-		if o.kind.effect == NonRetryable || d.now >= s.at+o.kind.window-d.margin {
-			return false
-		}
-		if m != nil && (o.kind.scope == ScopeGroup && m.group != s.to.group ||
-			o.kind.scope == ScopeZone && m.zone != s.to.zone) {
+		if !s.proved && o.kind.effect != Retryable && (o.kind.effect == NonRetryable ||
+			d.now >= s.at+o.kind.window-d.margin || m != nil && (o.kind.scope == ScopeGroup && m.group != s.to.group ||
+			o.kind.scope == ScopeZone && m.zone != s.to.zone)) {
 			return false
 		}
 	}
@@ -490,18 +479,20 @@
 
 // warmth is the share of its capacity that a member surely has.
 func (d *Driver) warmth(m *member) float64 {
-	age := d.now - m.started
-	if m.started <= 0 || age >= d.coldFor {
-		return 1
+	if age := d.now - m.started; m.started > 0 && age < d.coldFor {
+		return d.coldFrom + (1-d.coldFrom)*max(age, 0)/d.coldFor
 	}
-	return d.coldFrom + (1-d.coldFrom)*max(age, 0)/d.coldFor
+	return 1
 }
 
 // admits says whether a member has room: in its window, after its last full reply, and, while it is cold, in
-// its budget. The budget is in work, whatever the op: a share of what this driver has answered by a member
-// on average, so that all drivers together stay under the multiple.
+// its budget: a share of the work that this driver has answered by a member on average, so that all stay
+// under it.
 func (d *Driver) admits(m *member, o *op) bool {
-	k, limit, share := o.kind, m.window, d.share(m)
+	k, limit, share := o.kind, m.window, 1.0
+	if d.crowd > 2 { // hardly a send is out anywhere, no window binds: the mean times that all tell of do
+		share = min(shareFrom*shareFrom/(m.over*m.over), 1)
+	}
 	if k.need == Write {
 		limit, share = 2*limit, 2*share // nowhere else to go; other reads make way first
 	}
@@ -526,9 +517,9 @@
 	return max(easyShare*k.target, min(easyLeast*k.best, easyMost*k.target))
 }
 
-// pace moves a member's window: up by one a windowful of answers, down when they take long on average or the
-// member is full. Guards against queues at members whatever fills them; it could harm where ops of one type
-// turn long by themselves, which costs waiting here instead of there.
+// pace learns from how long an answer took, an own one or a peer's, and moves the window. Guards against
+// queues whatever fills them; it could harm where ops turn long by themselves: they then wait here instead of
+// there.
 func (d *Driver) pace(m *member, k *opKind, x float64, full, own bool) {
 	g := m.group
 	if d.woke == d.now {
@@ -557,16 +548,6 @@
 	}
 }
 
-// share is the part of ops that a member gets where its window can't bind: among many drivers, each with hardly
-// a send out, it follows from the mean times that all of them tell of.
-func (d *Driver) share(m *member) float64 {
-	if d.crowd == 1 {
-		return 1
-	}
-	x := min(shareFrom/m.over, 1)
-	return x * x
-}
-
 func (d *Driver) unhold(o *op) {
 	if o.held {
 		o.held = false
@@ -632,9 +613,6 @@
 			d.empty(m, false, "miss")
 		}
 	}
-	if m.group.trial == o {
-		m.group.trial = nil
-	}
 	switch {
 	case o.done:
 		if o.out == 0 {
@@ -666,7 +644,7 @@
 	if d.woke < d.now {
 		o.kind.took += (took - o.kind.took) * smooth
 	}
-	m.news, m.good = true, true
+	m.news, m.say = true, m.say|tellGood
 	d.spare = min(d.spare+copyShare, copyMost)
 	o.group.work += o.kind.took
 	rise := smooth / 20
@@ -685,12 +663,8 @@
 	if !o.done {
 		d.feel(o, min(math.Floor((d.now-o.arrived)/o.kind.target), 1))
 	}
-	if o.kind.need == Write && !d.carried && ev.Note.Position > 0 {
-		g := o.group
-		g.sessions[o.session] = ev.Note.Position
-		if len(g.sessions) > heldCap { // from now on every session read needs the last commit seen here
-			g.forgotten, g.sessions = d.now-d.zero, map[int64]float64{}
-		}
+	if o.kind.need == Write {
+		o.group.commit = max(o.group.commit, ev.Note.Position)
 	}
 }
 
@@ -739,16 +713,14 @@
 	g := m.group
 	if g.slot != nil || g.last != nil {
 		m.window = min(m.window, startWindow) // all drivers let go of held writes at about the same time
-		if d.crowd > 1 {
-			m.late = max(m.late, startLate)
-			m.over = m.late
-		}
+		m.late = max(m.late, min(startLate, d.crowd-1))
+		m.over = m.late
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
 	if m.aside {
 		d.welcome(m, by)
 	}
-	if m.news = true; by != "peer" {
+	if m.news = true; by == "answer" || by == "report" {
 		m.toldAt = d.now - d.tellGap // the others wait for this word
 	}
 	d.log("group %d: %s is primary (%s), %d held", g.id, m.id, by, g.held)
@@ -779,8 +751,7 @@
 }
 
 // release routes the held ops of a group, oldest first, those that can still meet their latency target before
-// the others: after an outage a queue served strictly by age can stay long for good, and then every op in it
-// is late. It could harm old ops under lasting want of room.
+// the others, lest every op of a long queue be late. It could harm old ops under lasting want of room.
 func (d *Driver) release(g *group) {
 	for _, late := range [...]bool{false, true} {
 		for _, o := range g.live {
@@ -791,9 +762,9 @@
 	}
 }
 
-// setAside keeps ops from a member that does not answer, breaks connections or fails what it is sent; it also
+// setAside keeps ops from a member that does not answer, breaks connections or fails what it is sent, and
 // empties the slot of a silent or dead primary, which sends no miss. It could harm where one member's times
-// rise at once, which a trial or any answer mends.
+// rise at once.
 func (d *Driver) setAside(m *member, silent bool, why string) {
 	if m.aside {
 		return
@@ -801,10 +772,10 @@
 	if m.pause == 0 || d.now-m.backAt > 10*m.pause {
 		m.pause = trialFirst
 	}
-	m.aside, m.asideAt, m.trialAt, m.good = true, d.now, d.after(m.pause), false
+	m.aside, m.asideAt, m.trialAt, m.say = true, d.now, d.after(m.pause), 0
 	d.log("group %d: %s set aside: %s", m.group.id, m.id, why)
-	if m.mute = silent; silent && why != "peer" {
-		m.news, m.toldAt = true, d.now-d.tellGap
+	if silent && why != "peer" {
+		m.news, m.say, m.toldAt = true, tellSilent, d.now-d.tellGap
 	}
 	if silent && m.group.slot == m {
 		d.empty(m, true, why)
@@ -814,7 +785,6 @@
 // after is a time to act after a pause, for many drivers spread so that they act together as often as three.
 func (d *Driver) after(pause float64) float64 { return d.now + pause*(1+2*(d.crowd-1)*d.chance()) }
 
-// welcome takes a member back, slowly.
 func (d *Driver) welcome(m *member, by string) {
 	m.aside, m.backAt, m.heard, m.errors, m.owed = false, d.now, d.now, 0, 0
 	m.window = min(m.window, startWindow)
@@ -823,9 +793,6 @@
 
 // finish gives an op its final answer: busy where that is true, an error where it may have run.
 func (d *Driver) finish(o *op) {
-	if o.done {
-		return
-	}
 	ran := slices.ContainsFunc(o.sends, func(s send) bool { return !s.proved })
 	if !ran || o.kind.effect == Retryable || o.kind.effect == Tokened && o.kind.scope == ScopeAll {
 		wait := 0.0
@@ -839,22 +806,19 @@
 	d.close(o)
 }
 
-// close ends an op that has its final answer.
 func (d *Driver) close(o *op) {
 	d.unhold(o)
 	o.done = true
-	if o.out == 0 {
-		delete(d.ops, o.id)
-		return
-	}
 	for i := range o.sends {
 		if o.sends[i].open && d.cancels {
 			d.act(Action{Kind: ActCancel, Op: o.id, Send: i})
 		}
 	}
+	if o.out == 0 {
+		delete(d.ops, o.id)
+	}
 }
 
-// sweep does what time brings.
 func (d *Driver) sweep() {
 	for _, g := range d.groups {
 		d.silence(g)
@@ -862,22 +826,15 @@
 		if dt := d.now - d.swept; dt > 0 {
 			g.rate += (g.work/dt - g.rate) * min(dt/max(d.coldSpan, 5*probeEvery), 1)
 			g.work = 0
-			if d.crowd > 1 {
-				g.blur = 1 / (1 + blurLoss*g.rate/float64(max(g.serving, 1)))
-			}
+			g.blur = min(d.crowd-1, 1) / (1 + blurLoss*g.rate/float64(max(g.serving, 1)))
 		}
 		d.release(g)
-		live := g.live[:0]
 		for _, o := range g.live {
 			if !o.done {
 				d.attend(o)
 			}
-			if !o.done || o.out > 0 {
-				live = append(live, o)
-			}
 		}
-		clear(g.live[len(live):])
-		g.live = live
+		g.live = slices.DeleteFunc(g.live, func(o *op) bool { return o.done && o.out == 0 })
 		for i := range g.strain {
 			g.strain[i] -= g.strain[i] * smooth * (d.now - d.swept) / probeEvery
 		}
@@ -888,11 +845,16 @@
 		d.act(Action{Kind: ActWatch})
 	}
 	if d.tellGap > 0 {
+		pace := d.sweepGap / (2 * probeIdle)
+		if d.words -= d.words * 2 * pace; d.words*d.crowd > tellBudget {
+			d.tellGap *= 1 + pace // what all drivers together are sent stays bounded, however many they are
+		} else {
+			d.tellGap = max(d.tellGap*(1-pace), d.tellLeast)
+		}
 		d.tell()
 	}
 }
 
-// attend looks after one unfinished op.
 func (d *Driver) attend(o *op) {
 	switch {
 	case d.now >= o.until || o.held && !d.mayRepeat(o, nil):
@@ -918,11 +880,11 @@
 	}
 }
 
-// tryRole lets one held write at a time find the primary where no probe can tell it: a miss proves that it
-// did not run. It tries only members that said nothing for a while, as answers to reads tell the role too.
+// tryRole lets one held write at a time try members not heard of late for the primary, where no probe can
+// tell it.
 func (d *Driver) tryRole(o *op) {
 	g := o.group
-	if g.slot != nil || g.trial != nil || d.reports || o.kind.need != Write ||
+	if g.slot != nil || g.trial != nil && g.trial.out > 0 || d.reports || o.kind.need != Write ||
 		len(o.sends) >= d.sendCap-1 {
 		return
 	}
@@ -936,29 +898,28 @@
 	}
 }
 
-// silence sets aside a member that owes more than chance explains: were answers to come at random at the
-// usual rate, none would for so long with a chance of e to minus the sum. Guards against hung and vanished
-// members, cut links and stopped processes; it must stand out, lest a shared slowdown pass for it.
+// silence sets aside a member that owes more than chance explains: at the usual rate of answers, none comes
+// for so long with a chance of e to minus the sum. It must stand out, lest a shared slowdown pass for it.
 func (d *Driver) silence(g *group) {
+	all, busy := 0.0, 0.0
+	g.serving = 0
 	for _, m := range g.members {
 		m.quiet = m.owed
+		all += m.owed
+		busy += min(float64(m.inFlight), 1)
+		if !m.draining {
+			g.serving++
+		}
 	}
 	for _, o := range g.live {
 		for i := range o.sends {
 			if s := &o.sends[i]; s.open {
-				s.to.quiet += (d.now - max(s.at, s.to.heard, d.woke)) / o.kind.took
+				x := (d.now - max(s.at, s.to.heard, d.woke)) / o.kind.took
+				s.to.quiet += x
+				all += x
 			}
 		}
 	}
-	all, busy := 0.0, 0.0
-	g.serving = 0
-	for _, m := range g.members {
-		all += m.quiet
-		busy += min(float64(m.inFlight), 1)
-		if !m.draining {
-			g.serving++
-		}
-	}
 	for _, m := range g.members {
 		limit := silentReads + 2*(all-m.quiet)/max(busy-1, 1)
 		if m == g.slot {
@@ -971,16 +932,13 @@
 }
 
 const (
-	tellPrimary, tellGood, tellSilent = 1, 2, 4
-	easeStep, easeShift               = 6.0, 3 // five of the flags: times over the easy one, in sixths
-	tellRange                         = 1 << 24
-	entryBytes                        = 7 // 24 bits each for the hash of the id and the position, between them eight flags
+	tellPrimary, tellGood, tellSilent, easeShift = 1, 2, 4, 3      // flags; above them times over the easy one
+	tellRange, easeStep, entryBytes              = 1 << 24, 6.0, 7 // 24 bits for hash and position
 )
 
-// tell sends peers what this driver's own sends taught it, of members that no driver has told of for a while: so
-// the fleet's messages follow its members and not its drivers. It costs a few bytes and keeps positions, the
-// primary's place and members' health known between sparse sends. It could harm only as far as a peer lies:
-// positions never go back and roles are dated by them.
+// tell sends peers what own sends taught, of members that no driver told of for a while: so the fleet's
+// messages follow its members and not its drivers. It could harm only as far as a peer lies: positions never
+// go back, roles are dated by them, and silence is believed only of a member that nobody heard from.
 func (d *Driver) tell() {
 	var data []byte
 	for _, g := range d.groups {
@@ -989,21 +947,14 @@
 			if m.news = false; !news {
 				continue // were it kept, all who have some would tell it at once
 			}
-			flags, position := uint64(0), uint64(0)
+			flags, position := m.say|uint64(min(m.ease*easeStep, 31))<<easeShift, uint64(0)
 			if g.slot == m {
-				flags = tellPrimary
-			}
-			if m.good {
-				flags |= tellGood
-			}
-			if m.aside && m.mute {
-				flags |= tellSilent
+				flags |= tellPrimary
 			}
-			flags |= uint64(min(m.ease*easeStep, 31)) << easeShift
 			if m.position > 0 && d.within(m, tellRange/2) {
 				position = uint64(m.position) % tellRange
 			}
-			m.good, m.ease, m.toldAt = false, 0, d.now
+			m.say, m.ease, m.toldAt = 0, 0, d.now
 			word := binary.BigEndian.AppendUint64(nil, uint64(m.hash)<<32|flags<<24|position)
 			data = append(data, word[8-entryBytes:]...)
 		}
@@ -1013,8 +964,8 @@
 	}
 }
 
-// hear takes a peer's message.
 func (d *Driver) hear(data []byte) {
+	d.words++
 	for ; len(data) >= entryBytes; data = data[entryBytes:] {
 		word := binary.BigEndian.Uint64(append([]byte{0}, data[:entryBytes]...))
 		m := d.byHash[uint32(word>>32)]
