--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,7 @@
 	shareFrom, blurLoss     = 1.2, 10.0     // mean times that begin to cut a share; how own sends lessen chance
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.2     // of the tightest bound: a replica is behind; times over easy for it
-	coldShare, strainSlope  = 0.6, 2.0      // of a cold member's budget; chance of refusal for strain
+	coldShare, strainSlope  = 0.8, 2.0      // of a cold member's budget; chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
 	smooth                  = 0.03
