A cold member's budget follows what was answered before members were replaced

While a deploy replaced a unit the budgets followed the work that cold members got, which fell with the budgets.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,7 @@
 	live              []*op   // unfinished ops in order of arrival
 	probeAt           float64
 	trial             *op       // a held write out at a member whose role is not known
-	work, rate        float64   // own work answered: since the last sweep; smoothed, in usual ms a ms
+	work, flow, rate  float64   // own work answered: since the last sweep; smoothed, in usual ms a ms; by warm ones
 	strain            []float64 // per op type: share of ops late or refused for want of room
 	late, blur        float64   // times over the easy ones at the replicas; how little own sends tell, to 1
 	commit            float64   // the last that own writes have seen, for sessions that do not carry theirs
@@ -824,8 +824,10 @@
 		d.silence(g)
 		d.search(g)
 		if dt := d.now - d.swept; dt > 0 {
-			g.rate += (g.work/dt - g.rate) * min(dt/max(d.coldSpan, 5*probeEvery), 1)
-			g.work = 0
+			g.flow += (g.work/dt - g.flow) * min(dt/max(d.coldSpan, 5*probeEvery)/min(d.crowd, 4), 1)
+			if g.work = 0; g.flow > g.rate || !slices.ContainsFunc(g.members, func(m *member) bool { return d.warmth(m) < 1 }) {
+				g.rate = g.flow // while members are cold, what they got before they were replaced holds
+			}
 			g.blur = min(d.crowd-1, 1) / (1 + blurLoss*g.rate/float64(max(g.serving, 1)))
 		}
 		d.release(g)
