--- a/logic/logic.go
+++ b/logic/logic.go
@@ -491,7 +491,7 @@
 func (d *Driver) admits(m *member, o *op) bool {
 	k, limit, share := o.kind, m.window, 1.0
 	if d.crowd > 2 { // hardly a send is out anywhere, no window binds: the mean times that all tell of do
-		share = min(shareFrom*shareFrom/(m.over*m.over), 1)
+		share = min(shareFrom/m.over, 1)
 	}
 	if k.need == Write {
 		limit, share = 2*limit, 2*share // nowhere else to go; other reads make way first
