--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,9 +64,9 @@
 	live              []*op   // unfinished ops in order of arrival
 	probeAt           float64
 	trial             *op       // a held write out at a member whose role is not known
-	work, flow, rate  float64   // own work answered: since the last sweep; smoothed, in usual ms a ms; by warm ones
+	work, flow, rate  float64   // own work answered: since the last sweep; usual ms a ms; the same by warm ones
 	strain            []float64 // per op type: share of ops late or refused for want of room
-	late, blur        float64   // times over the easy ones at the replicas; how little own sends tell, to 1
+	late, blur, cold  float64   // times over the easy ones at replicas; how little own sends tell; least warmth
 	commit            float64   // the last that own writes have seen, for sessions that do not carry theirs
 }
 
@@ -107,7 +107,6 @@
 	stalled, missed         bool    // it waited for a primary or a position, not for room; a replica was behind
 }
 
-// Driver decides for one driver.
 type Driver struct {
 	now, zero, bound          float64 // bound: the tightest bound on the age of data
 	zone                      string
@@ -186,8 +185,7 @@
 		cancels: p.MayCancel, overlap: p.MayOverlap, sendCap: max(p.SendCap, 1), advise: p.MaxRetryAfter,
 		coldFrom: p.ColdFrom, coldFor: p.ColdFor, coldPace: p.FallMultiple * coldShare, coldSpan: p.FallSpan,
 		drainOnly: p.OnlyDrainBinds, tellMost: p.MaxMessageBytes / entryBytes}
-	d.margin = d.sweepGap + 2*p.Tick
-	d.bound = math.Inf(1)
+	d.margin, d.bound = d.sweepGap+2*p.Tick, math.Inf(1)
 	for i, t := range p.OpTypes {
 		d.types = append(d.types, &opKind{index: i, need: t.Need, maxAge: t.MaxAge, effect: t.Effect,
 			scope: t.Scope, window: t.Window, target: t.LatencyTarget,
@@ -595,7 +593,7 @@
 		d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false, true) // the member may still be at work on it
 		m.owed += (d.now - max(s.at, m.heard, d.woke)) / o.kind.took
 	case ConnectFailed, Reset:
-		if ev.Outcome == ConnectFailed && m.heard > s.at-2*max(d.tellGap, o.kind.took) {
+		if ev.Outcome == ConnectFailed && d.now-m.heard < 2*max(d.tellGap, o.kind.took) {
 			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
 		} else if s.at >= m.backAt {
 			d.setAside(m, true, "connection")
@@ -711,9 +709,8 @@
 
 func (d *Driver) fill(m *member, when float64, by string) {
 	g := m.group
-	if g.slot != nil || g.last != nil {
-		m.window = min(m.window, startWindow) // all drivers let go of held writes at about the same time
-		m.late = max(m.late, min(startLate, d.crowd-1))
+	if g.slot != nil || g.last != nil { // all drivers let go of held writes at about the same time
+		m.window, m.late = min(m.window, startWindow), max(m.late, min(startLate, d.crowd-1))
 		m.over = m.late
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
@@ -825,7 +822,7 @@
 		d.search(g)
 		if dt := d.now - d.swept; dt > 0 {
 			g.flow += (g.work/dt - g.flow) * min(dt/max(d.coldSpan, 5*probeEvery)/min(d.crowd, 4), 1)
-			if g.work = 0; g.flow > g.rate || !slices.ContainsFunc(g.members, func(m *member) bool { return d.warmth(m) < 1 }) {
+			if g.work = 0; g.flow > g.rate || g.cold == 1 {
 				g.rate = g.flow // while members are cold, what they got before they were replaced holds
 			}
 			g.blur = min(d.crowd-1, 1) / (1 + blurLoss*g.rate/float64(max(g.serving, 1)))
@@ -904,12 +901,13 @@
 // for so long with a chance of e to minus the sum. It must stand out, lest a shared slowdown pass for it.
 func (d *Driver) silence(g *group) {
 	all, busy := 0.0, 0.0
-	g.serving = 0
+	g.serving, g.cold = 0, 1
 	for _, m := range g.members {
 		m.quiet = m.owed
 		all += m.owed
 		busy += min(float64(m.inFlight), 1)
 		if !m.draining {
+			g.cold = min(g.cold, d.warmth(m))
 			g.serving++
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -297,3 +297,151 @@
 	behind, well := r.d.members["s"], r.d.members["r"]
 	r.want(behind.late > 1.1 && well.late < 0.5, fmt.Sprintf("s over its easy times, has %.2f", behind.late))
 }
+
+// word is what a peer tells of a member.
+func word(m *member, flags byte, ease float64, position float64) Event {
+	p := uint32(position) % tellRange
+	return Event{Kind: EvMessage, Data: []byte{byte(m.hash >> 16), byte(m.hash >> 8), byte(m.hash),
+		flags | byte(ease*easeStep)<<easeShift, byte(p >> 16), byte(p >> 8), byte(p)}}
+}
+
+// crowd opens n drivers of one fleet with seeds of their own.
+func crowd(t *testing.T, n int) []*rig {
+	var rigs []*rig
+	for i := range n {
+		o := opening()
+		o.Drivers, o.MayMessage, o.Seed = n, true, uint64(i+1)*0x9E3779B97F4A7C15
+		rigs = append(rigs, start(t, o))
+	}
+	return rigs
+}
+
+// 327 drivers probed every member each second, of which members let 64 through.
+func TestFewOfManyDriversProbeAtATime(t *testing.T) {
+	probes := 0
+	for _, r := range crowd(t, 300) {
+		r.step(members(ListChanges, "p-"))
+		probes += count(r.all, ActProbe, "")
+	}
+	if probes < 8 || probes > 40 {
+		t.Errorf("%d probes by 300 drivers at 2 members, want about 16", probes)
+	}
+}
+
+// News kept until the gap was over was told by all who had some at once.
+func TestMemberIsToldOfOnceAGap(t *testing.T) {
+	r := crowd(t, 30)[0]
+	r.wait(500)
+	r.op("a", anyRead, 1200)
+	m := r.d.members[to(r.all, "a")]
+	r.step(word(m, tellGood, 0.5, r.now-10))
+	r.answer("a", m.id, OK, Replica, r.now)
+	before := count(r.all, ActMessage, "")
+	r.wait(200)
+	r.want(count(r.all, ActMessage, "") == before, "no word of a member that a peer has just told of")
+	for range 20000 {
+		r.step(word(m, tellGood, 0.5, r.now-10))
+	}
+	r.wait(1000)
+	r.want(r.d.tellGap > 1.3*r.d.tellLeast, "longer gaps while too many words come")
+}
+
+// Full credits at many drivers together pushed a new member over.
+func TestColdMemberIsNotRushedByMany(t *testing.T) {
+	sent := 0
+	for _, r := range crowd(t, 90) {
+		r.d.groups[0].rate, r.d.groups[0].flow, r.d.types[anyRead].took = 0.1, 0.1, r.d.types[0].took
+		r.step(members(ListChanges, "s+"))
+		for i := range 15 {
+			id := fmt.Sprint("a", i)
+			m := r.op(id, anyRead, 1200)
+			if m == "s" {
+				sent++
+			}
+			if r.wait(100); m != "" {
+				r.answer(id, m, OK, Replica, r.now)
+			}
+		}
+	}
+	if sent == 0 || sent > 60 {
+		t.Errorf("%d of 1350 reads at the member that has just started, want some and few", sent)
+	}
+}
+
+// A driver that stood still must not read its own pause as the members' silence, nor learn from its length.
+func TestOwnPauseIsNobodysSilence(t *testing.T) {
+	r := start(t, opening())
+	r.wait(50)
+	m := r.op("a", anyRead, 1200)
+	r.op("w", once, 2000)
+	took := r.d.types[anyRead].took
+	r.now += 700
+	r.step(Event{Kind: EvTimer}, Event{Kind: EvAnswer, Op: "a", Member: m, Outcome: OK, Closed: true,
+		Note: Sight{Replica, r.now}})
+	r.want(r.d.groups[0].slot == r.d.members["p"] && !r.d.members["p"].aside, "the primary kept")
+	r.want(r.d.types[anyRead].took == took, "usual times as before")
+}
+
+// A refused connection is no verdict on a member that serves on others; one that nobody hears from is dead.
+func TestRefusedConnection(t *testing.T) {
+	r := start(t, opening())
+	r.op("w1", once, 2000)
+	r.answer("w1", "p", OK, Primary, r.now)
+	r.op("w2", once, 2000)
+	r.answer("w2", "p", ConnectFailed, RoleUnknown, 0)
+	r.want(r.d.groups[0].slot == r.d.members["p"], "the slot kept")
+	r.wait(400)
+	r.want(to(r.all, "w2") == "p" && count(r.all, ActSend, "w2") == 2, "the write sent again")
+	r.wait(400)
+	r.answer("w2", "p", ConnectFailed, RoleUnknown, 0)
+	r.want(r.d.groups[0].slot == nil, "the slot empty")
+}
+
+// A peer's word of silence counts only where nobody heard from the member.
+func TestWordOfSilence(t *testing.T) {
+	r := crowd(t, 30)[0]
+	m := r.d.members["p"]
+	r.wait(1000)
+	r.step(word(m, tellGood, 0.5, r.now-10))
+	r.step(word(m, tellSilent, 0, 0))
+	r.want(r.d.groups[0].slot == m, "the slot kept, a peer has just heard from it")
+	r.wait(1000)
+	r.step(word(m, tellSilent, 0, 0))
+	r.want(r.d.groups[0].slot == nil && m.aside, "the slot emptied on a peer's word")
+	r.want(count(r.acts, ActMessage, "") == 0, "which is not told on")
+}
+
+// What many drivers know alike must not make them act as one; and a slow primary gets a share of the writes.
+func TestManyDriversSpreadAndHoldBack(t *testing.T) {
+	at, writes := map[string]int{}, 0
+	for _, r := range crowd(t, 90) {
+		for i := range 60 {
+			r.now += 20
+			r.step(word(r.d.members["r"], tellGood, 0.5, r.now), word(r.d.members["s"], tellGood, 1, r.now),
+				word(r.d.members["p"], tellGood, 5, r.now), Event{Kind: EvTimer})
+			if i == 59 {
+				at[r.op("a", anyRead, 1200)]++
+				if r.op("w", once, 2000) != "" {
+					writes++
+				}
+			}
+		}
+	}
+	if at["r"] < at["s"] || at["s"] < 15 {
+		t.Errorf("reads %v, want both replicas used, the quicker one more", at)
+	}
+	if writes < 20 || writes > 75 {
+		t.Errorf("%d of 90 writes at a primary four times over its easy times, want a share", writes)
+	}
+}
+
+// Where only draining binds, a list that calls everything gone stops nothing.
+func TestWrongListStopsNothing(t *testing.T) {
+	o := opening()
+	o.OnlyDrainBinds = true
+	r := start(t, o)
+	r.step(Event{Kind: EvMembers, List: ListFull})
+	r.want(r.op("w", once, 2000) == "p" && r.op("a", anyRead, 1200) != "", "write and read sent as before")
+	r.step(members(ListFull, "p", "r", "s"))
+	r.want(r.op("w2", once, 2000) == "p", "the slot as before when the true list is back")
+}
