--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
-	shareFrom, blurLoss     = 1.0, 10.0     // mean times that begin to cut a share; how own sends lessen chance
+	shareFrom, blurLoss     = 0.8, 10.0     // mean times that begin to cut a share; how own sends lessen chance
 	headroom                = 0.5           // share of its window up to which a primary takes other reads
 	behindShare, behind     = 0.25, 1.2     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare, strainSlope  = 0.8, 2.0      // of a cold member's budget; chance of refusal for strain
@@ -489,7 +489,7 @@
 func (d *Driver) admits(m *member, o *op) bool {
 	k, limit, share := o.kind, m.window, 1.0
 	if d.crowd > 2 { // hardly a send is out anywhere, no window binds: the mean times that all tell of do
-		share = min(shareFrom/m.over, 1)
+		share = min(1/m.over, 1)
 	}
 	if k.need == Write {
 		limit, share = 2*limit, 2*share // nowhere else to go; other reads make way first
