--- /dev/null
+++ b/api.go
@@ -0,0 +1,210 @@
+// Package logic decides where each op goes. This file holds the types that cross its door: what a driver
+// is opened with, the events it takes and the actions it returns. Decisions are in logic.go.
+package logic
+
+// Need is what an op demands of the data it is answered from.
+type Need uint8
+
+const (
+	Any     Need = iota // every member will do
+	Bounded             // data no older than OpType.MaxAge at the moment of the send
+	Session             // all that the session has written
+	Fresh               // all that was written before the op arrived
+	Write               // only the primary takes it
+)
+
+// Effect says how often an op may run.
+type Effect uint8
+
+const (
+	Retryable    Effect = iota // may run again
+	Tokened                    // repeats are dropped within Scope and Window
+	NonRetryable               // must never run twice
+)
+
+// Scope is the set of members among which a tokened op's repeats are recognised.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeGroup
+)
+
+// Checks is what a member does with a read for which it lags too far.
+type Checks uint8
+
+const (
+	ChecksNone Checks = iota // answers from the data it has
+	ChecksRefuse
+	ChecksWait
+)
+
+// ListRole is how the member list tracks the primary.
+type ListRole uint8
+
+const (
+	RoleNone ListRole = iota
+	RoleAtStart
+	RoleLate
+)
+
+// OpType describes one kind of op. Times are milliseconds.
+type OpType struct {
+	Need          Need
+	MaxAge        float64
+	Effect        Effect
+	Scope         Scope
+	Window        float64
+	LatencyTarget float64
+	OpTimeout     float64
+	Value         float64
+}
+
+// Opening is what a driver is told when it starts. Times are milliseconds.
+type Opening struct {
+	Seed            uint64
+	Drivers         int
+	Zone            string
+	OpTypes         []OpType
+	Tick            float64
+	Checks          Checks
+	ListRole        ListRole
+	SessionCarried  bool // session reads say how long ago the session wrote; else the driver remembers
+	PositionZero    float64
+	ListOnRequest   bool
+	ReportsByProbe  bool // a probe's report shows role and position
+	MayProbe        bool
+	MayCancel       bool
+	MayMessage      bool
+	MayOverlap      bool    // two sends of an op may be out at once
+	MaxRetryAfter   float64 // 0: a busy reply can't advise
+	SendCap         int
+	ColdFrom        float64
+	ColdFor         float64
+	FallMultiple    float64
+	FallSpan        float64
+	OnlyDrainBinds  bool
+	MaxMessageBytes int
+}
+
+// EventKind names what happened.
+type EventKind uint8
+
+const (
+	EvOpen    EventKind = iota // Opening
+	EvMembers                  // List, Members
+	EvOp                       // Op, OpType, Group, Session, Left, WroteAgo
+	EvAnswer                   // Op, Send, Member, Outcome, Note, Closed, Report
+	EvProbed                   // Member, Outcome, Report, Took
+	EvGone                     // Op
+	EvTimer
+	EvMessage // Data
+)
+
+// ListKind says how Members relates to the list known so far.
+type ListKind uint8
+
+const (
+	ListChanges ListKind = iota
+	ListFull
+	ListCached // full, but as last held
+	ListFailed
+)
+
+// Phase is a member's state in the list.
+type Phase uint8
+
+const (
+	Ready Phase = iota
+	Draining
+	Gone
+)
+
+// ListEntry is one line of the member list.
+type ListEntry struct {
+	Member  string
+	Phase   Phase
+	Zone    string
+	Started float64 // clock time, 0 for long ago
+	Group   int64
+	Primary bool
+}
+
+// Outcome is how a send or a probe ended.
+type Outcome uint8
+
+const (
+	OK Outcome = iota
+	Miss
+	Full
+	ConnectFailed
+	Moot // never sent
+	Fault
+	TimedOut
+	Reset
+	Cancelled
+)
+
+// Role is what a member said of itself.
+type Role uint8
+
+const (
+	RoleUnknown Role = iota
+	Primary
+	Replica
+)
+
+// Sight is what a member tells of itself, in an answer's note or a load report.
+type Sight struct {
+	Role     Role
+	Position float64 // milliseconds after PositionZero up to which it has applied all commits; 0 for unknown
+}
+
+// Event is one thing that happened; Kind says which fields count.
+type Event struct {
+	Kind     EventKind
+	Opening  *Opening
+	List     ListKind
+	Members  []ListEntry
+	Op       string
+	OpType   int
+	Group    int64
+	Session  int64
+	Left     float64
+	WroteAgo float64
+	Send     int
+	Member   string
+	Outcome  Outcome
+	Took     float64
+	Note     Sight
+	Closed   bool
+	Report   Sight
+	Data     []byte
+}
+
+// ActionKind names what is to be done.
+type ActionKind uint8
+
+const (
+	ActSend ActionKind = iota // Op, Member, Wait
+	ActCancel
+	ActRefuse // busy reply; Wait is the retry advice
+	ActFail   // error reply
+	ActProbe
+	ActTimer   // Wait
+	ActMessage // Data, to every other driver
+	ActWatch
+	ActLog
+)
+
+// Action is one thing to be done; Kind says which fields count.
+type Action struct {
+	Kind   ActionKind
+	Op     string
+	Send   int
+	Member string
+	Wait   float64
+	Data   []byte
+	Text   string
+}
