A member whose connections broke and that comes back counts as cold, as it has started again; word of it is believed at once

It covers any restart that the list tells late; it could harm where only a link was cut: the member then gets little for its warm-up.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,8 +36,7 @@
 	shrink, floorShare      = 0.85, 0.7     // cut of a window; its floor, of what was out while times were easy
 	easyShare               = 0.28          // of the latency target: a mean time so long is easy for a member
 	easyLeast, easyMost     = 1.07, 0.6     // and so many times the best mean, up to this share of the target
-	shareFrom, blurLoss     = 0.8, 10.0     // mean times that begin to cut a share; how own sends lessen chance
-	headroom                = 0.5           // share of its window up to which a primary takes other reads
+	blurLoss, headroom      = 10.0, 0.5     // how own sends lessen chance; of a primary's window for other reads
 	behindShare, behind     = 0.25, 1.2     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare, strainSlope  = 0.8, 2.0      // of a cold member's budget; chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
@@ -85,7 +84,7 @@
 	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
 	credit, creditAt       float64 // work that a cold member may still get
 	aside, news            bool    // news: to tell peers
-	say                    uint64  // and the flags that go with it
+	say, cut               uint64  // the flags that go with it; set aside as connections broke or none came
 }
 
 type send struct {
@@ -357,7 +356,6 @@
 	}
 }
 
-// hold keeps an op until the slot is filled, a replica is fresh enough or a member admits it.
 func (d *Driver) hold(o *op) {
 	o.held = true
 	if o.group.held++; o.group.held > heldCap {
@@ -365,7 +363,6 @@
 	}
 }
 
-// within says whether a member is known to have applied all that is older than age.
 func (d *Driver) within(m *member, age float64) bool { return m.position >= d.now-d.zero-age }
 
 // fresh says whether what is known of a member's position covers the op's need, were it sent now.
@@ -444,8 +441,7 @@
 
 func (d *Driver) long(k *opKind) bool { return k.need == Any && k.best > d.bound }
 
-// farthest is the replica with the newest known position, tried where replicas check reads; as a last resort
-// of a read that every member may answer, any member, even one set aside.
+// farthest is the replica with the newest known position; as a last resort any member, even one set aside.
 func (d *Driver) farthest(o *op, last bool) *member {
 	var best *member
 	for _, m := range o.group.members {
@@ -596,6 +592,7 @@
 		if ev.Outcome == ConnectFailed && d.now-m.heard < 2*max(d.tellGap, o.kind.took) {
 			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
 		} else if s.at >= m.backAt {
+			m.cut = tellCut
 			d.setAside(m, true, "connection")
 		}
 	case Fault:
@@ -666,7 +663,6 @@
 	}
 }
 
-// feel notes whether a read came too late for want of room.
 func (d *Driver) feel(o *op, late float64) {
 	if !o.stalled && o.kind.need != Write {
 		s := &o.group.strain[o.kind.index]
@@ -724,7 +720,6 @@
 	d.release(g)
 }
 
-// empty takes the believed primary out of the slot and starts the search for the next at once.
 func (d *Driver) empty(m *member, silent bool, why string) {
 	g := m.group
 	g.slot, g.last, g.emptied, g.silent, g.probeAt = nil, m, d.now, silent, d.now
@@ -732,7 +727,6 @@
 	d.search(g)
 }
 
-// search probes the members of a group while probes can tell the role.
 func (d *Driver) search(g *group) {
 	if !d.reports || d.now < g.probeAt {
 		return
@@ -772,7 +766,7 @@
 	m.aside, m.asideAt, m.trialAt, m.say = true, d.now, d.after(m.pause), 0
 	d.log("group %d: %s set aside: %s", m.group.id, m.id, why)
 	if silent && why != "peer" {
-		m.news, m.say, m.toldAt = true, tellSilent, d.now-d.tellGap
+		m.news, m.say, m.toldAt = true, tellSilent|m.cut, d.now-d.tellGap
 	}
 	if silent && m.group.slot == m {
 		d.empty(m, true, why)
@@ -783,7 +777,10 @@
 func (d *Driver) after(pause float64) float64 { return d.now + pause*(1+2*(d.crowd-1)*d.chance()) }
 
 func (d *Driver) welcome(m *member, by string) {
-	m.aside, m.backAt, m.heard, m.errors, m.owed = false, d.now, d.now, 0, 0
+	if m.cut != 0 && m.started < m.asideAt && d.now-m.asideAt >= trialFirst { // it has started again
+		m.started, m.credit, m.creditAt = d.now, d.chance()*d.types[0].took, d.now
+	}
+	m.aside, m.cut, m.backAt, m.heard, m.errors, m.owed = false, 0, d.now, d.now, 0, 0
 	m.window = min(m.window, startWindow)
 	d.log("group %d: %s is back (%s)", m.group.id, m.id, by)
 }
@@ -932,8 +929,8 @@
 }
 
 const (
-	tellPrimary, tellGood, tellSilent, easeShift = 1, 2, 4, 3      // flags; above them times over the easy one
-	tellRange, easeStep, entryBytes              = 1 << 24, 6.0, 7 // 24 bits for hash and position
+	tellPrimary, tellGood, tellSilent, tellCut, easeShift = 1, 2, 4, 8, 3  // above them times over the easy one
+	tellRange, easeStep, entryBytes                       = 1 << 24, 6.0, 7 // 24 bits for hash and position
 )
 
 // tell sends peers what own sends taught, of members that no driver told of for a while: so the fleet's
@@ -982,16 +979,20 @@
 		if flags&tellPrimary != 0 && position > 0 {
 			d.primarySeen(m, d.zero+position, "peer")
 		}
+		if flags&tellSilent != 0 {
+			if flags&tellCut != 0 || d.now-m.heard > max(2*d.tellGap, trialFirst) {
+				m.cut |= flags & tellCut
+				d.setAside(m, true, "peer")
+			}
+			continue
+		}
 		if ease := float64(flags>>easeShift&31) / easeStep; ease > 0 {
 			d.pace(m, d.types[0], ease, false, false)
 		}
-		if flags&tellSilent != 0 && d.now-m.heard > max(2*d.tellGap, trialFirst) {
-			d.setAside(m, true, "peer")
-		} else if flags&tellGood != 0 {
-			m.heard, m.owed = d.now, 0
-		}
-		if flags&tellGood != 0 && m.aside && d.now > m.asideAt+m.pause {
-			d.welcome(m, "peer")
+		if flags&tellGood != 0 {
+			if m.heard, m.owed = d.now, 0; m.aside && d.now > m.asideAt+m.pause {
+				d.welcome(m, "peer")
+			}
 		}
 	}
 }
