--- a/logic/logic.go
+++ b/logic/logic.go
@@ -929,7 +929,7 @@
 }
 
 const (
-	tellPrimary, tellGood, tellSilent, tellCut, easeShift = 1, 2, 4, 8, 3  // above them times over the easy one
+	tellPrimary, tellGood, tellSilent, tellCut, easeShift = 1, 2, 4, 8, 3   // above them times over the easy one
 	tellRange, easeStep, entryBytes                       = 1 << 24, 6.0, 7 // 24 bits for hash and position
 )
 
