--- a/logic/logic.go
+++ b/logic/logic.go
@@ -313,7 +313,7 @@
 // queues in which every answer is late, whatever filled them. It could harm where the strain is of one member
 // only.
 func (d *Driver) turnAway(o *op) bool {
-	p := o.group.strain[o.kind.index] * strainSlope * (1 + o.group.blur)
+	p := o.group.strain[o.kind.index] * strainSlope * (1 + 3*o.group.blur)
 	if p <= 0 || o.kind.need == Write {
 		return false
 	}
