--- a/logic/logic.go
+++ b/logic/logic.go
@@ -194,9 +194,9 @@
 		}
 	}
 	if d.crowd = 1; p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.tellLeast = min(max(d.bound/4, 10*p.Tick), probeEvery)
-		d.tellGap = d.tellLeast
 		d.crowd = max(1, float64(p.Drivers)/3)
+		d.tellLeast = min(max(d.bound/4, 10*p.Tick), probeEvery) * min(d.crowd/3, 1)
+		d.tellGap = d.tellLeast
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
