Turning away by the square of how little own sends tell; a word of a cut connection is told apart from times

The lowest bit of the times in a word stood for a cut connection, and a time not yet told could set it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -313,7 +313,7 @@
 // queues in which every answer is late, whatever filled them. It could harm where the strain is of one member
 // only.
 func (d *Driver) turnAway(o *op) bool {
-	p := o.group.strain[o.kind.index] * strainSlope * (1 + 3*o.group.blur)
+	p := o.group.strain[o.kind.index] * strainSlope * (1 + 3*o.group.blur*o.group.blur)
 	if p <= 0 || o.kind.need == Write {
 		return false
 	}
@@ -639,7 +639,7 @@
 	if d.woke < d.now {
 		o.kind.took += (took - o.kind.took) * smooth
 	}
-	m.news, m.say = true, m.say|tellGood
+	m.news, m.say = true, tellGood
 	d.spare = min(d.spare+copyShare, copyMost)
 	o.group.work += o.kind.took
 	rise := smooth / 20
@@ -929,7 +929,7 @@
 }
 
 const (
-	tellPrimary, tellGood, tellSilent, tellCut, easeShift = 1, 2, 4, 8, 3   // above them times over the easy one
+	tellPrimary, tellGood, tellSilent, tellCut, easeShift = 1, 2, 4, 2, 3   // good and silent: cut off
 	tellRange, easeStep, entryBytes                       = 1 << 24, 6.0, 7 // 24 bits for hash and position
 )
 
