--- a/logic/logic.go
+++ b/logic/logic.go
@@ -690,7 +690,6 @@
 	}
 }
 
-// primarySeen fills the slot, unless the evidence is no newer than what stands against it.
 func (d *Driver) primarySeen(m *member, when float64, by string) {
 	g := m.group
 	if g.slot == m {
@@ -855,7 +854,8 @@
 	switch {
 	case d.now >= o.until || o.held && !d.mayRepeat(o, nil):
 		d.finish(o) // its time or its token has run out
-	case o.held && !o.stalled && o.kind.need < Fresh && d.now-o.arrived > holdShare*o.kind.target:
+	case o.held && o.kind.need < Fresh && (!o.stalled && d.now-o.arrived > holdShare*o.kind.target ||
+		d.now-o.arrived+o.kind.took > o.kind.target):
 		d.feel(o, 1)
 		d.finish(o) // while a further try by the client can still be in time
 	case o.held:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -445,3 +445,16 @@
 	r.step(members(ListFull, "p", "r", "s"))
 	r.want(r.op("w2", once, 2000) == "p", "the slot as before when the true list is back")
 }
+
+// Reads held through an outage were let go together and came too late to be of use.
+func TestReadThatCanNoLongerBeInTimeIsGivenUp(t *testing.T) {
+	o := opening()
+	o.Checks = ChecksNone
+	r := start(t, o)
+	r.step(members(ListChanges, "p-"))
+	r.op("b", bounded, 1000)
+	r.wait(100)
+	r.want(count(r.all, ActRefuse, "b") == 0, "the read held while it can be in time")
+	r.wait(100)
+	r.want(count(r.all, ActRefuse, "b") == 1 && count(r.all, ActSend, "b") == 0, "refused before its latency target")
+}
