--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -458,3 +458,18 @@
 	r.wait(100)
 	r.want(count(r.all, ActRefuse, "b") == 1 && count(r.all, ActSend, "b") == 0, "refused before its latency target")
 }
+
+// Members that had died were back before the list said so, and were sent a full share while cold.
+func TestReturnAfterBrokenConnectionsIsCold(t *testing.T) {
+	for _, out := range []Outcome{Reset, Fault} {
+		r := start(t, opening())
+		m := r.d.members[r.op("a", anyRead, 1200)]
+		r.answer("a", m.id, out, RoleUnknown, 0)
+		if out == Fault {
+			r.d.setAside(m, false, "errors")
+		}
+		r.wait(400)
+		r.d.welcome(m, "answers")
+		r.want((r.d.warmth(m) < 1) == (out == Reset), fmt.Sprint("cold only after a cut, outcome ", out))
+	}
+}
