Word of refused connections to a member already set aside; trials of held writes spread over many drivers

160 drivers took members that had died for silent, and welcomed them all at once when the first answered: 44 sends in a quarter second, 39 of them trials of held writes, to a member 0.3 s after its start. A refused connection to a member set aside now tells that it died.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,6 +26,7 @@
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
 	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; design: ops held
+	trialShare              = 0.1           // chance, for three drivers more, of a held write's trial in a sweep
 	pauseLeast, tellBudget  = 20.0, 30000.0 // sweeps missed: a pause; words a second, by threes of drivers
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
@@ -453,7 +454,6 @@
 	return best
 }
 
-// allowed holds the rules on a single send: drains, one effect, scope and window of a token, overlap.
 func (d *Driver) allowed(o *op, m *member) bool {
 	return !m.draining && !o.done && len(o.sends) < d.sendCap && (o.out == 0 || d.overlap) && d.mayRepeat(o, m)
 }
@@ -471,7 +471,6 @@
 	return true
 }
 
-// warmth is the share of its capacity that a member surely has.
 func (d *Driver) warmth(m *member) float64 {
 	if age := d.now - m.started; m.started > 0 && age < d.coldFor {
 		return d.coldFrom + (1-d.coldFrom)*max(age, 0)/d.coldFor
@@ -592,6 +591,9 @@
 		if ev.Outcome == ConnectFailed && d.now-m.heard < 2*max(d.tellGap, o.kind.took) {
 			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
 		} else if s.at >= m.backAt {
+			if m.aside && m.cut == 0 {
+				m.news, m.say, m.toldAt = true, tellSilent|tellCut, d.now-d.tellGap // the others took it for silent
+			}
 			m.cut = tellCut
 			d.setAside(m, true, "connection")
 		}
@@ -627,7 +629,6 @@
 	}
 }
 
-// good takes what an answer in full teaches of times, strain and sessions.
 func (d *Driver) good(o *op, m *member, at float64, ev *Event) {
 	took := d.now - at
 	m.errors -= m.errors * errorWeight
@@ -670,8 +671,7 @@
 	}
 }
 
-// learn takes role and position from an answer or a report. What they say is as old as they are, not as their
-// arrival: a primary stands at the present, so its position dates it; without one the time of asking does.
+// learn takes role and position, as old as the position (a primary stands at the present) or else the asking.
 func (d *Driver) learn(m *member, s Sight, asked float64, by string) {
 	if s.Position > m.position {
 		m.position, m.news = s.Position, true
@@ -881,7 +881,7 @@
 func (d *Driver) tryRole(o *op) {
 	g := o.group
 	if g.slot != nil || g.trial != nil && g.trial.out > 0 || d.reports || o.kind.need != Write ||
-		len(o.sends) >= d.sendCap-1 {
+		len(o.sends) >= d.sendCap-1 || d.chance()*(d.crowd-1) > trialShare {
 		return
 	}
 	for _, m := range g.members {
