--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -177,7 +177,7 @@
 		}
 	case "WORK_ITEM":
 		ev.Kind, ev.Op, ev.Left = logic.EvOp, f.need("txn"), ms(f.num("grace"))
-		ev.Group, ev.Session = int64(f.num("cluster_no")), int64(f.opt("session"))
+		ev.Group = int64(f.num("cluster_no"))
 		ev.WroteAgo = f.opt("wrote_ms_ago")
 		category := f.need("category")
 		if s.at != nil && s.at.driver != nil {
--- a/logic/api.go
+++ b/logic/api.go
@@ -94,7 +94,7 @@
 const (
 	EvOpen    EventKind = iota // Opening
 	EvMembers                  // List, Members
-	EvOp                       // Op, OpType, Group, Session, Left, WroteAgo
+	EvOp                       // Op, OpType, Group, Left, WroteAgo
 	EvAnswer                   // Op, Send, Member, Outcome, Note, Closed, Report
 	EvProbed                   // Member, Outcome, Report, Took
 	EvGone                     // Op
@@ -170,7 +170,6 @@
 	Op       string
 	OpType   int
 	Group    int64
-	Session  int64
 	Left     float64
 	WroteAgo float64
 	Send     int
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -79,7 +79,7 @@
 }
 
 func (r *rig) op(id string, kind int, left float64) string {
-	return to(r.step(Event{Kind: EvOp, Op: id, OpType: kind, Group: 1, Session: 9, Left: left}), id)
+	return to(r.step(Event{Kind: EvOp, Op: id, OpType: kind, Group: 1, Left: left}), id)
 }
 
 // answer ends the latest send of an op; the role and position are the member's.
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -156,7 +156,7 @@
 				k := rnd.IntN(len(o.OpTypes))
 				id := fmt.Sprint(i)
 				left := o.OpTypes[k].OpTimeout * (0.4 + 0.6*rnd.Float64())
-				ev := Event{Kind: EvOp, Op: id, OpType: k, Group: 1, Session: int64(rnd.IntN(3)), Left: left}
+				ev := Event{Kind: EvOp, Op: id, OpType: k, Group: 1, Left: left}
 				x := &taken{kind: o.OpTypes[k], until: b.now + left, position: -1}
 				if o.SessionCarried && k == session && rnd.IntN(2) == 0 {
 					ev.WroteAgo = 1 + 300*rnd.Float64()
