One way to set a member aside, one start of a cold member, no copy of each word heard

The word of a cut connection was sent from two places, and the first credit given in two; both are one now. A peer's word is read in place. The test of a word cut short had become one of a whole word when words became shorter; it is short again.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -124,8 +124,8 @@
 	drainOnly                 bool
 	spare, advise             float64 // spare: sends beside one that is out that may be made
 	sendCap, tellMost         int
-	coldFrom, coldFor         float64 // then the multiple of its capacity that a cold member is sent at most
-	coldPace, coldSpan        float64
+	coldFrom, coldFor         float64
+	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
 	tellGap, tellLeast        float64 // all drivers tell of a member so often, 0: never; at the most often
 	words, crowd              float64 // heard in the last second, about; drivers by threes
 	watchAt, watchWait, woke  float64 // woke: when this driver last came back from a pause of its own
@@ -257,8 +257,7 @@
 		}
 		m.draining = false
 		if e.Started > m.started {
-			m.started = e.Started
-			m.credit, m.creditAt = d.chance()*d.types[0].took, d.now
+			d.chill(m, e.Started)
 			if g.slot == m && e.Started > g.seen {
 				d.empty(m, false, "restarted") // it comes back as a replica
 			}
@@ -478,6 +477,11 @@
 	return 1
 }
 
+// chill notes a member's start. Its first credit comes by chance, lest many drivers spend it at once.
+func (d *Driver) chill(m *member, started float64) {
+	m.started, m.credit, m.creditAt = started, d.chance()*d.types[0].took, d.now
+}
+
 // admits says whether a member has room: in its window, after its last full reply, and, while it is cold, in
 // its budget: a share of the work that this driver has answered by a member on average, so that all stay
 // under it.
@@ -591,11 +595,7 @@
 		if ev.Outcome == ConnectFailed && d.now-m.heard < 2*max(d.tellGap, o.kind.took) {
 			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
 		} else if s.at >= m.backAt {
-			if m.aside && m.cut == 0 {
-				m.news, m.say, m.toldAt = true, tellSilent|tellCut, d.now-d.tellGap // the others took it for silent
-			}
-			m.cut = tellCut
-			d.setAside(m, true, "connection")
+			d.setAside(m, tellSilent|tellCut, "connection")
 		}
 	case Fault:
 		if o.failed != nil && !o.done && o.out == 0 {
@@ -634,7 +634,7 @@
 	m.errors -= m.errors * errorWeight
 	if f := o.failed; f != nil { // an error is a member's only where another answers the op well
 		if o.failed, f.errors = nil, f.errors+(1-f.errors)*errorWeight; f.errors > errorLimit {
-			d.setAside(f, false, "errors")
+			d.setAside(f, 0, "errors")
 		}
 	}
 	if d.woke < d.now {
@@ -755,19 +755,22 @@
 // setAside keeps ops from a member that does not answer, breaks connections or fails what it is sent, and
 // empties the slot of a silent or dead primary, which sends no miss. It could harm where one member's times
 // rise at once.
-func (d *Driver) setAside(m *member, silent bool, why string) {
-	if m.aside {
+func (d *Driver) setAside(m *member, say uint64, why string) {
+	if !m.aside {
+		m.say = 0 // what was good of it is no news any more
+	}
+	if say != 0 && why != "peer" && (!m.aside || say&tellCut > m.cut) {
+		m.news, m.say, m.toldAt = true, say, d.now-d.tellGap // peers took one set aside for silent, not dead
+	}
+	if m.cut |= say & tellCut; m.aside {
 		return
 	}
 	if m.pause == 0 || d.now-m.backAt > 10*m.pause {
 		m.pause = trialFirst
 	}
-	m.aside, m.asideAt, m.trialAt, m.say = true, d.now, d.after(m.pause), 0
+	m.aside, m.asideAt, m.trialAt = true, d.now, d.after(m.pause)
 	d.log("group %d: %s set aside: %s", m.group.id, m.id, why)
-	if silent && why != "peer" {
-		m.news, m.say, m.toldAt = true, tellSilent|m.cut, d.now-d.tellGap
-	}
-	if silent && m.group.slot == m {
+	if say != 0 && m.group.slot == m {
 		d.empty(m, true, why)
 	}
 }
@@ -777,7 +780,7 @@
 
 func (d *Driver) welcome(m *member, by string) {
 	if m.cut != 0 && m.started < m.asideAt && d.now-m.asideAt >= trialFirst { // it has started again
-		m.started, m.credit, m.creditAt = d.now, d.chance()*d.types[0].took, d.now
+		d.chill(m, d.now)
 	}
 	m.aside, m.cut, m.backAt, m.heard, m.errors, m.owed = false, 0, d.now, d.now, 0, 0
 	m.window = min(m.window, startWindow)
@@ -923,7 +926,7 @@
 			limit += silentSlot - silentReads
 		}
 		if m.quiet >= limit {
-			d.setAside(m, true, "silent")
+			d.setAside(m, tellSilent, "silent")
 		}
 	}
 }
@@ -964,14 +967,13 @@
 func (d *Driver) hear(data []byte) {
 	d.words++
 	for ; len(data) >= entryBytes; data = data[entryBytes:] {
-		word := binary.BigEndian.Uint64(append([]byte{0}, data[:entryBytes]...))
-		m := d.byHash[uint32(word>>32)]
+		m := d.byHash[binary.BigEndian.Uint32(data)>>8]
 		if m == nil {
 			continue
 		}
 		m.toldAt = d.now
-		flags, position := word>>24, 0.0
-		if told := word % tellRange; told > 0 {
+		flags, position := uint64(data[3]), 0.0
+		if told := uint64(binary.BigEndian.Uint32(data[3:])) % tellRange; told > 0 {
 			present := uint64(max(d.now-d.zero, 0)) + trialMost // no two clocks are quite alike
 			position = float64(present) - float64((present-told)%tellRange)
 		}
@@ -981,8 +983,7 @@
 		}
 		if flags&tellSilent != 0 {
 			if flags&tellCut != 0 || d.now-m.heard > max(2*d.tellGap, trialFirst) {
-				m.cut |= flags & tellCut
-				d.setAside(m, true, "peer")
+				d.setAside(m, tellSilent|flags&tellCut, "peer")
 			}
 			continue
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -216,10 +216,10 @@
 	m := r.d.members["r"]
 	r.want(m.aside, "a member that fails everything set aside")
 	r.now += 5000
-	e := []byte{byte(m.hash >> 16), byte(m.hash >> 8), byte(m.hash), tellGood, 0, 0, 0}
-	r.step(Event{Kind: EvMessage, Data: e})
+	e := word(m, tellGood, 0, 0)
+	r.step(e)
 	r.want(!m.aside, "it back on a peer's word of good answers")
-	r.step(Event{Kind: EvMessage, Data: e[:7]}, Event{Kind: EvMessage})
+	r.step(Event{Kind: EvMessage, Data: e.Data[:entryBytes-1]}, Event{Kind: EvMessage})
 }
 
 // Some ops fail at every member. They must cost neither members nor many sends.
@@ -466,7 +466,7 @@
 		m := r.d.members[r.op("a", anyRead, 1200)]
 		r.answer("a", m.id, out, RoleUnknown, 0)
 		if out == Fault {
-			r.d.setAside(m, false, "errors")
+			r.d.setAside(m, 0, "errors")
 		}
 		r.wait(400)
 		r.d.welcome(m, "answers")
