--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -11,13 +11,11 @@
 	"strconv"
 	"strings"
 
+	"weirwind/internal/opening"
 	"weirwind/logic"
 )
 
-const (
-	maxMessage = 256  // bytes that one message between instances may carry
-	usPerMs    = 1000 // the wire counts microseconds, the module milliseconds
-)
+const usPerMs = 1000 // the wire counts microseconds, the module milliseconds
 
 func ms(us float64) float64 { return us / usPerMs }
 
@@ -150,14 +148,14 @@
 			}
 			seed = uint64(n)
 		}
-		opening, names, err := parseOpening(f.need("setup"), seed)
+		told, err := opening.Parse([]byte(f.need("setup")), seed)
 		if f.err == nil && err != nil {
 			return err
 		}
 		if f.err == nil && s.at != nil {
-			s.at.driver, s.at.opTypes, s.at.events = &logic.Driver{}, names, s.at.events[:0]
+			s.at.driver, s.at.opTypes, s.at.events = &logic.Driver{}, told.OpTypes, s.at.events[:0]
 		}
-		ev.Kind, ev.Opening = logic.EvOpen, opening
+		ev.Kind, ev.Opening = logic.EvOpen, told.Opening
 	case "STOP":
 		if s.at != nil {
 			s.at.driver, s.at.events = nil, s.at.events[:0]
--- /dev/null
+++ b/internal/driver/decide.go
@@ -0,0 +1,211 @@
+package driver
+
+// This file owns the decision module: the one lock around it, the only calls of Step, the clock, and the list
+// and op books that go with it. It hands each action to who carries it out, in order. It must never block
+// under the lock, and never choose anything itself.
+
+import (
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"weirwind/internal/discovery"
+	"weirwind/internal/opening"
+	"weirwind/logic"
+)
+
+// clock counts Unix milliseconds at the start and monotonic time from there on, so that it never steps. This
+// is where the positions of sockets meet the module's: position_zero is 0 on sockets, as every position is a
+// Unix time, and so is the clock.
+type clock struct {
+	start  time.Time
+	unixMs float64
+}
+
+const aheadMost = 100 // ms that a position may lead the clock: one that leads by more is spoilt
+
+func newClock(now time.Time) clock { return clock{now, float64(now.UnixMicro()) / 1000} }
+
+func (c clock) ms(t time.Time) float64 {
+	return c.unixMs + float64(t.Sub(c.start).Microseconds())/1000
+}
+
+// sight turns what a member wrote of itself into the module's words. What can't be true is left out.
+func (c clock) sight(now time.Time, role logic.Role, position float64) logic.Sight {
+	if !(position > 0) || position > c.ms(now)+aheadMost {
+		position = 0
+	}
+	return logic.Sight{Role: role, Position: position}
+}
+
+// wroteAgo turns the position that a session read must see into the time since that write.
+func (c clock) wroteAgo(now time.Time, after float64) float64 {
+	if after <= 0 {
+		return 0
+	}
+	return max(c.ms(now)-after, 0.001)
+}
+
+type decider struct {
+	clock   clock
+	opTypes map[string]int
+	do      performer
+
+	mu     sync.Mutex
+	module logic.Driver
+	ops    map[string]*op
+	groups map[int64]bool
+	serial uint64
+	closed bool
+}
+
+// performer carries out what is not one op's business. None of it may block.
+type performer interface {
+	probe(member string)
+	tellPeers(data []byte)
+	askList()
+	note(text string)
+}
+
+func newDecider(c clock, told opening.Told, do performer) *decider {
+	told.Opening.PositionZero = 0
+	d := &decider{clock: c, opTypes: told.OpTypes, do: do, ops: map[string]*op{}, groups: map[int64]bool{}}
+	d.step(logic.Event{Kind: logic.EvOpen, Opening: told.Opening})
+	return d
+}
+
+func (d *decider) step(ev logic.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stepLocked(ev)
+}
+
+// stepLocked lets the module decide on one event and hands out its actions.
+func (d *decider) stepLocked(ev logic.Event) {
+	if d.closed {
+		return
+	}
+	actions := d.module.Step(d.clock.ms(time.Now()), []logic.Event{ev})
+	for i := range actions {
+		a := &actions[i]
+		switch a.Kind {
+		case logic.ActSend, logic.ActCancel, logic.ActRefuse, logic.ActFail:
+			if o := d.ops[a.Op]; o != nil {
+				o.push(*a)
+				if a.Kind == logic.ActRefuse || a.Kind == logic.ActFail {
+					o.final = true
+				}
+			}
+		case logic.ActTimer:
+			time.AfterFunc(duration(a.Wait), func() { d.step(logic.Event{Kind: logic.EvTimer}) })
+		case logic.ActProbe:
+			d.do.probe(a.Member)
+		case logic.ActMessage:
+			d.do.tellPeers(a.Data)
+		case logic.ActWatch:
+			d.do.askList()
+		case logic.ActLog:
+			d.do.note(a.Text)
+		}
+	}
+}
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// close ends all deciding: later events and timers do nothing.
+func (d *decider) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+}
+
+// list tells the module of the list, of its changes, or with nil that a call for it failed.
+func (d *decider) list(kind logic.ListKind, entries []discovery.Entry) {
+	ev := logic.Event{Kind: logic.EvMembers, List: kind}
+	for _, e := range entries {
+		ev.Members = append(ev.Members, logic.ListEntry{Member: e.ID, Phase: phases[e.Phase], Zone: e.Locality,
+			Started: e.Started, Group: e.Cell, Primary: e.Access == discovery.AccessWriter})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range entries {
+		d.groups[e.Cell] = true
+	}
+	d.stepLocked(ev)
+}
+
+var phases = map[string]logic.Phase{discovery.PhaseUp: logic.Ready, discovery.PhaseDraining: logic.Draining,
+	discovery.PhaseRemoved: logic.Gone}
+
+// known says whether an op's type and group are ones that the driver was told of.
+func (d *decider) known(opType []byte, group int64) (int, bool) {
+	i, ok := d.opTypes[string(opType)]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return i, ok && d.groups[group]
+}
+
+// take puts a new op before the module, under an id of the driver's own: what clients write may repeat.
+func (d *decider) take(o *op) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.serial++
+	o.id = strconv.FormatUint(d.serial, 36)
+	d.ops[o.id] = o
+	d.stepLocked(logic.Event{Kind: logic.EvOp, Op: o.id, OpType: o.opType, Group: o.statement.Group,
+		Left:     o.statement.Timeout,
+		WroteAgo: d.clock.wroteAgo(time.Now(), o.statement.After)})
+}
+
+// answered tells the module how a send ended. The first good answer is the op's, if nothing ended it before.
+func (d *decider) answered(o *op, n int, r result) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.outcome == logic.OK && !o.final {
+		o.final, o.rows = true, r.rows
+	}
+	ev := logic.Event{Kind: logic.EvAnswer, Op: o.id, Send: n, Member: r.member, Outcome: r.outcome, Closed: o.final,
+		Note: d.clock.sight(now, r.role, r.position), Report: d.clock.sight(now, r.reportRole, r.reportPosition)}
+	d.stepLocked(ev)
+	if o.rows != nil {
+		o.awake()
+	}
+}
+
+// left tells the module that the client of an op has gone.
+func (d *decider) left(o *op) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !o.final {
+		o.final = true
+		d.stepLocked(logic.Event{Kind: logic.EvGone, Op: o.id})
+	}
+}
+
+func (d *decider) probed(member string, r result, took time.Duration) {
+	now := time.Now()
+	d.step(logic.Event{Kind: logic.EvProbed, Member: member, Outcome: r.outcome,
+		Took: float64(took.Microseconds()) / 1000, Report: d.clock.sight(now, r.reportRole, r.reportPosition)})
+}
+
+// next gives what has been decided for an op since the last call, and the answer if one has come.
+func (d *decider) next(o *op) (actions []logic.Action, rows []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	actions, o.todo = o.todo, nil
+	if o.final {
+		delete(d.ops, o.id)
+	}
+	return actions, o.rows
+}
+
+// finite reads a figure that a member or client wrote; 0 where it is none.
+func finite(text []byte) float64 {
+	f, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0
+	}
+	return f
+}
--- /dev/null
+++ b/internal/driver/members.go
@@ -0,0 +1,524 @@
+package driver
+
+// This file owns the connections to members: opening, keeping and closing them, and one exchange on one of them,
+// be it a send or a probe. It must never send anything twice, never share a connection between two requests,
+// and never keep one whose last exchange did not end cleanly.
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"weirwind/internal/discovery"
+	"weirwind/internal/pgwire"
+	"weirwind/logic"
+)
+
+const (
+	user, database = "svc", "main"
+	idleShare      = 0.9 // of the time after which a member closes an idle connection: then this side does
+	linkBuffer     = 4096
+)
+
+// result is how a send or a probe ended.
+type result struct {
+	member                   string
+	outcome                  logic.Outcome
+	rows                     []byte // a good answer's messages, as they came
+	role, reportRole         logic.Role
+	position, reportPosition float64 // Unix ms; 0 for unknown
+}
+
+// members knows where members listen and keeps connections that can serve again.
+type members struct {
+	connectTime, idleTime time.Duration
+	budget                *budget
+	count                 *counters
+	log                   logger
+	probeQuery            string
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+type host struct {
+	address string
+	idle    []*link // the newest last
+}
+
+// link is one connection to a member.
+type link struct {
+	net.Conn
+	raw       syscall.RawConn
+	r         *bufio.Reader
+	member    string
+	opened    time.Time
+	idleSince time.Time
+	served    int
+}
+
+// list takes down where members listen; connections to those that are removed are let go.
+func (m *members) list(entries []discovery.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range entries {
+		h := m.hosts[e.ID]
+		if h == nil {
+			h = &host{}
+			m.hosts[e.ID] = h
+		}
+		if e.HostPort != "" && e.HostPort != h.address {
+			m.letGo(h, "moved")
+			h.address = e.HostPort
+		}
+		if e.Phase == discovery.PhaseRemoved {
+			m.letGo(h, "removed")
+		}
+	}
+}
+
+// letGo closes a member's idle connections; the caller holds the lock.
+func (m *members) letGo(h *host, why string) {
+	for _, l := range h.idle {
+		m.end(l, why)
+	}
+	h.idle = nil
+}
+
+// reap closes connections that have been idle for long, until the context ends, and then all.
+func (m *members) reap(ctx context.Context) {
+	tick := time.NewTicker(max(m.idleTime/20, 10*time.Millisecond))
+	defer tick.Stop()
+	for done := false; !done; {
+		limit := m.idleTime
+		select {
+		case <-ctx.Done():
+			done, limit = true, -1
+		case <-tick.C:
+		}
+		m.mu.Lock()
+		for _, h := range m.hosts {
+			n := 0
+			for n < len(h.idle) && time.Since(h.idle[n].idleSince) > limit {
+				m.count.IdleClosed.Add(1)
+				m.end(h.idle[n], "idle")
+				n++
+			}
+			h.idle = h.idle[n:]
+		}
+		m.mu.Unlock()
+	}
+}
+
+// end closes a connection and leaves its line in the log.
+func (m *members) end(l *link, why string) {
+	l.Close()
+	m.budget.give()
+	m.count.Open.Add(-1)
+	m.log.Printf("event=member_closed member=%s reason=%s served=%d age_ms=%d", l.member, why, l.served,
+		time.Since(l.opened).Milliseconds())
+}
+
+// kept takes the newest idle connection that is not broken.
+func (m *members) kept(member string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.hosts[member]
+	for h != nil && len(h.idle) > 0 {
+		l := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		switch {
+		case time.Since(l.idleSince) > m.idleTime:
+			m.count.IdleClosed.Add(1)
+			m.end(l, "idle")
+		case l.broken():
+			m.count.Broken.Add(1)
+			m.end(l, "broken")
+		default:
+			return l
+		}
+	}
+	return nil
+}
+
+func (m *members) keep(l *link) {
+	l.idleSince = time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.hosts[l.member]
+	if l.r.Buffered() > 0 || h == nil || h.address != l.RemoteAddr().String() {
+		m.end(l, "stale")
+		return
+	}
+	h.idle = append(h.idle, l)
+}
+
+// broken says whether an idle connection has ended or holds bytes that nobody asked for.
+func (l *link) broken() bool {
+	var n int
+	var err error
+	if l.raw.Read(func(fd uintptr) bool {
+		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	}) != nil {
+		return true
+	}
+	return n > 0 || err != syscall.EAGAIN
+}
+
+// open connects to a member and waits for its welcome. The outcome tells why where there is none.
+func (m *members) open(ctx context.Context, member string) (*link, logic.Outcome) {
+	m.mu.Lock()
+	address := ""
+	if h := m.hosts[member]; h != nil {
+		address = h.address
+	}
+	m.mu.Unlock()
+	if !m.budget.take() && !m.spare() {
+		return nil, logic.Full
+	}
+	m.count.Dials.Add(1)
+	m.count.Open.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, m.connectTime)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		m.budget.give()
+		m.count.Open.Add(-1)
+		m.log.Printf("event=member_closed member=%s reason=no_connection served=0 error=%q", member, err)
+		return nil, logic.ConnectFailed
+	}
+	l := &link{Conn: conn, r: bufio.NewReaderSize(conn, linkBuffer), member: member, opened: time.Now()}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if l.raw, err = conn.(*net.TCPConn).SyscallConn(); err != nil {
+		m.end(l, "no_connection")
+		return nil, logic.ConnectFailed
+	}
+	if _, err := conn.Write(pgwire.AppendStartup(nil, user, database)); err != nil {
+		m.end(l, "no_welcome")
+		return nil, logic.ConnectFailed
+	}
+	for {
+		kind, message, err := pgwire.Read(l.r, nil)
+		switch {
+		case err != nil:
+			m.end(l, "no_welcome")
+			return nil, logic.ConnectFailed
+		case kind == 'E':
+			m.end(l, "turned_away")
+			if pgwire.ErrorCode(pgwire.Body(message)) == pgwire.CodeBusy {
+				return nil, logic.Full
+			}
+			return nil, logic.ConnectFailed
+		case kind == 'Z':
+			if stop() {
+				return l, logic.OK
+			}
+			m.end(l, "no_welcome")
+			return nil, logic.ConnectFailed
+		}
+	}
+}
+
+// spare closes the connection that has been idle the longest, to make room for another.
+func (m *members) spare() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var from *host
+	for _, h := range m.hosts {
+		if len(h.idle) > 0 && (from == nil || h.idle[0].idleSince.Before(from.idle[0].idleSince)) {
+			from = h
+		}
+	}
+	if from == nil {
+		return false
+	}
+	m.end(from.idle[0], "spared")
+	from.idle = from.idle[1:]
+	return m.budget.take()
+}
+
+// send is one try at an op toward a member.
+type send struct {
+	m         *members
+	member    string
+	statement *pgwire.Statement // nil for a probe
+	deadline  time.Time
+	ctx       context.Context
+	stop      context.CancelFunc
+
+	link      atomic.Pointer[link]
+	mu        sync.Mutex // held while the request is written
+	cancelled bool
+	barred    bool // nothing may be written any more
+}
+
+func (m *members) send(member string, s *pgwire.Statement, wait time.Duration) *send {
+	x := &send{m: m, member: member, statement: s, deadline: time.Now().Add(wait)}
+	x.ctx, x.stop = context.WithDeadline(context.Background(), x.deadline)
+	return x
+}
+
+// cancel stops waiting; once it returns nothing more is written. bar only keeps what is not yet written back.
+func (x *send) cancel() {
+	x.stop()
+	if l := x.link.Load(); l != nil {
+		l.SetDeadline(time.Unix(1, 0))
+	}
+	x.mu.Lock()
+	x.cancelled, x.barred = true, true
+	x.mu.Unlock()
+	if l := x.link.Load(); l != nil {
+		l.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (x *send) bar() {
+	x.mu.Lock()
+	x.barred = true
+	x.mu.Unlock()
+}
+
+// run carries the send out and tells how it ended.
+func (x *send) run() result {
+	defer x.stop()
+	x.m.count.Sends.Add(1)
+	r := x.exchange()
+	r.member = x.member
+	if c := x.m.count.of(r.outcome); c != nil {
+		c.Add(1)
+	}
+	return r
+}
+
+func (x *send) exchange() result {
+	l := x.m.kept(x.member)
+	if l != nil {
+		x.m.count.Reused.Add(1)
+	} else {
+		var outcome logic.Outcome
+		if l, outcome = x.m.open(x.ctx, x.member); l == nil {
+			return result{outcome: x.unlessEnded(outcome)}
+		}
+	}
+	x.link.Store(l)
+	l.served++
+	whole, written := x.write(l)
+	if !whole {
+		switch {
+		case written == 0 && x.ctx.Err() != nil: // cancelled or out of time before its first byte
+			x.m.keepUnused(l)
+		default:
+			x.m.end(l, "cut")
+		}
+		return result{outcome: x.unlessEnded(logic.ConnectFailed)}
+	}
+	r, clean, err := read(l.r)
+	switch {
+	case clean:
+		l.SetDeadline(time.Time{})
+		x.m.keep(l)
+		return r
+	case r.outcome == noOutcome && errors.Is(err, os.ErrDeadlineExceeded):
+		r.outcome = x.unlessEnded(logic.TimedOut)
+		x.m.end(l, word(r.outcome))
+	case r.outcome == noOutcome && errors.Is(err, pgwire.ErrFraming):
+		r.outcome = logic.Fault
+		x.m.end(l, "garbled")
+	case r.outcome == noOutcome:
+		r.outcome = logic.Reset
+		x.m.end(l, "reset")
+	default: // an outcome came, and then the connection ended
+		x.m.end(l, "ended")
+	}
+	return r
+}
+
+// unlessEnded is the outcome, but for a send that was cancelled, barred or out of time.
+func (x *send) unlessEnded(outcome logic.Outcome) logic.Outcome {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.cancelled:
+		return logic.Cancelled
+	case x.barred && outcome == logic.ConnectFailed:
+		return logic.Moot
+	}
+	return outcome
+}
+
+// write sends the request, unless that has been forbidden. written counts its bytes that went out.
+func (x *send) write(l *link) (whole bool, written int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.barred || x.ctx.Err() != nil {
+		return false, 0
+	}
+	l.SetDeadline(x.deadline)
+	var b net.Buffers
+	if x.statement != nil {
+		b = x.statement.Query(time.Until(x.deadline).Milliseconds())
+	} else {
+		b = net.Buffers{pgwire.AppendQuery(nil, x.m.probeQuery)}
+	}
+	n, err := b.WriteTo(l.Conn)
+	return err == nil, n
+}
+
+func (m *members) keepUnused(l *link) {
+	l.served--
+	l.SetDeadline(time.Time{})
+	m.keep(l)
+}
+
+const noOutcome = logic.Outcome(255)
+
+// read takes one answer up to ReadyForQuery. clean says that the connection can serve again; where it is not,
+// err tells what ended it, and the outcome is the one that had come by then, or noOutcome.
+func read(from *bufio.Reader) (r result, clean bool, err error) {
+	r.outcome = noOutcome
+	var rows []byte
+	var seen [3]int // RowDescription, DataRow, CommandComplete
+	var row []byte
+	for {
+		before := len(rows)
+		kind, message, err := pgwire.Read(from, rows)
+		if err != nil {
+			return r, false, err
+		}
+		body := pgwire.Body(message[before:])
+		switch kind {
+		case 'T':
+			rows = message
+			seen[0]++
+		case 'D':
+			rows = message
+			if seen[1]++; seen[1] == 1 {
+				row, _ = pgwire.DataRow(body)
+			}
+		case 'C':
+			rows = message
+			seen[2]++
+			if seen == [3]int{1, 1, 1} && row != nil {
+				r.outcome, r.rows = logic.OK, rows
+			} else {
+				r.outcome = logic.Fault
+			}
+			if role, position, ok := usage(row); ok {
+				r.reportRole, r.reportPosition = role, position
+			}
+		case 'E':
+			switch pgwire.ErrorCode(body) {
+			case pgwire.CodeReadOnly, pgwire.CodeBehind:
+				r.outcome = logic.Miss
+			case pgwire.CodeBusy:
+				r.outcome = logic.Full
+			default:
+				r.outcome = logic.Fault
+			}
+			r.rows = nil
+		case 'S':
+			r.note(body)
+		case 'Z':
+			if r.outcome == noOutcome {
+				r.outcome = logic.Fault
+			}
+			return r, true, nil
+		case 'N', 'K', 'R', 'I':
+		default:
+			return r, false, pgwire.ErrFraming
+		}
+	}
+}
+
+// note reads what a member tells of itself beside an answer. What does not parse is skipped.
+func (r *result) note(body []byte) {
+	name, value, ok := pgwire.Parameter(body)
+	if !ok {
+		return
+	}
+	switch string(name) {
+	case "server_role":
+		switch string(value) {
+		case "writer":
+			r.role = logic.Primary
+		case "reader":
+			r.role = logic.Replica
+		}
+	case "commit_clock":
+		r.position = finite(value)
+	case "usage":
+		if role, position, ok := usage(value); ok {
+			r.reportRole, r.reportPosition = role, position
+		}
+	}
+}
+
+// usage reads a load report: x0 is a position, in seconds, and x1 is 1 from a primary.
+func usage(text []byte) (role logic.Role, position float64, ok bool) {
+	for len(text) > 0 {
+		var item []byte
+		item, text, _ = bytes.Cut(text, []byte(","))
+		switch name, value, _ := bytes.Cut(item, []byte("=")); string(name) {
+		case "x0":
+			position, ok = finite(value)*1000, true
+		case "x1":
+			if role, ok = logic.Replica, true; finite(value) == 1 {
+				role = logic.Primary
+			}
+		}
+	}
+	return role, position, ok
+}
+
+func (c *counters) of(o logic.Outcome) *atomic.Int64 {
+	switch o {
+	case logic.Miss:
+		return &c.Missed
+	case logic.Full:
+		return &c.Full
+	case logic.ConnectFailed:
+		return &c.NoConnection
+	case logic.Moot:
+		return &c.Unsent
+	case logic.Fault:
+		return &c.Faulted
+	case logic.TimedOut:
+		return &c.TimedOut
+	case logic.Reset:
+		return &c.Reset
+	case logic.Cancelled:
+		return &c.Cancelled
+	}
+	return nil
+}
+
+func word(o logic.Outcome) string {
+	if o == logic.Cancelled {
+		return "cancelled"
+	}
+	return "timed_out"
+}
+
+// budget counts the sockets that may be open.
+type budget struct {
+	left atomic.Int64
+}
+
+func (b *budget) take() bool {
+	if b.left.Add(-1) < 0 {
+		b.left.Add(1)
+		return false
+	}
+	return true
+}
+
+func (b *budget) give() { b.left.Add(1) }
--- /dev/null
+++ b/internal/driver/op.go
@@ -0,0 +1,106 @@
+package driver
+
+// This file owns the life of one op, from its statement to the last byte of its answer. It reads from top to
+// bottom: ask the module, send, hear the outcome, ask again, answer. It must never decide: no retry, no choice
+// and no time-out of its own; and nothing is sent for an op once its answer is due.
+
+import (
+	"strconv"
+	"time"
+
+	"weirwind/internal/pgwire"
+	"weirwind/logic"
+)
+
+type op struct {
+	id        string
+	opType    int
+	statement pgwire.Statement
+
+	todo  []logic.Action // decided and not yet done; under the decider's lock, as are final and rows
+	final bool           // its answer is settled, or its client has left
+	rows  []byte         // the good answer, as the member gave it
+	wake  chan struct{}
+}
+
+func newOp(opType int, s pgwire.Statement) *op {
+	return &op{opType: opType, statement: s, wake: make(chan struct{}, 1)}
+}
+
+func (o *op) push(a logic.Action) {
+	o.todo = append(o.todo, a)
+	o.awake()
+}
+
+func (o *op) awake() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// perform carries an op through and returns its answer, whole, or nil if the client left. gone is closed when it
+// leaves.
+func (v *Service) perform(o *op, gone <-chan struct{}) []byte {
+	v.count.Ops.Add(1)
+	v.decide.take(o)
+	var sends []*send
+	for {
+		left := false
+		select {
+		case <-o.wake:
+		case <-gone:
+			v.decide.left(o)
+			left = true
+		}
+		actions, rows := v.decide.next(o)
+		var answer []byte
+		for _, a := range actions {
+			switch a.Kind {
+			case logic.ActSend:
+				s := v.members.send(a.Member, &o.statement, duration(a.Wait))
+				n := len(sends)
+				sends = append(sends, s)
+				v.group.Go(func() error {
+					v.decide.answered(o, n, s.run())
+					return nil
+				})
+			case logic.ActCancel:
+				sends[a.Send].cancel()
+			case logic.ActRefuse:
+				v.count.BusyReplied.Add(1)
+				answer = busy(a.Wait)
+			case logic.ActFail:
+				v.count.Errored.Add(1)
+				answer = failed
+			}
+		}
+		if answer != nil || rows != nil || left {
+			for _, s := range sends {
+				s.bar()
+			}
+		}
+		switch {
+		case answer != nil:
+			return answer
+		case rows != nil:
+			v.count.Acked.Add(1)
+			return pgwire.AppendReady(rows)
+		case left:
+			v.count.Left.Add(1)
+			return nil
+		}
+	}
+}
+
+var failed = pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed,
+	"the op failed and may have taken effect", ""))
+
+// busy says that trying again is harmless, and after how many milliseconds if the module advises some.
+func busy(wait float64) []byte {
+	detail := ""
+	if ms := duration(wait).Round(time.Millisecond).Milliseconds(); ms > 0 {
+		detail = strconv.FormatInt(ms, 10)
+	}
+	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeBusy, "busy, try again", detail))
+}
--- /dev/null
+++ b/internal/driver/peers.go
@@ -0,0 +1,98 @@
+package driver
+
+// This file owns the UDP socket between drivers. It must never send more than 256 bytes, take anything from an
+// address that is no peer's, or wait for a peer.
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"weirwind/logic"
+)
+
+const maxDatagram = 256
+
+type peers struct {
+	conn  *net.UDPConn
+	known map[netip.AddrPort]bool // the other drivers
+	all   netip.AddrPort
+	out   chan []byte
+	count *counters
+}
+
+// newPeers opens the socket; without an address to listen at there are no peers.
+func newPeers(a *Assignment, own int, count *counters) (*peers, error) {
+	p := &peers{known: map[netip.AddrPort]bool{}, out: make(chan []byte, 64), count: count}
+	if a.PeerListen == "" || a.PeersAll == "" {
+		return p, nil
+	}
+	listen, err := netip.ParseAddrPort(a.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	if p.all, err = netip.ParseAddrPort(a.PeersAll); err != nil {
+		return nil, err
+	}
+	for i, text := range a.Peers {
+		peer, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, err
+		}
+		if i != own {
+			p.known[peer] = true
+		}
+	}
+	p.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	return p, err
+}
+
+// tell queues a message to every other driver; one that can't go out soon is lost, as on the network.
+func (p *peers) tell(data []byte) {
+	if p.conn == nil || len(data) > maxDatagram {
+		p.count.MessagesLost.Add(1)
+		return
+	}
+	select {
+	case p.out <- data:
+	default:
+		p.count.MessagesLost.Add(1)
+	}
+}
+
+func (p *peers) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-p.out:
+			if _, err := p.conn.WriteToUDPAddrPort(data, p.all); err != nil {
+				p.count.MessagesLost.Add(1)
+			} else {
+				p.count.MessagesOut.Add(1)
+			}
+		}
+	}
+}
+
+func (p *peers) read(ctx context.Context, d *decider) {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram+1)
+	for ctx.Err() == nil {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case err != nil:
+			select { // an error of one datagram, such as a peer that does not listen
+			case <-ctx.Done():
+			case <-time.After(time.Millisecond):
+			}
+		case n > maxDatagram || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]:
+			p.count.MessagesBad.Add(1)
+		default:
+			p.count.MessagesIn.Add(1)
+			d.step(logic.Event{Kind: logic.EvMessage, Data: append([]byte(nil), buf[:n]...)})
+		}
+	}
+}
--- a/internal/benchwire/opening.go
+++ b/internal/opening/opening.go
@@ -1,4 +1,6 @@
-package benchwire
+// Package opening turns the settings object that every driver is told at its start into the module's opening.
+// Both hosts read it here, the simulator's and the one on sockets. It only translates: no figure is its own.
+package opening
 
 import (
 	"encoding/json"
@@ -7,8 +9,25 @@
 	"weirwind/logic"
 )
 
-// setup is the part of the opening JSON that the module is told of; other keys are skipped.
+const (
+	maxMessage = 256  // bytes that one message between drivers may carry
+	usPerMs    = 1000 // the settings count microseconds, the module milliseconds
+)
+
+func ms(us float64) float64 { return us / usPerMs }
+
+// Told is what the settings hold for a driver: the module's opening, and what only its host needs.
+type Told struct {
+	Opening        *logic.Opening
+	OpTypes        map[string]int // index in the opening by name
+	Index          int            // this driver's number among all
+	ConnectTimeout float64        // milliseconds, as is ConnIdle
+	ConnIdle       float64        // members close a connection that has been idle so long
+}
+
+// setup is the part of the settings that is read; other keys are skipped.
 type setup struct {
+	Index    int
 	Siblings int    `json:"siblings"`
 	Zone     string `json:"zone"`
 	Tick     float64
@@ -37,6 +56,8 @@
 		RetryAfter    bool    `json:"retry_after"`
 		MaxRetryAfter float64 `json:"max_retry_after"`
 		SendCap       int     `json:"send_cap"`
+		ConnIdle      float64 `json:"conn_idle"`
+		ConnectTime   float64 `json:"connect_timeout"`
 	} `json:"policy_limits"`
 	Registry string `json:"registry_mode"`
 	Report   struct {
@@ -74,14 +95,14 @@
 	return v, nil
 }
 
-// parseOpening turns the wire's opening JSON into the module's opening and the index of op types by name.
-func parseOpening(text string, seed uint64) (*logic.Opening, map[string]int, error) {
+// Parse reads the settings object.
+func Parse(text []byte, seed uint64) (Told, error) {
 	var s setup
-	if err := json.Unmarshal([]byte(text), &s); err != nil {
-		return nil, nil, fmt.Errorf("setup: %v", err)
+	if err := json.Unmarshal(text, &s); err != nil {
+		return Told{}, fmt.Errorf("setup: %v", err)
 	}
 	if len(s.Family.Needs) != len(s.Profiles) {
-		return nil, nil, fmt.Errorf("setup: %d profiles but %d needs_by_class", len(s.Profiles),
+		return Told{}, fmt.Errorf("setup: %d profiles but %d needs_by_class", len(s.Profiles),
 			len(s.Family.Needs))
 	}
 	o := &logic.Opening{
@@ -106,23 +127,23 @@
 	}
 	var err error
 	if o.Checks, err = word(checks, s.Family.Checks, "checks"); err != nil {
-		return nil, nil, err
+		return Told{}, err
 	}
 	if o.ListRole, err = word(listRoles, s.Family.ShowsRole, "shows_role"); err != nil {
-		return nil, nil, err
+		return Told{}, err
 	}
 	names := map[string]int{}
 	for i, p := range s.Profiles {
 		t := logic.OpType{Window: ms(p.Window), LatencyTarget: ms(p.Aim),
 			OpTimeout: ms(p.Deadline), Value: p.Points}
 		if t.Need, err = word(needs, s.Family.Needs[i], "needs_by_class"); err != nil {
-			return nil, nil, err
+			return Told{}, err
 		}
 		if t.Effect, err = word(effects, p.Effect, "effect"); err != nil {
-			return nil, nil, err
+			return Told{}, err
 		}
 		if t.Scope, err = word(scopes, p.KeyScope, "key_scope"); err != nil {
-			return nil, nil, err
+			return Told{}, err
 		}
 		if i < len(s.Family.OldestData) {
 			t.MaxAge = ms(s.Family.OldestData[i])
@@ -130,5 +151,6 @@
 		o.OpTypes = append(o.OpTypes, t)
 		names[p.Name] = i
 	}
-	return o, names, nil
+	return Told{Opening: o, OpTypes: names, Index: s.Index, ConnectTimeout: ms(s.Limits.ConnectTime),
+		ConnIdle: ms(s.Limits.ConnIdle)}, nil
 }
--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,221 @@
+// Package pgwire reads and writes the messages of PostgreSQL's wire protocol, version 3, that a driver needs
+// on its two sides: toward clients and toward members. It owns framing and the form of messages. It must never
+// decide what becomes of an op, hold more than one bounded message, or keep state from one message to the next.
+package pgwire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const (
+	// MaxMessage bounds a message: a value of 64 KiB written in hex, and room for the statement around it.
+	MaxMessage = 2*65536 + 4096
+	maxStartup = 8192
+	step       = 16384
+
+	codeProtocol3 = 3 << 16
+	codeCancel    = 80877102
+	codeSSL       = 80877103
+	codeGSS       = 80877104
+)
+
+// SQLSTATE codes that a driver gives or understands.
+const (
+	CodeBusy     = "53300" // too_many_connections: trying again is harmless
+	CodeStarting = "57P03" // cannot_connect_now
+	CodeFailed   = "58000" // system_error: no promise about the effect
+	CodeProtocol = "08P01" // protocol_violation
+	CodeUnknown  = "22023" // invalid_parameter_value: an op type or group that nobody listed
+	CodeReadOnly = "25006" // read_only_sql_transaction: a write, and this is no primary
+	CodeBehind   = "72000" // snapshot_too_old: too far behind for the read
+)
+
+// ErrFraming says that the length or kind of a message makes no sense: what follows can't be told apart.
+var ErrFraming = errors.New("framing lost")
+
+// Startup is the first message on a connection.
+type Startup uint8
+
+const (
+	StartupSession Startup = iota
+	StartupEncrypt         // SSLRequest or GSSENCRequest, answered by one byte N
+	StartupCancel          // CancelRequest; the connection ends
+)
+
+// ReadStartup reads the message that opens a connection. The minor version is that of a StartupSession.
+func ReadStartup(r *bufio.Reader) (kind Startup, minor uint32, err error) {
+	var head [8]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, 0, err
+	}
+	n, code := binary.BigEndian.Uint32(head[:]), binary.BigEndian.Uint32(head[4:])
+	if n < 8 || n > maxStartup {
+		return 0, 0, fmt.Errorf("%w: startup of %d bytes", ErrFraming, n)
+	}
+	if _, err := r.Discard(int(n) - 8); err != nil {
+		return 0, 0, noEOF(err)
+	}
+	switch {
+	case code == codeSSL || code == codeGSS:
+		return StartupEncrypt, 0, nil
+	case code == codeCancel:
+		return StartupCancel, 0, nil
+	case code>>16 != codeProtocol3>>16:
+		return 0, 0, fmt.Errorf("%w: protocol version %d.%d", ErrFraming, code>>16, code&0xffff)
+	}
+	return StartupSession, code & 0xffff, nil
+}
+
+// Read appends the next message to buf: kind, length and body, as they came. A clean end before it is io.EOF.
+func Read(r *bufio.Reader, buf []byte) (kind byte, message []byte, err error) {
+	var head [5]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, buf, err
+	}
+	n := int(binary.BigEndian.Uint32(head[1:]))
+	if n < 4 || n > MaxMessage || head[0] < 'A' || head[0] > 'z' {
+		return 0, buf, fmt.Errorf("%w: kind %q, length %d", ErrFraming, head[0], n)
+	}
+	buf = append(buf, head[:]...)
+	for n -= 4; n > 0; { // grown as bytes arrive: a length alone must not cost memory
+		part := min(n, step)
+		buf = append(buf, make([]byte, part)...)
+		if _, err := io.ReadFull(r, buf[len(buf)-part:]); err != nil {
+			return 0, buf, noEOF(err)
+		}
+		n -= part
+	}
+	return head[0], buf, nil
+}
+
+func noEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Body is a message without its kind and length.
+func Body(message []byte) []byte { return message[5:] }
+
+// text splits off one string that ends in a zero byte.
+func text(b []byte) (s, rest []byte, ok bool) {
+	for i, c := range b {
+		if c == 0 {
+			return b[:i], b[i+1:], true
+		}
+	}
+	return nil, nil, false
+}
+
+// QueryText is the text of a Query's body, without the zero byte that ends it.
+func QueryText(body []byte) ([]byte, bool) {
+	s, rest, ok := text(body)
+	return s, ok && len(rest) == 0
+}
+
+// Parameter takes a ParameterStatus apart.
+func Parameter(body []byte) (name, value []byte, ok bool) {
+	if name, body, ok = text(body); ok {
+		value, _, ok = text(body)
+	}
+	return name, value, ok
+}
+
+// ErrorCode is the SQLSTATE of an ErrorResponse; empty where it holds none.
+func ErrorCode(body []byte) string {
+	for len(body) > 1 {
+		value, rest, ok := text(body[1:])
+		if !ok {
+			return ""
+		}
+		if body[0] == 'C' {
+			return string(value)
+		}
+		body = rest
+	}
+	return ""
+}
+
+// DataRow takes the only column of a row.
+func DataRow(body []byte) ([]byte, bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, false
+	}
+	n := int32(binary.BigEndian.Uint32(body[2:]))
+	return body[6:], n >= 0 && int(n) == len(body)-6
+}
+
+// begin starts a message; end fills in its length.
+func begin(b []byte, kind byte) ([]byte, int) {
+	return append(b, kind, 0, 0, 0, 0), len(b) + 1
+}
+
+func end(b []byte, at int) []byte {
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at))
+	return b
+}
+
+func appendText(b []byte, s string) []byte { return append(append(b, s...), 0) }
+
+// AppendReady adds ReadyForQuery.
+func AppendReady(b []byte) []byte { return append(b, 'Z', 0, 0, 0, 5, 'I') }
+
+// AppendEmptyQuery adds EmptyQueryResponse.
+func AppendEmptyQuery(b []byte) []byte { return append(b, 'I', 0, 0, 0, 4) }
+
+// AppendWelcome adds what lets a client in: no password, a few parameters, a cancel key of no use.
+func AppendWelcome(b []byte, minor uint32) []byte {
+	var at int
+	if minor > 0 {
+		b, at = begin(b, 'v')
+		b = end(append(b, 0, 0, 0, 0, 0, 0, 0, 0), at)
+	}
+	b = append(b, 'R', 0, 0, 0, 8, 0, 0, 0, 0)
+	for _, p := range [...][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}} {
+		b, at = begin(b, 'S')
+		b = end(appendText(appendText(b, p[0]), p[1]), at)
+	}
+	b = append(b, 'K', 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0)
+	return AppendReady(b)
+}
+
+// AppendError adds an ErrorResponse; an empty detail is left out.
+func AppendError(b []byte, severity, code, message, detail string) []byte {
+	b, at := begin(b, 'E')
+	for _, f := range [...]struct {
+		kind  byte
+		value string
+	}{{'S', severity}, {'V', severity}, {'C', code}, {'M', message}, {'D', detail}} {
+		if f.value != "" {
+			b = appendText(append(b, f.kind), f.value)
+		}
+	}
+	return end(append(b, 0), at)
+}
+
+// AppendStartup adds the message that opens a connection to a member.
+func AppendStartup(b []byte, user, database string) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0)
+	b = binary.BigEndian.AppendUint32(b, codeProtocol3)
+	b = appendText(appendText(b, "user"), user)
+	b = appendText(appendText(b, "database"), database)
+	return end(append(b, 0), at)
+}
+
+// AppendQuery adds a Query with the given text.
+func AppendQuery(b []byte, s string) []byte {
+	b, at := begin(b, 'Q')
+	return end(appendText(b, s), at)
+}
+
+// QueryHead is the head of a Query whose text has n bytes.
+func QueryHead(b []byte, n int) []byte {
+	return binary.BigEndian.AppendUint32(append(b, 'Q'), uint32(n+5))
+}
