--- /dev/null
+++ b/cmd/weirwind/main_test.go
@@ -0,0 +1,438 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirwind/internal/pgwire"
+)
+
+const acked = "TDCZ"
+
+func want(t *testing.T, kinds, said, wantKinds, wantSaid string) {
+	t.Helper()
+	if kinds != wantKinds || !strings.HasPrefix(said, wantSaid) {
+		t.Errorf("heard %q saying %.20q, want %q saying %q", kinds, said, wantKinds, wantSaid)
+	}
+}
+
+func next[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+		panic("")
+	}
+}
+
+func TestClientsAreServed(t *testing.T) {
+	m := newMember(t, "m", serves("writer"))
+	p := newSite(t, m).start(t)
+	c := p.dial()
+	c.Write([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2f")) // SSLRequest
+	if b, _ := c.r.ReadByte(); b != 'N' {
+		t.Fatalf("SSLRequest answered by %q", b)
+	}
+	first := pgwire.AppendQuery(pgwire.AppendStartup(nil, "svc", "main"), read(900)) // a query right behind
+	for i := range first {
+		c.Write(first[i : i+1])
+	}
+	c.hear()
+	kinds, said := c.hear()
+	want(t, kinds, said, acked, "v:SELECT")
+	kinds, said = c.ask(" ")
+	want(t, kinds, said, "IZ", "")
+	c.Write(pgwire.AppendQuery(pgwire.AppendQuery(nil, write(900)), read(900))) // two at once
+	kinds, said = c.hear()
+	want(t, kinds, said, acked, "v:INSERT")
+	kinds, said = c.hear()
+	want(t, kinds, said, acked, "v:SELECT")
+	for range 3 {
+		q := next(t, m.queries)
+		if !strings.Contains(q, "id=9b1f03aa5c7e2d41,") || !strings.Contains(q, "d=9") && !strings.Contains(q, "d=8") {
+			t.Errorf("the member got %q", q)
+		}
+	}
+	big := strings.Repeat("\x00\xffab", 1<<14)
+	m.says(func(string) []byte { return row(big, "writer") })
+	long := strings.Replace(write(900), "9f03", strings.Repeat("9f03", 1<<15), 1)
+	if kinds, said = c.ask(long); kinds != acked || said != big {
+		t.Errorf("64 KiB came back as %q, %d bytes", kinds, len(said))
+	}
+	if q := next(t, m.queries); len(q) < 1<<17 {
+		t.Errorf("64 KiB went out as %d bytes", len(q))
+	}
+	c.Write([]byte("X\x00\x00\x00\x04"))
+	if line := p.await("event=client_closed"); field(line, "reason") != "terminate" || field(line, "ops") != "4" {
+		t.Error(line)
+	}
+}
+
+// Each row of the outcome table, by a write that must not run twice: it is refused only where the row proves
+// that it has not run, and otherwise sent once and answered at once.
+func TestOutcomesOfWrites(t *testing.T) {
+	for name, x := range map[string]struct {
+		answer func(string) []byte
+		said   string
+		once   bool
+	}{
+		"served":  {serves("writer"), "v:INSERT", true},
+		"error":   {func(string) []byte { return fault("XX000", "writer") }, pgwire.CodeFailed, true},
+		"unknown": {func(string) []byte { return fault("57P03", "writer") }, pgwire.CodeFailed, true},
+		"miss":    {func(string) []byte { return fault("25006", "reader") }, pgwire.CodeBusy, false},
+		"full":    {func(string) []byte { return fault("53300", "writer") }, pgwire.CodeBusy, false},
+		"reset":   {func(string) []byte { return nil }, pgwire.CodeFailed, true},
+		"half":    {func(string) []byte { return row("v", "writer")[:40] }, pgwire.CodeFailed, true},
+		"no row":  {func(string) []byte { return append(msg('C', "SELECT 0\x00"), note("writer")...) }, pgwire.CodeFailed, true},
+		"garbage": {func(string) []byte { return []byte("\x00\x00\x00\x00\x00\x00\x00") }, pgwire.CodeFailed, true},
+		"silence": {func(string) []byte { <-forever; return nil }, pgwire.CodeFailed, true},
+		"spoilt note": {func(string) []byte {
+			return append(row("v", "king")[:60], pgwire.AppendReady(msg('S', "commit_clock\x009e99\x00"))...)
+		}, "v", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMember(t, "m", x.answer)
+			p := newSite(t, m).start(t)
+			c := p.connect()
+			began := time.Now()
+			kinds, said := c.ask(write(250))
+			if said[:1] == "v" {
+				want(t, kinds, said, acked, x.said)
+			} else {
+				want(t, kinds, said, "EZ", x.said)
+			}
+			if took := time.Since(began); took > 300*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+			if n := len(m.queries); x.once && n != 1 || n == 0 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// Before the last byte was written nothing can have run: refused, and no word of an error.
+func TestMembersThatCannotBeReached(t *testing.T) {
+	gone := newMember(t, "m", serves("writer"))
+	gone.ln.Close()
+	mute := newMember(t, "m", serves("writer"))
+	mute.welcome = false
+	for name, m := range map[string]*member{"refused": gone, "never up": mute} {
+		p := newSite(t, m).start(t)
+		kinds, said := p.connect().ask(write(300))
+		want(t, kinds, said, "EZ", pgwire.CodeBusy)
+		if n := field(p.counters(), "noconnection"); n == "0" || len(m.queries) > 0 {
+			t.Errorf("%s: %s without connection, %d sent", name, n, len(m.queries))
+		}
+	}
+}
+
+// A read goes on to another member, and the one that broke is not used for the next.
+func TestReadsGoElsewhere(t *testing.T) {
+	w := newMember(t, "w", serves("writer"))
+	r := newMember(t, "r", func(string) []byte { return nil })
+	c := newSite(t, w, r).start(t).connect()
+	for range 3 {
+		kinds, said := c.ask(read(900))
+		want(t, kinds, said, acked, "v:SELECT")
+	}
+	if len(r.queries) != 1 {
+		t.Errorf("%d sends to the member that breaks connections", len(r.queries))
+	}
+}
+
+func TestClientThatLeavesEndsItsSend(t *testing.T) {
+	m := newMember(t, "m", func(string) []byte { <-forever; return nil })
+	m.says(func(string) []byte { return []byte{} })
+	p := newSite(t, m).start(t)
+	c := p.connect()
+	c.Write(pgwire.AppendQuery(nil, read(900000)))
+	next(t, m.queries)
+	c.Close()
+	next(t, m.closed)
+	if line := p.await("event=client_closed"); field(line, "reason") != "left" {
+		t.Error(line)
+	}
+	if line := p.counters(); field(line, "left") != "1" || field(line, "cancelled") != "1" {
+		t.Error(line)
+	}
+}
+
+// An idle connection that the member has closed costs no op anything; one that is kept is used again.
+func TestConnectionsAreKept(t *testing.T) {
+	m := newMember(t, "m", serves("writer"))
+	s := newSite(t, m)
+	s.settings["policy_limits"].(map[string]any)["conn_idle"] = 400000
+	p := s.start(t)
+	c := p.connect()
+	for range 5 {
+		kinds, said := c.ask(write(900))
+		want(t, kinds, said, acked, "v:INSERT")
+	}
+	if line := p.counters(); field(line, "dials") != "1" || field(line, "reused") != "4" {
+		t.Error(line)
+	}
+	if line := p.await("event=member_closed"); field(line, "reason") != "idle" {
+		t.Error(line)
+	}
+	next(t, m.closed)
+	m.hangsUp.Store(true)
+	for range 3 { // the member closes after each answer: that must not show
+		kinds, said := c.ask(write(900))
+		want(t, kinds, said, acked, "v:INSERT")
+		next(t, m.closed)
+	}
+	if line := p.counters(); field(line, "broken") != "2" {
+		t.Error(line)
+	}
+}
+
+// A good answer whose end does not come is not lost.
+func TestAnswerWithoutItsEnd(t *testing.T) {
+	whole := row("v", "writer")
+	m := newMember(t, "m", func(string) []byte { return whole[:len(whole)-6] })
+	kinds, said := newSite(t, m).start(t).connect().ask(write(900))
+	want(t, kinds, said, acked, "v")
+}
+
+func TestBadInputStaysWithItsConnection(t *testing.T) {
+	m := newMember(t, "m", serves("writer"))
+	p := newSite(t, m).start(t)
+	good := p.connect()
+	for in, kinds := range map[string]string{
+		"\xff\xff\xff\xff\xff\xff\xff\xff":         "E.",
+		"\x00\x00\x00\x08\x00\x09\x00\x00":         "E.",
+		"\x00\x00\x00\x10\x04\xd2\x16\x2e12345678": ".", // CancelRequest
+	} {
+		c := p.dial()
+		c.Write([]byte(in))
+		got, said := c.hear()
+		if want(t, got, said, kinds, ""); kinds == "E." && said != pgwire.CodeProtocol {
+			t.Errorf("%q answered by %s", in, said)
+		}
+	}
+	for in, code := range map[string]string{
+		"SELECT 1":                pgwire.CodeProtocol,
+		read(900) + read(900):     pgwire.CodeProtocol,
+		statement("nothing", 900): pgwire.CodeUnknown,
+		strings.Replace(read(900), "cluster=3", "cluster=9", 1): pgwire.CodeUnknown,
+		strings.Replace(read(900), "d=900", "d=soon", 1):        pgwire.CodeProtocol,
+	} {
+		kinds, said := good.ask(in)
+		want(t, kinds, said, "EZ", code)
+	}
+	good.Write(append(append(msg('P', "x\x00\x00\x00\x00"), msg('E', "\x00\x00\x00\x00\x00")...), msg('S', "")...))
+	kinds, said := good.hear()
+	want(t, kinds, said, "EZ", pgwire.CodeProtocol)
+	kinds, said = good.ask(read(900))
+	want(t, kinds, said, acked, "v:SELECT")
+	for _, in := range []string{"Q\x00\x00\x00\x02", "Q\x7f\xff\xff\xff", "?\x00\x00\x00\x04"} {
+		c := p.connect()
+		c.Write([]byte(in))
+		kinds, said := c.hear()
+		want(t, kinds, said, "E.", pgwire.CodeProtocol)
+	}
+	if len(m.queries) != 1 {
+		t.Errorf("%d queries reached the member", len(m.queries))
+	}
+}
+
+// Connections over the budget are told busy; the others go on.
+func TestFullIsABusyReply(t *testing.T) {
+	s := newSite(t, newMember(t, "m", serves("writer")))
+	s.limits["sockets"] = 80
+	p := s.start(t)
+	var in []*client
+	for range 24 {
+		in = append(in, p.connect())
+	}
+	for range 40 {
+		c := p.dial()
+		c.Write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "svc", "main"), read(900)))
+		kinds, said := c.hear()
+		want(t, kinds, said, "E.", pgwire.CodeBusy)
+		c.Close()
+	}
+	for _, c := range in {
+		kinds, said := c.ask(read(900))
+		want(t, kinds, said, acked, "v:SELECT")
+	}
+}
+
+// After SIGTERM what was taken is answered, connections that still come are served, and the exit code is 0.
+func TestStopsWithoutLoss(t *testing.T) {
+	release := make(chan struct{})
+	m := newMember(t, "m", func(q string) []byte {
+		if strings.Contains(q, "INSERT") {
+			<-release
+		}
+		return row("v", "writer")
+	})
+	p := newSite(t, m).start(t)
+	idle, busy := p.connect(), p.connect()
+	busy.Write(pgwire.AppendQuery(nil, write(9000)))
+	next(t, m.queries)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.await("event=stopping")
+	late := p.connect()
+	kinds, said := late.ask(read(900))
+	want(t, kinds, said, acked, "v")
+	kinds, _ = late.hear()
+	want(t, kinds, "", ".", "")
+	kinds, _ = idle.hear()
+	want(t, kinds, "", ".", "")
+	close(release)
+	kinds, said = busy.hear()
+	want(t, kinds, said, acked, "v")
+	if line := p.await("event=stopped"); field(line, "acked") != "2" || field(line, "clientsopen") != "0" {
+		t.Error(line)
+	}
+	if err := next(t, p.exited); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestStartsAnewAfterAKill(t *testing.T) {
+	m := newMember(t, "m", serves("writer"))
+	s := newSite(t, m)
+	p := s.start(t)
+	s.config["listen"] = p.address
+	c := p.connect()
+	c.ask(read(900))
+	p.cmd.Process.Kill()
+	next(t, p.exited)
+	kinds, said := s.start(t).connect().ask(write(900))
+	want(t, kinds, said, acked, "v:INSERT")
+}
+
+func TestBadConfigurationIsOneLineAndExitCode1(t *testing.T) {
+	s := newSite(t, newMember(t, "m", serves("writer")))
+	good, _ := json.Marshal(s.config)
+	for old, bad := range map[string]string{
+		string(good):             "{",
+		`"8c1f30d27a5be964"`:     `"x"`,
+		`"listen":"127.0.0.1:0"`: `"listen":"nowhere"`,
+		`"sockets":1024`:         `"sockets":1`,
+		`"eventual"`:             `"odd"`,
+		`"complete":true`:        `"complete":7`,
+		`"name":"n0"`:            `"peer_listen":"x","peers_all":"y"`,
+		`"discovery":`:           `"elsewhere":`,
+	} {
+		p := launch(t, strings.Replace(string(good), old, bad, 1))
+		line := next(t, p.lines)
+		if !strings.HasPrefix(line, "weirwind: ") || len(p.lines) > 0 {
+			t.Errorf("%s: %s", bad, line)
+		}
+		if next(t, p.exited); p.cmd.ProcessState.ExitCode() != 1 {
+			t.Errorf("%s: exit code %d", bad, p.cmd.ProcessState.ExitCode())
+		}
+	}
+}
+
+// The list known at start serves while discovery is silent; changes count from the moment they come, and a
+// failed call or a list that makes no sense changes nothing.
+func TestKeepsUpWithTheList(t *testing.T) {
+	a, b := newMember(t, "a", serves("writer")), newMember(t, "b", serves("reader"))
+	s := newSite(t, a, b)
+	p := s.start(t)
+	c := p.connect()
+	reads := func(of *member) {
+		t.Helper()
+		kinds, said := c.ask(read(900))
+		want(t, kinds, said, acked, "v:SELECT")
+		next(t, of.queries)
+	}
+	reads(b)
+	if got := next(t, s.asked); got != "/discovery/hosts?since=41&timeout_ms=20000" {
+		t.Errorf("asked %q", got)
+	}
+	s.changes <- s.list(42, false, "b=draining")
+	if got := next(t, s.asked); got != "/discovery/hosts?since=42&timeout_ms=20000" {
+		t.Errorf("asked %q", got)
+	}
+	reads(a)
+	s.changes <- "" // 503
+	next(t, s.asked)
+	reads(a)
+	s.changes <- s.list(7, false, "b=up") // went back: the whole list is asked for
+	if got := next(t, s.asked); got != "/discovery/hosts" {
+		t.Errorf("asked %q", got)
+	}
+	reads(a)
+	s.changes <- s.list(8, true, "")
+	next(t, s.asked)
+	reads(b)
+}
+
+// Peers tell each other of members; what is too long, malformed or from a stranger changes nothing.
+func TestPeers(t *testing.T) {
+	m := newMember(t, "m", serves("writer"))
+	s := newSite(t, m)
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	own := free.LocalAddr().String()
+	s.config["peer_listen"], s.config["peers_all"] = own, peer.LocalAddr().String()
+	s.config["peers"] = []string{own, peer.LocalAddr().String()}
+	s.settings["siblings"] = 2
+	s.settings["policy_limits"].(map[string]any)["peers"] = true
+	p := s.start(t)
+	c := p.connect()
+	c.ask(write(900))
+	buf := make([]byte, 1000)
+	peer.SetReadDeadline(time.Now().Add(patience))
+	n, from, err := peer.ReadFrom(buf)
+	if err != nil || n == 0 || n > 256 || from.String() != own {
+		t.Fatalf("%d bytes from %v: %v", n, from, err)
+	}
+	for _, data := range [][]byte{{1}, make([]byte, 256), make([]byte, 257)} {
+		peer.WriteTo(data, from)
+		stranger.WriteTo(data, from)
+	}
+	for line := ""; field(line, "messagesbad") != "4" || field(line, "messagesin") != "2"; {
+		if line = p.counters(); field(line, "messagesbad") > "4" {
+			t.Fatal(line)
+		}
+	}
+	kinds, said := c.ask(write(900))
+	want(t, kinds, said, acked, "v:INSERT")
+}
+
+// Where reports come by probes, a group without a primary is searched by them.
+func TestProbesFindThePrimary(t *testing.T) {
+	report := func(role int) string { return fmt.Sprintf("x0=%.3f,x1=%d", float64(time.Now().UnixMilli())/1000, role) }
+	say := func(role string, n int) func(string) []byte {
+		return func(q string) []byte {
+			switch {
+			case q == "SHOW usage":
+				return row(report(n), role)
+			case role == "reader" && strings.HasPrefix(q, "INSERT"):
+				return fault("25006", role)
+			}
+			return row("v:"+q[:6], role)
+		}
+	}
+	s := newSite(t, newMember(t, "old", say("reader", 0)), newMember(t, "new", say("writer", 1)))
+	s.settings["report"] = map[string]any{"fields": []string{"x0", "x1"}, "source": "pull"}
+	s.settings["policy_limits"].(map[string]any)["may_probe"] = true
+	kinds, said := s.start(t).connect().ask(write(5000))
+	want(t, kinds, said, acked, "v:INSERT")
+}
--- /dev/null
+++ b/cmd/weirwind/standin_test.go
@@ -0,0 +1,332 @@
+package main
+
+// The stand-ins of the integration tests: a member and a discovery on free loopback ports, a client, and the
+// program itself, started as a process of its own.
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirwind/internal/pgwire"
+)
+
+const patience = 20 * time.Second // after which a test that waits has failed
+
+func TestMain(m *testing.M) {
+	if os.Getenv("PROXY_CONFIG") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// member is a stand-in for one. Its answer gets each query and returns what to write; nil closes.
+type member struct {
+	id      string
+	ln      net.Listener
+	queries chan string // each query as it came
+	closed  chan string // why each connection ended
+	welcome bool
+	hangsUp atomic.Bool // closes after each answer
+	mu      sync.Mutex
+	answer  func(query string) []byte
+}
+
+var forever = make(chan struct{})
+
+func newMember(t *testing.T, id string, answer func(string) []byte) *member {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &member{id: id, ln: ln, queries: make(chan string, 10000), closed: make(chan string, 10000), welcome: true,
+		answer: answer}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(conn)
+		}
+	}()
+	return m
+}
+
+func (m *member) says(answer func(string) []byte) {
+	m.mu.Lock()
+	m.answer = answer
+	m.mu.Unlock()
+}
+
+func (m *member) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	if _, _, err := pgwire.ReadStartup(r); err != nil || !m.welcome {
+		<-forever
+	}
+	conn.Write(pgwire.AppendWelcome(nil, 0))
+	for {
+		_, message, err := pgwire.Read(r, nil)
+		if err != nil {
+			m.closed <- err.Error()
+			return
+		}
+		text, _ := pgwire.QueryText(pgwire.Body(message))
+		m.queries <- string(text)
+		m.mu.Lock()
+		answer := m.answer
+		m.mu.Unlock()
+		b := answer(string(text))
+		if b == nil {
+			return
+		}
+		conn.Write(b)
+		if m.hangsUp.Load() {
+			conn.Close()
+			m.closed <- "hung up"
+			return
+		}
+	}
+}
+
+func msg(kind byte, body string) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+4)), body...)
+}
+
+// row is a good answer with a note.
+func row(value, role string) []byte {
+	b := msg('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+	b = append(b, msg('D', "\x00\x01"+string(binary.BigEndian.AppendUint32(nil, uint32(len(value))))+value)...)
+	b = append(b, msg('C', "SELECT 1\x00")...)
+	return append(b, note(role)...)
+}
+
+func note(role string) []byte {
+	b := append(msg('S', "server_role\x00"+role+"\x00"), msg('S', fmt.Sprintf("commit_clock\x00%d\x00", time.Now().UnixMilli()))...)
+	return pgwire.AppendReady(b)
+}
+
+func fault(code, role string) []byte {
+	return append(pgwire.AppendError(nil, "ERROR", code, "so it is", ""), note(role)...)
+}
+
+func serves(role string) func(string) []byte {
+	return func(q string) []byte { return row("v:"+q[:6], role) }
+}
+
+// site is what surrounds the program: members, discovery, and the figures of its configuration.
+type site struct {
+	members  []*member
+	settings map[string]any
+	limits   map[string]any
+	config   map[string]any
+	changes  chan string // answers to watches, in turn
+	asked    chan string // what discovery was asked
+	lists    *httptest.Server
+}
+
+func newSite(t *testing.T, members ...*member) *site {
+	s := &site{members: members, changes: make(chan string, 10), asked: make(chan string, 1000)}
+	s.lists = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.asked <- r.URL.String()
+		select {
+		case text := <-s.changes:
+			if text == "" {
+				w.WriteHeader(503)
+				return
+			}
+			io.WriteString(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(s.lists.Close)
+	s.settings = map[string]any{"tick": 5000, "siblings": 1, "index": 0, "registry_mode": "on_request", "zone": "a",
+		"family_info": map[string]any{"checks": "silent", "needs_by_class": []string{"eventual", "mutate", "lag_bound"},
+			"oldest_data": []int{0, 0, 200000}, "position_zero": 77, "shows_role": "static", "stamps": true},
+		"policy_limits": map[string]any{"send_cap": 4, "cancel": true, "parallel_tries": true, "retry_after": true,
+			"max_retry_after": 1000000, "connect_timeout": 100000, "conn_idle": 15000000},
+		"profiles": []any{
+			map[string]any{"name": "read", "aim": 300000, "deadline": 1e6, "effect": "repeatable", "points": 1},
+			map[string]any{"name": "write", "aim": 300000, "deadline": 1e6, "effect": "once", "points": 1},
+			map[string]any{"name": "recent", "aim": 300000, "deadline": 1e6, "effect": "repeatable", "points": 1}}}
+	s.limits = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+	s.config = map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+		"discovery": s.lists.Listener.Addr().String(), "settings": s.settings, "limits": s.limits,
+		"known": json.RawMessage(s.list(41, true, ""))}
+	return s
+}
+
+// list is the list in discovery's form; phases holds id=phase for members that are not up.
+func (s *site) list(revision int, complete bool, phases string) string {
+	var entries []string
+	for i, m := range s.members {
+		phase, access := "up", "reader"
+		if _, p, ok := strings.Cut(phases, m.id+"="); ok {
+			phase, _, _ = strings.Cut(p, ",")
+		}
+		if i == 0 {
+			access = "writer"
+		}
+		entries = append(entries, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","cell":3,"phase":%q,"access":%q}`,
+			m.id, m.ln.Addr(), phase, access))
+	}
+	return fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s]}`, revision, complete, strings.Join(entries, ","))
+}
+
+// program is the driver as a process.
+type program struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	lines   chan string
+	exited  chan error
+}
+
+func (s *site) start(t *testing.T) *program {
+	t.Helper()
+	text, err := json.Marshal(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := launch(t, string(text))
+	p.address = field(p.await("event=serving"), "listen")
+	return p
+}
+
+func launch(t *testing.T, config string) *program {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{t: t, cmd: exec.Command(os.Args[0]), lines: make(chan string, 100000), exited: make(chan error, 1)}
+	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for in := bufio.NewScanner(out); in.Scan(); {
+			p.lines <- in.Text()
+		}
+		close(p.lines)
+		p.exited <- p.cmd.Wait()
+	}()
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	return p
+}
+
+// await gives the next line of the log that holds the text.
+func (p *program) await(text string) string {
+	p.t.Helper()
+	limit := time.After(patience)
+	for {
+		select {
+		case line, ok := <-p.lines:
+			if strings.Contains(line, "DATA RACE") || !ok {
+				p.t.Fatalf("no line with %q: %s", text, line)
+			}
+			if strings.Contains(line, text) {
+				return line
+			}
+		case <-limit:
+			p.t.Fatalf("no line with %q", text)
+		}
+	}
+}
+
+// counters asks for the counters and gives them.
+func (p *program) counters() string {
+	p.cmd.Process.Signal(syscall.SIGUSR1)
+	return p.await("event=counters")
+}
+
+func field(line, name string) string {
+	_, rest, _ := strings.Cut(line, " "+name+"=")
+	value, _, _ := strings.Cut(rest, " ")
+	return value
+}
+
+// client is a connection to the program.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (p *program) dial() *client {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.address)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &client{p.t, conn, bufio.NewReader(conn)}
+}
+
+func (p *program) connect() *client {
+	p.t.Helper()
+	c := p.dial()
+	c.Write(pgwire.AppendStartup(nil, "svc", "main"))
+	if kinds, _ := c.hear(); kinds != "RSSSSKZ" {
+		p.t.Fatalf("welcomed by %q", kinds)
+	}
+	return c
+}
+
+// hear reads up to ReadyForQuery or the end: the kinds of the messages, and the value or the error's code.
+func (c *client) hear() (kinds, said string) {
+	for !strings.HasSuffix(kinds, "Z") {
+		kind, message, err := pgwire.Read(c.r, nil)
+		if err != nil {
+			return kinds + ".", said
+		}
+		kinds += string(kind)
+		switch kind {
+		case 'D':
+			value, _ := pgwire.DataRow(pgwire.Body(message))
+			said = string(value)
+		case 'E':
+			said = pgwire.ErrorCode(pgwire.Body(message))
+		}
+	}
+	return kinds, said
+}
+
+func (c *client) ask(query string) (kinds, said string) {
+	c.Write(pgwire.AppendQuery(nil, query))
+	return c.hear()
+}
+
+func read(d int) string  { return statement("read", d) }
+func write(d int) string { return statement("write", d) }
+
+func statement(opType string, d int) string {
+	form := "SELECT v FROM records WHERE k = 'ab'"
+	if opType == "write" {
+		form = `INSERT INTO records (k, v) VALUES ('ab', '\x9f03') RETURNING v`
+	}
+	return fmt.Sprintf("%s /* id=9b1f03aa5c7e2d41,c=%s,d=%d,cluster=3 */", form, opType, d)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+c.Timeout)
 	defer cancel()
 	if c.conn == nil {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.Address)
+		conn, err := (&net.Dialer{Timeout: c.Timeout}).DialContext(ctx, "tcp", c.Address)
 		if err != nil {
 			return Answer{}, err
 		}
--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -21,8 +21,10 @@
 const (
 	clientBuffer = 2048
 	startupTime  = 10 * time.Second
+	bodyTime     = 10 * time.Second       // for the body of a big message
 	writeTime    = 10 * time.Second       // for a client to take an answer
 	lingerTime   = 500 * time.Millisecond // for a client to see the last answer before the connection is closed
+	bigMessage   = 8 << 10                // bytes from which a message counts toward the budget of bytes
 	turnAways    = 32                     // connections over the budget that are being told so
 	acceptAfter  = 500 * time.Millisecond // how long new connections are taken after SIGTERM
 	acceptQuiet  = 50 * time.Millisecond  // and none may have come for so long
@@ -30,9 +32,11 @@
 
 // message is what the reader of a connection hands on: a message, or why framing is lost.
 type message struct {
-	kind byte
-	body []byte
-	err  error
+	kind   byte
+	body   []byte
+	weight int64 // taken from the budget of bytes
+	full   bool  // there was no room for its body
+	err    error
 }
 
 type client struct {
@@ -80,7 +84,7 @@
 }
 
 func (v *Service) admit(conn *net.TCPConn) {
-	if !v.clientBudget.take() {
+	if !v.clientBudget.take(1) {
 		v.count.ClientsTurnedAway.Add(1)
 		v.turnAway <- struct{}{}
 		v.group.Go(func() error {
@@ -108,7 +112,12 @@
 		conn.SetReadDeadline(time.Now().Add(lingerTime))
 		reader.Wait()
 		conn.Close()
-		v.clientBudget.give()
+		select {
+		case m := <-c.messages:
+			v.bytes.give(m.weight)
+		default:
+		}
+		v.clientBudget.give(1)
 		v.count.ClientsOpen.Add(-1)
 		v.log.Printf("event=client_closed client=%s reason=%s ops=%d age_ms=%d", conn.RemoteAddr(), why, c.ops,
 			time.Since(opened).Milliseconds())
@@ -145,6 +154,7 @@
 			return "framing"
 		}
 		answer, why := c.answer(m)
+		c.v.bytes.give(m.weight)
 		if why == "" && answer != nil {
 			why = c.write(answer)
 		}
@@ -187,26 +197,50 @@
 // read hands on messages until the client leaves or framing is lost, and keeps watching while one is served.
 func (c *client) read() {
 	for {
-		kind, text, err := pgwire.Read(c.r, nil)
+		m, err := c.next()
 		switch {
 		case errors.Is(err, pgwire.ErrFraming):
 			c.hand(message{err: err})
 			io.Copy(io.Discard, c.conn) // until the client has seen why
 			return
-		case err != nil || kind == 'X':
-			if c.why = "left"; kind == 'X' {
+		case err != nil || m.kind == 'X':
+			if c.why = "left"; m.kind == 'X' {
 				c.why = "terminate"
 			}
 			close(c.gone)
 			return
 		}
-		if !c.hand(message{kind: kind, body: pgwire.Body(text)}) {
+		if !c.hand(m) {
+			c.v.bytes.give(m.weight)
 			io.Copy(io.Discard, c.conn)
 			return
 		}
 	}
 }
 
+// next reads one message. A big one for which the budget of bytes has no room is read away.
+func (c *client) next() (m message, err error) {
+	kind, n, err := pgwire.ReadHead(c.r)
+	if m.kind = kind; err != nil {
+		return m, err
+	}
+	if n > bigMessage {
+		c.conn.SetReadDeadline(time.Now().Add(bodyTime)) // it holds room that others want
+		defer c.conn.SetReadDeadline(time.Time{})
+		if !c.v.bytes.take(int64(n)) {
+			m.full = true
+			_, err = c.r.Discard(n)
+			return m, err
+		}
+		m.weight = int64(n)
+	}
+	if m.body, err = pgwire.ReadBody(c.r, nil, n); err != nil {
+		c.v.bytes.give(m.weight)
+		m.weight = 0
+	}
+	return m, err
+}
+
 func (c *client) hand(m message) bool {
 	select {
 	case c.messages <- m:
@@ -230,7 +264,10 @@
 func (c *client) answer(m message) (answer []byte, why string) {
 	switch m.kind {
 	case 'Q':
-		c.skipping = false
+		if c.skipping = false; m.full {
+			c.v.count.BusyReplied.Add(1)
+			return busy(0), ""
+		}
 		return c.query(m.body)
 	case 'P', 'B', 'D', 'E', 'C': // the extended protocol: one error, then silence up to Sync
 		if c.skipping {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -28,6 +28,7 @@
 	spareSockets = 32   // of the limit: listener, peers, discovery, log, poller, connections being turned away
 	clientShare  = 0.5  // of the sockets, at most; members have the rest
 	memoryShare  = 0.75 // of the limit: from there on the collector works harder
+	bytesShare   = 0.25 // of the limit, for big messages from clients
 	watchWait    = 20 * time.Second
 	callTime     = 2500 * time.Millisecond // beyond the wait: discovery itself gives up sooner
 	probesAtOnce = 64
@@ -59,6 +60,7 @@
 	group        errgroup.Group // connections of clients, and sends
 	probing      errgroup.Group
 	clientBudget budget
+	bytes        budget // of big messages from clients
 	turnAway     chan struct{}
 	closing      chan struct{} // closed when no new connection is taken any more
 	stopped      atomic.Pointer[time.Time]
@@ -105,6 +107,7 @@
 	v.log, v.lines = newLog(&v.count.LogLost)
 	sockets := a.Limits.Sockets - spareSockets
 	v.clientBudget.left.Store(int64(float64(sockets) * clientShare))
+	v.bytes.left.Store(int64(a.Limits.MemoryMB * bytesShare * (1 << 20)))
 	memberBudget := &budget{}
 	memberBudget.left.Store(int64(sockets) - v.clientBudget.left.Load())
 	v.members = &members{connectTime: duration(told.ConnectTimeout), idleTime: duration(told.ConnIdle * idleShare),
--- /dev/null
+++ b/internal/driver/driver_test.go
@@ -0,0 +1,275 @@
+package driver
+
+import (
+	"bufio"
+	"bytes"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"weirwind/internal/discovery"
+	"weirwind/internal/opening"
+	"weirwind/internal/pgwire"
+	"weirwind/logic"
+)
+
+// quiet is a performer that remembers nothing.
+type quiet struct{}
+
+func (quiet) probe(string)     {}
+func (quiet) tellPeers([]byte) {}
+func (quiet) askList()         {}
+func (quiet) note(string)      {}
+
+func testDecider(t *testing.T, c clock) *decider {
+	t.Helper()
+	told, err := opening.Parse([]byte(`{"tick":5000,"siblings":1,"family_info":{"needs_by_class":["lag_bound","causal"],`+
+		`"oldest_data":[200000,0],"position_zero":382209024314,"write_marks":"brought"},"policy_limits":{"send_cap":4},`+
+		`"profiles":[{"name":"r","aim":300000,"deadline":1e6,"effect":"repeatable"},`+
+		`{"name":"s","aim":300000,"deadline":1e6,"effect":"repeatable"}]}`), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDecider(c, told, quiet{})
+	d.list(logic.ListCached, []discovery.Entry{{ID: "p", Phase: discovery.PhaseUp, Access: discovery.AccessWriter, Cell: 1},
+		{ID: "r", Phase: discovery.PhaseUp, Cell: 1}})
+	return d
+}
+
+// goes says where an op's first send goes, and leaves it there.
+func (d *decider) goes(opType int, after float64) string {
+	o := newOp(opType, pgwire.Statement{Group: 1, Timeout: 900, After: after})
+	d.take(o)
+	for _, a := range o.todo {
+		if a.Kind == logic.ActSend {
+			return a.Member
+		}
+	}
+	return ""
+}
+
+// Sockets carry Unix times; a replica's position is exactly as old for the module as it is on the clock, and
+// position_zero of the settings plays no part. The clock is set so that no test runs long enough to blur it.
+func TestAgeOfDataAtTheEdgesOfABound(t *testing.T) {
+	for _, x := range []struct {
+		age  float64
+		want string
+	}{{199 - 60, "r"}, {201, "p"}, {100000, "p"}, {-aheadMost / 2, "r"}, {-2 * aheadMost, "p"}, {-1e9, "p"}} {
+		c := newClock(time.Now())
+		d := testDecider(t, c)
+		position := c.ms(time.Now()) - x.age
+		d.answered(d.sent(t, "p"), 0, result{member: "p", outcome: logic.OK, rows: []byte{1}, role: logic.Primary})
+		d.mu.Lock() // no timer of the module comes in between
+		d.stepLocked(logic.Event{Kind: logic.EvProbed, Member: "r", Outcome: logic.OK,
+			Report: c.sight(time.Now(), logic.Replica, position)})
+		d.mu.Unlock()
+		if got := d.goes(0, 0); got != x.want {
+			t.Errorf("data %g ms old: read sent to %q, want %q", x.age, got, x.want)
+		}
+	}
+}
+
+// sent puts an op before the module that goes to a member.
+func (d *decider) sent(t *testing.T, member string) *op {
+	t.Helper()
+	o := newOp(0, pgwire.Statement{Group: 1, Timeout: 900})
+	if d.take(o); len(o.todo) == 0 || o.todo[0].Member != member {
+		t.Fatalf("%+v", o.todo)
+	}
+	return o
+}
+
+// The position that a session read must see is the age of that write, and back a position.
+func TestSessionReadsFollowTheirWrite(t *testing.T) {
+	c := newClock(time.Now())
+	d := testDecider(t, c)
+	now := c.ms(time.Now())
+	d.step(logic.Event{Kind: logic.EvProbed, Member: "r", Outcome: logic.OK, Report: c.sight(time.Now(), logic.Replica, now-500)})
+	for after, want := range map[float64]string{0: "r", now - 502: "r", now - 400: "p", now + 1e6: "p"} {
+		if got := d.goes(1, math.Floor(after)); got != want {
+			t.Errorf("a write %.0f ms ago: sent to %q, want %q", now-after, got, want)
+		}
+	}
+}
+
+func TestClockDoesNotStep(t *testing.T) {
+	start := time.Now()
+	c := newClock(start)
+	if got := c.ms(start) - float64(start.UnixMicro())/1000; got != 0 {
+		t.Errorf("starts %g ms off", got)
+	}
+	if got := c.ms(start.Add(1500*time.Microsecond)) - c.ms(start); math.Abs(got-1.5) > 0.001 {
+		t.Errorf("1.5 ms later it is %g ms later", got)
+	}
+}
+
+// What a member writes becomes an outcome, with what it tells of itself; what is spoilt is left out.
+func TestAnswersOfMembers(t *testing.T) {
+	status := func(name, value string) []byte {
+		b := append(append([]byte(name), 0), append([]byte(value), 0)...)
+		return frame('S', b)
+	}
+	rowOf := func(v string) []byte {
+		b := append(frame('T', nil), frame('D', append([]byte{0, 1, 0, 0, 0, byte(len(v))}, v...))...)
+		return append(b, frame('C', []byte("SELECT 1\x00"))...)
+	}
+	fail := func(code string) []byte { return pgwire.AppendError(nil, "ERROR", code, "x", "") }
+	ready := pgwire.AppendReady(nil)
+	for name, x := range map[string]struct {
+		in    [][]byte
+		want  result
+		clean bool
+	}{
+		"ok":            {[][]byte{rowOf("v"), status("server_role", "writer"), status("commit_clock", "123"), ready}, result{outcome: logic.OK, role: logic.Primary, position: 123}, true},
+		"report":        {[][]byte{status("usage", "x0=1.5,inflight=7,x1=0"), rowOf("v"), ready}, result{outcome: logic.OK, reportRole: logic.Replica, reportPosition: 1500}, true},
+		"probe":         {[][]byte{rowOf("x0=2,x1=1"), ready}, result{outcome: logic.OK, reportRole: logic.Primary, reportPosition: 2000}, true},
+		"spoilt":        {[][]byte{rowOf("v"), status("server_role", "wr"), status("commit_clock", "12x"), status("usage", ",=,x0=NaN,x1"), ready}, result{outcome: logic.OK, reportRole: logic.Replica}, true},
+		"cut note":      {[][]byte{rowOf("v"), frame('S', []byte("server_role")), ready}, result{outcome: logic.OK}, true},
+		"miss":          {[][]byte{fail("25006"), status("server_role", "reader"), ready}, result{outcome: logic.Miss, role: logic.Replica}, true},
+		"behind":        {[][]byte{fail("72000"), ready}, result{outcome: logic.Miss}, true},
+		"error":         {[][]byte{fail("XX000"), ready}, result{outcome: logic.Fault}, true},
+		"turned away":   {[][]byte{fail("53300"), ready}, result{outcome: logic.Full}, true},
+		"and closed":    {[][]byte{fail("53300")}, result{outcome: logic.Full}, false},
+		"error in row":  {[][]byte{frame('T', nil), fail("XX000"), ready}, result{outcome: logic.Fault}, true},
+		"nothing":       {[][]byte{ready}, result{outcome: logic.Fault}, true},
+		"two rows":      {[][]byte{rowOf("v"), rowOf("w"), ready}, result{outcome: logic.Fault}, true},
+		"no end":        {[][]byte{rowOf("v")}, result{outcome: logic.OK}, false},
+		"begun":         {[][]byte{rowOf("v")[:12]}, result{outcome: noOutcome}, false},
+		"of no use":     {[][]byte{frame('W', nil)}, result{outcome: noOutcome}, false},
+		"without a row": {[][]byte{frame('C', []byte("INSERT 0 0\x00")), ready}, result{outcome: logic.Fault}, true},
+	} {
+		all := bytes.Join(x.in, nil)
+		got, clean, err := read(bufio.NewReader(bytes.NewReader(all)), func() {})
+		if clean != x.clean || clean == (err != nil) {
+			t.Errorf("%s: clean %v, %v", name, clean, err)
+		}
+		if ok := got.outcome == logic.OK; ok != (got.rows != nil) {
+			t.Errorf("%s: rows %q with outcome %d", name, got.rows, got.outcome)
+		} else if ok && !bytes.Contains(all, got.rows) && name != "report" {
+			t.Errorf("%s: %q is not what the member gave", name, got.rows)
+		}
+		got.rows = nil
+		if got.outcome != x.want.outcome || got.role != x.want.role || got.position != x.want.position ||
+			got.reportRole != x.want.reportRole || got.reportPosition != x.want.reportPosition {
+			t.Errorf("%s: %+v, want %+v", name, got, x.want)
+		}
+	}
+}
+
+func frame(kind byte, body []byte) []byte {
+	n := len(body) + 4
+	return append([]byte{kind, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}, body...)
+}
+
+// An answer that goes on without end is cut off.
+func TestEndlessAnswersAreCutOff(t *testing.T) {
+	row := string(frame('D', make([]byte, pgwire.MaxMessage/2)))
+	if r, clean, err := read(bufio.NewReader(strings.NewReader(strings.Repeat(row, 9))), func() {}); clean || err == nil ||
+		r.outcome != noOutcome {
+		t.Errorf("outcome %d, clean %v, %v", r.outcome, clean, err)
+	}
+}
+
+// The same id from two clients is two ops, each with its own answer.
+func TestIdsOfClientsMayRepeat(t *testing.T) {
+	d := testDecider(t, newClock(time.Now()))
+	a, b := d.sent(t, "p"), d.sent(t, "p")
+	d.answered(b, 0, result{member: "p", outcome: logic.OK, rows: []byte("b")})
+	d.answered(a, 0, result{member: "p", outcome: logic.OK, rows: []byte("a")})
+	if string(a.rows) != "a" || string(b.rows) != "b" {
+		t.Errorf("%q and %q", a.rows, b.rows)
+	}
+	for range 2 {
+		d.next(a)
+		d.next(b)
+	}
+	if len(d.ops) != 0 {
+		t.Errorf("%d ops left in the book", len(d.ops))
+	}
+}
+
+func TestRetryAdviceIsInMilliseconds(t *testing.T) {
+	for wait, detail := range map[float64]string{0: "", 0.2: "", 12.6: "13", 200: "200"} {
+		has := strings.Contains(string(busy(wait)), "\x00D")
+		if has != (detail != "") || has && !strings.Contains(string(busy(wait)), "\x00D"+detail+"\x00") {
+			t.Errorf("%s ms: %q", strconv.FormatFloat(wait, 'g', -1, 64), busy(wait))
+		}
+	}
+}
+
+// Lines that can't be written in time are dropped and counted, and nobody waits.
+func TestLogNeverBlocks(t *testing.T) {
+	var c counters
+	l, q := newLog(&c.LogLost)
+	for range cap(q.lines) + 5 {
+		l.Print("x")
+	}
+	if c.LogLost.Load() != 5 {
+		t.Errorf("%d lines lost", c.LogLost.Load())
+	}
+}
+
+// A send that is cancelled when its answer has come must leave alone the connection it came on, which by then
+// may be another op's. Seen by reading: the deadline set by cancel would have ended that op's exchange.
+func TestLateCancelLeavesTheConnectionAlone(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	queries, answer := make(chan struct{}), make(chan struct{})
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		pgwire.ReadStartup(r)
+		conn.Write(pgwire.AppendWelcome(nil, 0))
+		for {
+			if _, _, err := pgwire.Read(r, nil); err != nil {
+				return
+			}
+			queries <- struct{}{}
+			<-answer
+			conn.Write(pgwire.AppendReady(append(frame('T', nil), append(frame('D', []byte("\x00\x01\x00\x00\x00\x01v")),
+				frame('C', []byte("SELECT 1\x00"))...)...)))
+		}
+	}()
+	var count counters
+	l, _ := newLog(&count.LogLost)
+	room := &budget{}
+	room.left.Store(2)
+	m := &members{connectTime: 10 * time.Second, idleTime: time.Hour, budget: room, count: &count, log: l,
+		probeQuery: "SELECT 1", hosts: map[string]*host{"m": {address: ln.Addr().String()}}}
+	first, second := m.send("m", nil, time.Minute), m.send("m", nil, time.Minute)
+	go func() { <-queries; answer <- struct{}{} }()
+	if r := first.run(); r.outcome != logic.OK {
+		t.Fatalf("outcome %d", r.outcome)
+	}
+	done := make(chan result)
+	go func() { done <- second.run() }()
+	<-queries
+	first.cancel()
+	answer <- struct{}{}
+	if r := <-done; r.outcome != logic.OK || count.Dials.Load() != 1 {
+		t.Errorf("outcome %d on the connection of a send cancelled late, %d dials", r.outcome, count.Dials.Load())
+	}
+	third := m.send("m", nil, time.Minute)
+	third.cancel()
+	if r := third.run(); r.outcome != logic.Cancelled {
+		t.Errorf("outcome %d for a send cancelled before it began", r.outcome)
+	}
+	barred := m.send("m", nil, time.Minute)
+	barred.bar()
+	if r := barred.run(); r.outcome != logic.Moot {
+		t.Errorf("outcome %d for a send that may not begin", r.outcome)
+	}
+	if l := m.kept("m"); l == nil || l.served != 2 {
+		t.Error("the unused connection was not kept")
+	}
+}
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -59,6 +59,7 @@
 	raw       syscall.RawConn
 	r         *bufio.Reader
 	member    string
+	address   string
 	opened    time.Time
 	idleSince time.Time
 	served    int
@@ -120,7 +121,7 @@
 // end closes a connection and leaves its line in the log.
 func (m *members) end(l *link, why string) {
 	l.Close()
-	m.budget.give()
+	m.budget.give(1)
 	m.count.Open.Add(-1)
 	m.log.Printf("event=member_closed member=%s reason=%s served=%d age_ms=%d", l.member, why, l.served,
 		time.Since(l.opened).Milliseconds())
@@ -153,7 +154,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h := m.hosts[l.member]
-	if l.r.Buffered() > 0 || h == nil || h.address != l.RemoteAddr().String() {
+	if l.r.Buffered() > 0 || h == nil || h.address != l.address {
 		m.end(l, "stale")
 		return
 	}
@@ -181,7 +182,7 @@
 		address = h.address
 	}
 	m.mu.Unlock()
-	if !m.budget.take() && !m.spare() {
+	if !m.budget.take(1) && !m.spare() {
 		return nil, logic.Full
 	}
 	m.count.Dials.Add(1)
@@ -190,12 +191,13 @@
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
-		m.budget.give()
+		m.budget.give(1)
 		m.count.Open.Add(-1)
 		m.log.Printf("event=member_closed member=%s reason=no_connection served=0 error=%q", member, err)
 		return nil, logic.ConnectFailed
 	}
-	l := &link{Conn: conn, r: bufio.NewReaderSize(conn, linkBuffer), member: member, opened: time.Now()}
+	l := &link{Conn: conn, r: bufio.NewReaderSize(conn, linkBuffer), member: member, address: address,
+		opened: time.Now()}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if l.raw, err = conn.(*net.TCPConn).SyscallConn(); err != nil {
@@ -243,7 +245,7 @@
 	}
 	m.end(from.idle[0], "spared")
 	from.idle = from.idle[1:]
-	return m.budget.take()
+	return m.budget.take(1)
 }
 
 // send is one try at an op toward a member.
@@ -255,8 +257,9 @@
 	ctx       context.Context
 	stop      context.CancelFunc
 
-	link      atomic.Pointer[link]
-	mu        sync.Mutex // held while the request is written
+	writing   sync.Mutex // held while the request is written
+	mu        sync.Mutex // guards what follows
+	link      *link      // only while it is this send's
 	cancelled bool
 	barred    bool // nothing may be written any more
 }
@@ -267,24 +270,43 @@
 	return x
 }
 
-// cancel stops waiting; once it returns nothing more is written. bar only keeps what is not yet written back.
+// cancel stops waiting; once it returns nothing more is written. It must not touch a connection that has gone
+// back: another op may be on it.
 func (x *send) cancel() {
 	x.stop()
-	if l := x.link.Load(); l != nil {
-		l.SetDeadline(time.Unix(1, 0))
-	}
 	x.mu.Lock()
-	x.cancelled, x.barred = true, true
-	x.mu.Unlock()
-	if l := x.link.Load(); l != nil {
-		l.SetDeadline(time.Unix(1, 0))
+	x.cancelled = true
+	if x.link != nil {
+		x.link.SetDeadline(time.Unix(1, 0))
 	}
+	x.mu.Unlock()
+	x.bar()
 }
 
+// bar keeps a request that is not yet being written from being written, and waits for one that is.
 func (x *send) bar() {
 	x.mu.Lock()
 	x.barred = true
 	x.mu.Unlock()
+	x.writing.Lock()
+	x.writing.Unlock()
+}
+
+// attach makes a connection the send's own, so that cancel can end it; attach(nil) ends that.
+func (x *send) attach(l *link) {
+	x.mu.Lock()
+	x.link = l
+	x.mu.Unlock()
+}
+
+// answered leaves a member that has given its whole answer only the time of a connect for what ends it: the
+// answer must not be lost for that.
+func (x *send) answered() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if limit := time.Now().Add(x.m.connectTime); !x.cancelled && limit.Before(x.deadline) {
+		x.link.SetReadDeadline(limit)
+	}
 }
 
 // run carries the send out and tells how it ended.
@@ -309,19 +331,22 @@
 			return result{outcome: x.unlessEnded(outcome)}
 		}
 	}
-	x.link.Store(l)
 	l.served++
-	whole, written := x.write(l)
-	if !whole {
-		switch {
-		case written == 0 && x.ctx.Err() != nil: // cancelled or out of time before its first byte
-			x.m.keepUnused(l)
-		default:
+	x.attach(l)
+	begun, err := x.write(l)
+	if err != nil {
+		x.attach(nil)
+		if begun {
 			x.m.end(l, "cut")
+		} else {
+			l.served--
+			l.SetDeadline(time.Time{})
+			x.m.keep(l)
 		}
 		return result{outcome: x.unlessEnded(logic.ConnectFailed)}
 	}
-	r, clean, err := read(l.r)
+	r, clean, err := read(l.r, x.answered)
+	x.attach(nil)
 	switch {
 	case clean:
 		l.SetDeadline(time.Time{})
@@ -349,41 +374,39 @@
 	switch {
 	case x.cancelled:
 		return logic.Cancelled
-	case x.barred && outcome == logic.ConnectFailed:
-		return logic.Moot
+	case (x.barred || x.ctx.Err() != nil) && outcome == logic.ConnectFailed:
+		return logic.Moot // its time ran out, which is not the member's fault
 	}
 	return outcome
 }
 
-// write sends the request, unless that has been forbidden. written counts its bytes that went out.
-func (x *send) write(l *link) (whole bool, written int64) {
+// write sends the request, unless that has been forbidden. Without an error its last byte is written.
+func (x *send) write(l *link) (begun bool, err error) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	if x.barred || x.ctx.Err() != nil {
-		return false, 0
+		x.mu.Unlock()
+		return false, os.ErrDeadlineExceeded
 	}
+	x.writing.Lock()
+	defer x.writing.Unlock()
 	l.SetDeadline(x.deadline)
+	x.mu.Unlock()
 	var b net.Buffers
 	if x.statement != nil {
 		b = x.statement.Query(time.Until(x.deadline).Milliseconds())
 	} else {
 		b = net.Buffers{pgwire.AppendQuery(nil, x.m.probeQuery)}
 	}
-	n, err := b.WriteTo(l.Conn)
-	return err == nil, n
-}
-
-func (m *members) keepUnused(l *link) {
-	l.served--
-	l.SetDeadline(time.Time{})
-	m.keep(l)
+	_, err = b.WriteTo(l.Conn)
+	return true, err
 }
 
 const noOutcome = logic.Outcome(255)
 
 // read takes one answer up to ReadyForQuery. clean says that the connection can serve again; where it is not,
-// err tells what ended it, and the outcome is the one that had come by then, or noOutcome.
-func read(from *bufio.Reader) (r result, clean bool, err error) {
+// err tells what ended it, and the outcome is the one that had come by then, or noOutcome. answered is called
+// when a good answer is whole.
+func read(from *bufio.Reader, answered func()) (r result, clean bool, err error) {
 	r.outcome = noOutcome
 	var rows []byte
 	var seen [3]int // RowDescription, DataRow, CommandComplete
@@ -395,6 +418,9 @@
 			return r, false, err
 		}
 		body := pgwire.Body(message[before:])
+		if len(message) > 2*pgwire.MaxMessage {
+			return r, false, pgwire.ErrFraming // no answer is so long
+		}
 		switch kind {
 		case 'T':
 			rows = message
@@ -409,8 +435,9 @@
 			seen[2]++
 			if seen == [3]int{1, 1, 1} && row != nil {
 				r.outcome, r.rows = logic.OK, rows
+				answered()
 			} else {
-				r.outcome = logic.Fault
+				r.outcome, r.rows = logic.Fault, nil
 			}
 			if role, position, ok := usage(row); ok {
 				r.reportRole, r.reportPosition = role, position
@@ -508,17 +535,17 @@
 	return "timed_out"
 }
 
-// budget counts the sockets that may be open.
+// budget counts what may still be used: sockets, or bytes.
 type budget struct {
 	left atomic.Int64
 }
 
-func (b *budget) take() bool {
-	if b.left.Add(-1) < 0 {
-		b.left.Add(1)
+func (b *budget) take(n int64) bool {
+	if b.left.Add(-n) < 0 {
+		b.left.Add(n)
 		return false
 	}
 	return true
 }
 
-func (b *budget) give() { b.left.Add(1) }
+func (b *budget) give(n int64) { b.left.Add(n) }
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -70,26 +70,41 @@
 	return StartupSession, code & 0xffff, nil
 }
 
-// Read appends the next message to buf: kind, length and body, as they came. A clean end before it is io.EOF.
-func Read(r *bufio.Reader, buf []byte) (kind byte, message []byte, err error) {
+// ReadHead reads the kind of the next message and the length of its body. A clean end before it is io.EOF.
+func ReadHead(r *bufio.Reader) (kind byte, n int, err error) {
 	var head [5]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return 0, buf, err
+		return 0, 0, err
 	}
-	n := int(binary.BigEndian.Uint32(head[1:]))
+	n = int(binary.BigEndian.Uint32(head[1:]))
 	if n < 4 || n > MaxMessage || head[0] < 'A' || head[0] > 'z' {
-		return 0, buf, fmt.Errorf("%w: kind %q, length %d", ErrFraming, head[0], n)
+		return 0, 0, fmt.Errorf("%w: kind %q, length %d", ErrFraming, head[0], n)
 	}
-	buf = append(buf, head[:]...)
-	for n -= 4; n > 0; { // grown as bytes arrive: a length alone must not cost memory
+	return head[0], n - 4, nil
+}
+
+// ReadBody appends the n bytes that follow a head.
+func ReadBody(r *bufio.Reader, buf []byte, n int) ([]byte, error) {
+	for n > 0 { // grown as bytes arrive: a length alone must not cost memory
 		part := min(n, step)
 		buf = append(buf, make([]byte, part)...)
 		if _, err := io.ReadFull(r, buf[len(buf)-part:]); err != nil {
-			return 0, buf, noEOF(err)
+			return buf, noEOF(err)
 		}
 		n -= part
 	}
-	return head[0], buf, nil
+	return buf, nil
+}
+
+// Read appends the next message to buf: kind, length and body, as they came. A clean end before it is io.EOF.
+func Read(r *bufio.Reader, buf []byte) (kind byte, message []byte, err error) {
+	kind, n, err := ReadHead(r)
+	if err != nil {
+		return 0, buf, err
+	}
+	buf = binary.BigEndian.AppendUint32(append(buf, kind), uint32(n+4))
+	buf, err = ReadBody(r, buf, n)
+	return kind, buf, err
 }
 
 func noEOF(err error) error {
