--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -267,6 +269,33 @@
 	}
 }
 
+// Big ops that find no room in memory are refused at once, the others are carried through.
+func TestMemoryIsBounded(t *testing.T) {
+	s := newSite(t, newMember(t, "m", func(string) []byte { return []byte{} }))
+	s.limits["memory_mb"], s.limits["sockets"] = 24, 400
+	p := s.start(t)
+	long := strings.Replace(write(700), "9f03", strings.Repeat("9f03", 1<<15), 1)
+	var out []*client
+	for range 120 {
+		c := p.connect()
+		c.Write(pgwire.AppendQuery(nil, long))
+		out = append(out, c)
+	}
+	said := map[string]int{}
+	for _, c := range out {
+		_, code := c.hear()
+		said[code]++
+	}
+	line := p.counters()
+	if ops, err := strconv.Atoi(field(line, "ops")); err != nil || ops < 20 || ops > 48 || said[pgwire.CodeBusy] < 60 ||
+		said[pgwire.CodeBusy]+said[pgwire.CodeFailed] != 120 {
+		t.Errorf("%v: %s", said, line)
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	t.Logf("%v, peak of memory %.20s", said, peak)
+}
+
 // After SIGTERM what was taken is answered, connections that still come are served, and the exit code is 0.
 func TestStopsWithoutLoss(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -12,9 +12,10 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"weirwind/internal/pgwire"
 )
 
@@ -25,7 +26,7 @@
 	writeTime    = 10 * time.Second       // for a client to take an answer
 	lingerTime   = 500 * time.Millisecond // for a client to see the last answer before the connection is closed
 	bigMessage   = 8 << 10                // bytes from which a message counts toward the budget of bytes
-	turnAways    = 32                     // connections over the budget that are being told so
+	turnAways    = 16                     // connections over the budget that are being told so
 	acceptAfter  = 500 * time.Millisecond // how long new connections are taken after SIGTERM
 	acceptQuiet  = 50 * time.Millisecond  // and none may have come for so long
 )
@@ -105,7 +106,7 @@
 		gone: make(chan struct{}), done: make(chan struct{})}
 	v.group.Go(func() error {
 		opened := time.Now()
-		var reader sync.WaitGroup
+		var reader errgroup.Group
 		why := c.serve(&reader)
 		close(c.done)
 		conn.CloseWrite()
@@ -126,15 +127,11 @@
 }
 
 // serve lets a client in and answers what it sends, one after the other. It returns the reason for the end.
-func (c *client) serve(reader *sync.WaitGroup) string {
+func (c *client) serve(reader *errgroup.Group) string {
 	if why := c.startup(); why != "" {
 		return why
 	}
-	reader.Add(1)
-	go func() {
-		defer reader.Done()
-		c.read()
-	}()
+	reader.Go(func() error { c.read(); return nil })
 	for {
 		var m message
 		select {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -187,13 +187,13 @@
 // an answer at once, so that nothing is missed in between.
 func (v *Service) watch(ctx context.Context) {
 	defer v.discovery.Close()
+	whole := false // a list is wanted that does not build on the one held
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-v.watching:
 		}
-		whole := false
 		for {
 			var a discovery.Answer
 			var err error
