--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,7 +26,7 @@
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
 	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; design: ops held
-	trialShare              = 0.1           // chance, for three drivers more, of a held write's trial in a sweep
+	trialShare, unsentShare = 0.1, 0.5      // chance of a held write's trial a sweep; of its time, held unsent
 	pauseLeast, tellBudget  = 20.0, 30000.0 // sweeps missed: a pause; words a second, by threes of drivers
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
@@ -300,8 +300,7 @@
 			o.needPos = d.now - d.zero - ev.WroteAgo + 1
 		}
 	}
-	d.ops[o.id] = o
-	g.live = append(g.live, o)
+	d.ops[o.id], g.live = o, append(g.live, o)
 	if d.turnAway(o) {
 		d.finish(o)
 		return
@@ -855,8 +854,9 @@
 
 func (d *Driver) attend(o *op) {
 	switch {
-	case d.now >= o.until || o.held && !d.mayRepeat(o, nil):
-		d.finish(o) // its time or its token has run out
+	case d.now >= o.until || o.held && (len(o.sends) == 0 && d.now-o.arrived > unsentShare*(o.until-o.arrived) ||
+		!d.mayRepeat(o, nil)):
+		d.finish(o) // its time or its token has run out; unsent, its client still has time to ask again
 	case o.held && o.kind.need < Fresh && (!o.stalled && d.now-o.arrived > holdShare*o.kind.target ||
 		d.now-o.arrived+o.kind.took > o.kind.target):
 		d.feel(o, 1)
