A read of bounded age that a slow connect or a pause held up is not sent late but decided anew

At fault: send.write in members.go, which looked only at the op's own deadline. The send now counts as unsent (known not to have run), the connection is kept, and the module places the op by what it knows now.

--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -22,7 +23,11 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	text, err := os.ReadFile(os.Getenv("PROXY_CONFIG"))
+	path := os.Getenv("PROXY_CONFIG")
+	if path == "" {
+		return errors.New("PROXY_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("PROXY_CONFIG: %v", err)
 	}
--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -151,6 +151,24 @@
 	}
 }
 
+// A read of bounded age is not sent to a member whose connection took so long to open that what is known of it
+// has grown too old: it goes elsewhere.
+func TestSlowConnectDoesNotMakeAReadStale(t *testing.T) {
+	w, r := newMember(t, "w", serves("writer")), newMember(t, "r", serves("reader"))
+	s := newSite(t, w, r)
+	s.settings["policy_limits"].(map[string]any)["connect_timeout"] = 5000000
+	c := s.start(t).connect()
+	r.hangsUp.Store(true)
+	c.ask(read(900)) // tells r's position
+	next(t, r.closed)
+	r.lateBy.Store(100)
+	kinds, said := c.ask(statement("recent", 900))
+	want(t, kinds, said, acked, "v:SELECT")
+	if len(r.queries) != 1 || len(w.queries) != 1 {
+		t.Errorf("%d sends to the replica, %d to the primary", len(r.queries), len(w.queries))
+	}
+}
+
 func TestClientThatLeavesEndsItsSend(t *testing.T) {
 	m := newMember(t, "m", func(string) []byte { <-forever; return nil })
 	m.says(func(string) []byte { return []byte{} })
--- a/cmd/weirwind/standin_test.go
+++ b/cmd/weirwind/standin_test.go
@@ -42,7 +42,8 @@
 	queries chan string // each query as it came
 	closed  chan string // why each connection ended
 	welcome bool
-	hangsUp atomic.Bool // closes after each answer
+	lateBy  atomic.Int64 // milliseconds until the welcome
+	hangsUp atomic.Bool  // closes after each answer
 	mu      sync.Mutex
 	answer  func(query string) []byte
 }
@@ -82,6 +83,7 @@
 	if _, _, err := pgwire.ReadStartup(r); err != nil || !m.welcome {
 		<-forever
 	}
+	time.Sleep(time.Duration(m.lateBy.Load()) * time.Millisecond)
 	conn.Write(pgwire.AppendWelcome(nil, 0))
 	for {
 		_, message, err := pgwire.Read(r, nil)
--- a/internal/driver/decide.go
+++ b/internal/driver/decide.go
@@ -52,6 +52,7 @@
 type decider struct {
 	clock   clock
 	opTypes map[string]int
+	bounded []bool // by op type: the age of its data is bounded
 	do      performer
 
 	mu     sync.Mutex
@@ -73,6 +74,9 @@
 func newDecider(c clock, told opening.Told, do performer) *decider {
 	told.Opening.PositionZero = 0
 	d := &decider{clock: c, opTypes: told.OpTypes, do: do, ops: map[string]*op{}, groups: map[int64]bool{}}
+	for _, t := range told.Opening.OpTypes {
+		d.bounded = append(d.bounded, t.Need == logic.Bounded)
+	}
 	d.step(logic.Event{Kind: logic.EvOpen, Opening: told.Opening})
 	return d
 }
@@ -148,6 +152,9 @@
 	return i, ok && d.groups[group]
 }
 
+// ages says whether what an op's sends are decided on grows too old.
+func (d *decider) ages(o *op) bool { return d.bounded[o.opType] }
+
 // take puts a new op before the module, under an id of the driver's own: what clients write may repeat.
 func (d *decider) take(o *op) {
 	d.mu.Lock()
@@ -190,14 +197,14 @@
 }
 
 // next gives what has been decided for an op since the last call, and the answer if one has come.
-func (d *decider) next(o *op) (actions []logic.Action, rows []byte) {
+func (d *decider) next(o *op) (orders []order, rows []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	actions, o.todo = o.todo, nil
+	orders, o.todo = o.todo, nil
 	if o.final {
 		delete(d.ops, o.id)
 	}
-	return actions, o.rows
+	return orders, o.rows
 }
 
 // finite reads a figure that a member or client wrote; 0 where it is none.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -242,7 +242,7 @@
 	})
 }
 
-func (v *Service) note(text string) { v.log.Printf("event=decided %s", text) }
+func (v *Service) note(text string) { v.log.Printf("event=decided text=%q", text) }
 
 func (v *Service) tellPeers(data []byte) { v.peers.tell(data) }
 
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -254,6 +254,7 @@
 	member    string
 	statement *pgwire.Statement // nil for a probe
 	deadline  time.Time
+	writeBy   time.Time // when what it was decided on is too old; zero where that does not age
 	ctx       context.Context
 	stop      context.CancelFunc
 
@@ -383,6 +384,7 @@
 // write sends the request, unless that has been forbidden. Without an error its last byte is written.
 func (x *send) write(l *link) (begun bool, err error) {
 	x.mu.Lock()
+	x.barred = x.barred || !x.writeBy.IsZero() && time.Now().After(x.writeBy)
 	if x.barred || x.ctx.Err() != nil {
 		x.mu.Unlock()
 		return false, os.ErrDeadlineExceeded
--- a/internal/driver/op.go
+++ b/internal/driver/op.go
@@ -12,23 +12,33 @@
 	"weirwind/logic"
 )
 
+// slack is how much longer the limits of the rules are on sockets. A send whose data may be only so old goes out
+// within it or, held up by a slow connect or a pause of the machine, not at all: the module then decides anew.
+const slack = 50 * time.Millisecond
+
 type op struct {
 	id        string
 	opType    int
 	statement pgwire.Statement
 
-	todo  []logic.Action // decided and not yet done; under the decider's lock, as are final and rows
-	final bool           // its answer is settled, or its client has left
-	rows  []byte         // the good answer, as the member gave it
+	todo  []order // decided and not yet done; under the decider's lock, as are final and rows
+	final bool    // its answer is settled, or its client has left
+	rows  []byte  // the good answer, as the member gave it
 	wake  chan struct{}
 }
 
+// order is an action of the module for an op, and when it was decided.
+type order struct {
+	logic.Action
+	at time.Time
+}
+
 func newOp(opType int, s pgwire.Statement) *op {
 	return &op{opType: opType, statement: s, wake: make(chan struct{}, 1)}
 }
 
 func (o *op) push(a logic.Action) {
-	o.todo = append(o.todo, a)
+	o.todo = append(o.todo, order{a, time.Now()})
 	o.awake()
 }
 
@@ -53,13 +63,15 @@
 			v.decide.left(o)
 			left = true
 		}
-		actions, rows := v.decide.next(o)
+		orders, rows := v.decide.next(o)
 		var answer []byte
-		for _, a := range actions {
+		for _, a := range orders {
 			switch a.Kind {
 			case logic.ActSend:
-				s := v.members.send(a.Member, &o.statement, duration(a.Wait))
-				n := len(sends)
+				s, n := v.members.send(a.Member, &o.statement, duration(a.Wait)), len(sends)
+				if v.decide.ages(o) {
+					s.writeBy = a.at.Add(slack)
+				}
 				sends = append(sends, s)
 				v.group.Go(func() error {
 					v.decide.answered(o, n, s.run())
