--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -272,7 +272,7 @@
 	s.limits["sockets"] = 80
 	p := s.start(t)
 	var in []*client
-	for range 24 {
+	for range 28 {
 		in = append(in, p.connect())
 	}
 	for range 40 {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -26,7 +26,7 @@
 
 const (
 	spareSockets = 32   // of the limit: listener, peers, discovery, log, poller, connections being turned away
-	clientShare  = 0.5  // of the sockets, at most; members have the rest
+	clientShare  = 0.6  // of the sockets: ops that are held need a client's and no member's
 	memoryShare  = 0.75 // of the limit: from there on the collector works harder
 	bytesShare   = 0.25 // of the limit, for big messages from clients
 	watchWait    = 20 * time.Second
