--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -362,14 +362,15 @@
 	s := newSite(t, newMember(t, "m", serves("writer")))
 	good, _ := json.Marshal(s.config)
 	for old, bad := range map[string]string{
-		string(good):             "{",
-		`"8c1f30d27a5be964"`:     `"x"`,
-		`"listen":"127.0.0.1:0"`: `"listen":"nowhere"`,
-		`"sockets":1024`:         `"sockets":1`,
-		`"eventual"`:             `"odd"`,
-		`"complete":true`:        `"complete":7`,
-		`"name":"n0"`:            `"peer_listen":"x","peers_all":"y"`,
-		`"discovery":`:           `"elsewhere":`,
+		string(good):               "{",
+		`"8c1f30d27a5be964"`:       `"x"`,
+		`"listen":"127.0.0.1:0"`:   `"listen":"nowhere"`,
+		`"sockets":1024`:           `"sockets":1`,
+		`"connect_timeout":100000`: `"connect_timeout":0`,
+		`"eventual"`:               `"odd"`,
+		`"complete":true`:          `"complete":7`,
+		`"name":"n0"`:              `"peer_listen":"x","peers_all":"y"`,
+		`"discovery":`:             `"elsewhere":`,
 	} {
 		p := launch(t, strings.Replace(string(good), old, bad, 1))
 		line := next(t, p.lines)
@@ -404,9 +405,11 @@
 		t.Errorf("asked %q", got)
 	}
 	reads(a)
-	s.changes <- "" // 503
-	next(t, s.asked)
-	reads(a)
+	for _, bad := range []string{"", "{}", strings.Replace(s.list(43, true, ""), `"up"`, `"odd"`, 1)} { // first a 503
+		s.changes <- bad
+		next(t, s.asked)
+		reads(a)
+	}
 	s.changes <- s.list(7, false, "b=up") // went back: the whole list is asked for
 	if got := next(t, s.asked); got != "/discovery/hosts" {
 		t.Errorf("asked %q", got)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -32,6 +32,7 @@
 	watchWait    = 20 * time.Second
 	callTime     = 2500 * time.Millisecond // beyond the wait: discovery itself gives up sooner
 	probesAtOnce = 64
+	logTime      = time.Second // for the last lines of the log
 )
 
 // Assignment is what a driver is told at its start.
@@ -87,6 +88,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %v", err)
 	}
+	if told.ConnectTimeout <= 0 || told.ConnIdle <= 0 {
+		return nil, errors.New("configuration: settings lack connect_timeout or conn_idle")
+	}
 	known, err := discovery.Parse(a.Known)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: known %v", err)
@@ -161,7 +165,10 @@
 	back.Wait()
 	v.log.Printf("event=stopped%s", &v.count)
 	stopLog()
-	<-logged
+	select {
+	case <-logged:
+	case <-time.After(logTime): // nobody reads it
+	}
 	return err
 }
 
