An op's value is never read as a load report; one home for what stood twice

Read, not seen on the bench: read in members.go scanned the value of every op for a load report, as a probe's row is one. That is work on the path of every op, up to 64 KiB, and a stored value such as x0=2,x1=1 would have passed for the member's word of its role and position. Now only a note and a probe's row are read so; a case with such a value is in the test of members' answers, and the case of the probe keeps what it asserted.

No change of behaviour beside that: the size of a message between drivers is named once, in opening; AppendQuery writes its head by QueryHead; finite moves to where it is used; a code that nothing used goes.

--- a/internal/driver/decide.go
+++ b/internal/driver/decide.go
@@ -5,7 +5,6 @@
 // under the lock, and never choose anything itself.
 
 import (
-	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -206,12 +205,3 @@
 	}
 	return orders, o.rows
 }
-
-// finite reads a figure that a member or client wrote; 0 where it is none.
-func finite(text []byte) float64 {
-	f, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-		return 0
-	}
-	return f
-}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -138,6 +138,7 @@
 		"ok":            {[][]byte{rowOf("v"), status("server_role", "writer"), status("commit_clock", "123"), ready}, result{outcome: logic.OK, role: logic.Primary, position: 123}, true},
 		"report":        {[][]byte{status("usage", "x0=1.5,inflight=7,x1=0"), rowOf("v"), ready}, result{outcome: logic.OK, reportRole: logic.Replica, reportPosition: 1500}, true},
 		"probe":         {[][]byte{rowOf("x0=2,x1=1"), ready}, result{outcome: logic.OK, reportRole: logic.Primary, reportPosition: 2000}, true},
+		"value alike":   {[][]byte{rowOf("x0=2,x1=1"), ready}, result{outcome: logic.OK}, true},
 		"spoilt":        {[][]byte{rowOf("v"), status("server_role", "wr"), status("commit_clock", "12x"), status("usage", ",=,x0=NaN,x1"), ready}, result{outcome: logic.OK, reportRole: logic.Replica}, true},
 		"cut note":      {[][]byte{rowOf("v"), frame('S', []byte("server_role")), ready}, result{outcome: logic.OK}, true},
 		"miss":          {[][]byte{fail("25006"), status("server_role", "reader"), ready}, result{outcome: logic.Miss, role: logic.Replica}, true},
@@ -163,7 +164,9 @@
 		} else if ok && !bytes.Contains(all, got.rows) && name != "report" {
 			t.Errorf("%s: %q is not what the member gave", name, got.rows)
 		}
-		got.rows = nil
+		if got.rows = nil; name == "probe" {
+			got.usage(got.value)
+		}
 		if got.outcome != x.want.outcome || got.role != x.want.role || got.position != x.want.position ||
 			got.reportRole != x.want.reportRole || got.reportPosition != x.want.reportPosition {
 			t.Errorf("%s: %+v, want %+v", name, got, x.want)
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -9,8 +9,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +34,7 @@
 	member                   string
 	outcome                  logic.Outcome
 	rows                     []byte // a good answer's messages, as they came
+	value                    []byte // the value in it
 	role, reportRole         logic.Role
 	position, reportPosition float64 // Unix ms; 0 for unknown
 }
@@ -318,7 +321,9 @@
 	defer x.stop()
 	x.m.count.Sends.Add(1)
 	r := x.exchange()
-	r.member = x.member
+	if r.member = x.member; x.statement == nil {
+		r.usage(r.value)
+	}
 	if c := x.m.count.of(r.outcome); c != nil {
 		c.Add(1)
 	}
@@ -415,7 +420,6 @@
 	r.outcome = noOutcome
 	var rows []byte
 	var seen [3]int // RowDescription, DataRow, CommandComplete
-	var row []byte
 	for {
 		before := len(rows)
 		kind, message, err := pgwire.Read(from, rows)
@@ -433,20 +437,17 @@
 		case 'D':
 			rows = message
 			if seen[1]++; seen[1] == 1 {
-				row, _ = pgwire.DataRow(body)
+				r.value, _ = pgwire.DataRow(body)
 			}
 		case 'C':
 			rows = message
 			seen[2]++
-			if seen == [3]int{1, 1, 1} && row != nil {
+			if seen == [3]int{1, 1, 1} && r.value != nil {
 				r.outcome, r.rows = logic.OK, rows
 				answered()
 			} else {
 				r.outcome, r.rows = logic.Fault, nil
 			}
-			if role, position, ok := usage(row); ok {
-				r.reportRole, r.reportPosition = role, position
-			}
 		case 'E':
 			switch pgwire.ErrorCode(body) {
 			case pgwire.CodeReadOnly, pgwire.CodeBehind:
@@ -488,27 +489,34 @@
 	case "commit_clock":
 		r.position = finite(value)
 	case "usage":
-		if role, position, ok := usage(value); ok {
-			r.reportRole, r.reportPosition = role, position
-		}
+		r.usage(value)
 	}
 }
 
-// usage reads a load report: x0 is a position, in seconds, and x1 is 1 from a primary.
-func usage(text []byte) (role logic.Role, position float64, ok bool) {
+// usage reads a load report: x0 is a position, in seconds, and x1 is 1 from a primary. Only a note or a probe's
+// row is one: an op's value is its client's, whatever it looks like.
+func (r *result) usage(text []byte) {
 	for len(text) > 0 {
 		var item []byte
 		item, text, _ = bytes.Cut(text, []byte(","))
 		switch name, value, _ := bytes.Cut(item, []byte("=")); string(name) {
 		case "x0":
-			position, ok = finite(value)*1000, true
+			r.reportPosition = finite(value) * 1000
 		case "x1":
-			if role, ok = logic.Replica, true; finite(value) == 1 {
-				role = logic.Primary
+			if r.reportRole = logic.Replica; finite(value) == 1 {
+				r.reportRole = logic.Primary
 			}
 		}
 	}
-	return role, position, ok
+}
+
+// finite reads a figure that a member wrote; 0 where it is none.
+func finite(text []byte) float64 {
+	f, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0
+	}
+	return f
 }
 
 // of is the counter of an outcome; nil where a good answer needs none.
--- a/internal/driver/peers.go
+++ b/internal/driver/peers.go
@@ -9,11 +9,10 @@
 	"net/netip"
 	"time"
 
+	"weirwind/internal/opening"
 	"weirwind/logic"
 )
 
-const maxDatagram = 256
-
 type peers struct {
 	conn  *net.UDPConn
 	known map[netip.AddrPort]bool // the other drivers
@@ -50,7 +49,7 @@
 
 // tell queues a message to every other driver; one that can't go out soon is lost, as on the network.
 func (p *peers) tell(data []byte) {
-	if p.conn == nil || len(data) > maxDatagram {
+	if p.conn == nil || len(data) > opening.MaxMessage {
 		p.count.MessagesLost.Add(1)
 		return
 	}
@@ -79,7 +78,7 @@
 func (p *peers) read(ctx context.Context, d *decider) {
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
-	buf := make([]byte, maxDatagram+1)
+	buf := make([]byte, opening.MaxMessage+1)
 	for ctx.Err() == nil {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		switch {
@@ -88,7 +87,7 @@
 			case <-ctx.Done():
 			case <-time.After(time.Millisecond):
 			}
-		case n > maxDatagram || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]:
+		case n > opening.MaxMessage || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]:
 			p.count.MessagesBad.Add(1)
 		default:
 			p.count.MessagesIn.Add(1)
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -9,10 +9,10 @@
 	"weirwind/logic"
 )
 
-const (
-	maxMessage = 256  // bytes that one message between drivers may carry
-	usPerMs    = 1000 // the settings count microseconds, the module milliseconds
-)
+// MaxMessage is how many bytes one message between drivers may carry.
+const MaxMessage = 256
+
+const usPerMs = 1000 // the settings count microseconds, the module milliseconds
 
 func ms(us float64) float64 { return us / usPerMs }
 
@@ -115,7 +115,7 @@
 		ColdFrom:   s.Rules.ColdFrom, ColdFor: ms(s.Rules.Cold), FallMultiple: s.Rules.TipMultiple,
 		FallSpan:        ms(s.Rules.Fall),
 		OnlyDrainBinds:  s.Rules.OnlyDrainingBind,
-		MaxMessageBytes: maxMessage,
+		MaxMessageBytes: MaxMessage,
 	}
 	if s.Limits.RetryAfter {
 		o.MaxRetryAfter = ms(s.Limits.MaxRetryAfter)
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -26,7 +26,6 @@
 // SQLSTATE codes that a driver gives or understands.
 const (
 	CodeBusy     = "53300" // too_many_connections: trying again is harmless
-	CodeStarting = "57P03" // cannot_connect_now
 	CodeFailed   = "58000" // system_error: no promise about the effect
 	CodeProtocol = "08P01" // protocol_violation
 	CodeUnknown  = "22023" // invalid_parameter_value: an op type or group that nobody listed
@@ -226,8 +225,7 @@
 
 // AppendQuery adds a Query with the given text.
 func AppendQuery(b []byte, s string) []byte {
-	b, at := begin(b, 'Q')
-	return end(appendText(b, s), at)
+	return appendText(QueryHead(b, len(s)), s)
 }
 
 // QueryHead is the head of a Query whose text has n bytes.
