SIGHUP moves the watch to the discovery that the new configuration names

No other suspect: no log line, exit code 128+1. At fault: cmd/weirwind/main.go, which asked for SIGTERM, SIGINT and SIGUSR1 only; driver.go had no way to leave a watch that waits. Now: the signal is taken from the first moment on; the file is read and checked as at the start, one log line says what became of it; a new discovery is asked for a whole list at once; what differs otherwise is named and stays. Test: TestReload.

--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -1,5 +1,6 @@
 // Command weirwind is the driver on sockets. It reads its configuration from the file that PROXY_CONFIG names,
-// serves until SIGTERM, and puts its counters into the log on SIGUSR1 and at its end.
+// serves until SIGTERM, reads its configuration again on SIGHUP, and puts its counters into the log on SIGUSR1 and
+// at its end.
 package main
 
 import (
@@ -21,6 +22,8 @@
 }
 
 func run() error {
+	asked := make(chan os.Signal, 8) // from the first moment on: by default SIGHUP and SIGUSR1 end a process
+	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	path := os.Getenv("PROXY_CONFIG")
@@ -35,11 +38,13 @@
 	if err != nil {
 		return err
 	}
-	report := make(chan os.Signal, 1)
-	signal.Notify(report, syscall.SIGUSR1)
 	go func() {
-		for range report {
-			service.Report()
+		for s := range asked {
+			if s == syscall.SIGUSR1 {
+				service.Report()
+			} else {
+				service.Reload(os.ReadFile(path))
+			}
 		}
 	}()
 	return service.Run(ctx, os.Stderr)
--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -423,6 +423,66 @@
 	reads(a)
 }
 
+// On SIGHUP the watch leaves the old discovery at once, though it waits there, and asks the new one for a whole
+// list, whatever its revision; what the same file or a bad one says disturbs nothing, and no op notices. SIGHUP
+// and SIGTERM may come together.
+func TestReload(t *testing.T) {
+	release := make(chan struct{})
+	a := newMember(t, "a", func(q string) []byte {
+		if strings.HasPrefix(q, "INSERT") {
+			<-release
+		}
+		return row("v:"+q[:6], "writer")
+	})
+	b := newMember(t, "b", serves("reader"))
+	s := newSite(t, a, b)
+	p := s.start(t)
+	c, open := p.connect(), p.connect()
+	open.Write(pgwire.AppendQuery(nil, write(20000)))
+	next(t, a.queries)
+	next(t, s.asked) // and no answer comes
+	good, _ := json.Marshal(s.config)
+	for _, bad := range []string{"", "{", string(good[:len(good)/2]), strings.Replace(string(good), s.config["discovery"].(string), "x", 1)} {
+		if line := p.reload(bad); field(line, "event") != "reload_failed" {
+			t.Error(line)
+		}
+	}
+	for _, revision := range []int{7, 8, 3} {
+		s = newSite(t, a, b)
+		s.limits["sockets"] = 500
+		text, _ := json.Marshal(s.config)
+		if line := p.reload(string(text)); field(line, "event") != "reloaded" || field(line, "kept") != `"limits"` {
+			t.Error(line)
+		}
+		if got := next(t, s.asked); got != "/discovery/hosts" {
+			t.Errorf("asked %q", got)
+		}
+		s.changes <- s.list(revision, true, "b=draining")
+		watch := fmt.Sprintf("/discovery/hosts?since=%d&timeout_ms=20000", revision)
+		if got := next(t, s.asked); got != watch {
+			t.Errorf("asked %q, want %q", got, watch)
+		}
+		c.ask(read(900))
+		next(t, a.queries)
+		p.reload(string(text))
+		s.changes <- s.list(revision+1, false, "b=up")
+		if got := next(t, s.asked); got != strings.Replace(watch, strconv.Itoa(revision), strconv.Itoa(revision+1), 1) {
+			t.Errorf("the same discovery named again: asked %q", got)
+		}
+		c.ask(read(900))
+		next(t, b.queries)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.await("event=stopping")
+	close(release)
+	kinds, said := open.hear()
+	want(t, kinds, said, acked, "v:INSERT")
+	if err := next(t, p.exited); err != nil {
+		t.Error(err)
+	}
+}
+
 // Peers tell each other of members; what is too long, malformed or from a stranger changes nothing.
 func TestPeers(t *testing.T) {
 	m := newMember(t, "m", serves("writer"))
--- a/cmd/weirwind/standin_test.go
+++ b/cmd/weirwind/standin_test.go
@@ -198,6 +198,7 @@
 	t       *testing.T
 	cmd     *exec.Cmd
 	address string
+	path    string // of its configuration
 	lines   chan string
 	exited  chan error
 }
@@ -219,7 +220,7 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &program{t: t, cmd: exec.Command(os.Args[0]), lines: make(chan string, 100000), exited: make(chan error, 1)}
+	p := &program{t: t, path: path, cmd: exec.Command(os.Args[0]), lines: make(chan string, 100000), exited: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
@@ -258,6 +259,17 @@
 	}
 }
 
+// reload replaces the configuration, by nothing where the text is empty, and gives the line that tells of it.
+func (p *program) reload(text string) string {
+	p.t.Helper()
+	os.Remove(p.path)
+	if text != "" {
+		os.WriteFile(p.path, []byte(text), 0o600)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	return p.await("event=reload")
+}
+
 // counters asks for the counters and gives them.
 func (p *program) counters() string {
 	p.cmd.Process.Signal(syscall.SIGUSR1)
--- a/internal/driver/counters.go
+++ b/internal/driver/counters.go
@@ -21,7 +21,8 @@
 	Missed, Faulted, Full, NoConnection, Reset         atomic.Int64
 	TimedOut, Cancelled, Unsent, Probes                atomic.Int64
 	MessagesIn, MessagesOut, MessagesBad, MessagesLost atomic.Int64
-	Lists, ListsFailed, LogLost                        atomic.Int64
+	Lists, ListsFailed, Reloads, ReloadsFailed         atomic.Int64
+	LogLost                                            atomic.Int64
 }
 
 func (c *counters) String() string {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -1,9 +1,10 @@
 // Package driver is the service: it stands between clients and members on sockets and puts every op before
-// the decision module. This file owns what the driver is told at its start, how its parts are put together
-// and how they end. It must never hold state of ops, members or connections.
+// the decision module. This file owns what the driver is told, at its start and on SIGHUP, how its parts are put
+// together and how they end. It must never hold state of ops, members or connections.
 package driver
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,7 +14,10 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +54,14 @@
 	Told       json.RawMessage `json:"settings"`
 }
 
+// file is a configuration that makes sense, and its values by name as they stand in it.
+type file struct {
+	Assignment
+	told   opening.Told
+	known  discovery.Answer
+	values map[string]json.RawMessage
+}
+
 // Service is one driver.
 type Service struct {
 	log          logger
@@ -70,43 +82,60 @@
 	listener     *net.TCPListener
 	discovery    discovery.Client
 	revision     int64
+	config       file
+
+	moving  sync.Mutex // guards what follows
+	movedTo string     // where discovery is now, until the watch has moved there
+	leave   func()     // ends the call to discovery that is out
 }
 
 type logger = *log.Logger
 
-// New reads an assignment, opens the sockets and the module. The driver serves as soon as Run is called.
-func New(text []byte) (*Service, error) {
-	var a Assignment
-	if err := json.Unmarshal(text, &a); err != nil {
-		return nil, fmt.Errorf("configuration: %v", err)
+func parse(text []byte) (f file, err error) {
+	if err = json.Unmarshal(text, &f.Assignment); err == nil {
+		err = json.Unmarshal(text, &f.values)
 	}
-	seed, err := strconv.ParseUint(a.Seed, 16, 64)
 	if err != nil {
-		return nil, fmt.Errorf("configuration: seed %q is no hexadecimal number", a.Seed)
+		return f, fmt.Errorf("configuration: %v", err)
 	}
-	told, err := opening.Parse(a.Told, seed)
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
-		return nil, fmt.Errorf("configuration: %v", err)
+		return f, fmt.Errorf("configuration: seed %q is no hexadecimal number", f.Seed)
 	}
-	if told.ConnectTimeout <= 0 || told.ConnIdle <= 0 {
-		return nil, errors.New("configuration: settings lack connect_timeout or conn_idle")
+	if f.told, err = opening.Parse(f.Told, seed); err != nil {
+		return f, fmt.Errorf("configuration: %v", err)
 	}
-	known, err := discovery.Parse(a.Known)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: known %v", err)
+	if f.told.ConnectTimeout <= 0 || f.told.ConnIdle <= 0 {
+		return f, errors.New("configuration: settings lack connect_timeout or conn_idle")
+	}
+	if f.known, err = discovery.Parse(f.Known); err != nil {
+		return f, fmt.Errorf("configuration: known %v", err)
+	}
+	if f.Listen == "" {
+		return f, errors.New("configuration: lacks listen")
+	}
+	if _, _, err = net.SplitHostPort(f.Discovery); err != nil {
+		return f, fmt.Errorf("configuration: discovery: %v", err)
 	}
-	if a.Listen == "" || a.Discovery == "" {
-		return nil, errors.New("configuration: lacks listen or discovery")
+	if f.Limits.Sockets < 2*spareSockets || f.Limits.MemoryMB < 16 {
+		return f, fmt.Errorf("configuration: limits of %d sockets and %g MB are too low", f.Limits.Sockets,
+			f.Limits.MemoryMB)
 	}
-	if a.Limits.Sockets < 2*spareSockets || a.Limits.MemoryMB < 16 {
-		return nil, fmt.Errorf("configuration: limits of %d sockets and %g MB are too low", a.Limits.Sockets,
-			a.Limits.MemoryMB)
+	return f, nil
+}
+
+// New reads an assignment, opens the sockets and the module. The driver serves as soon as Run is called.
+func New(text []byte) (*Service, error) {
+	a, err := parse(text)
+	if err != nil {
+		return nil, err
 	}
+	told, known := a.told, a.known
 	debug.SetMemoryLimit(int64(a.Limits.MemoryMB * memoryShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, min(int(a.Limits.Cores+0.5), runtime.NumCPU())))
 
 	v := &Service{watching: make(chan struct{}, 1), turnAway: make(chan struct{}, turnAways),
-		closing: make(chan struct{}), revision: known.Revision,
+		closing: make(chan struct{}), revision: known.Revision, config: a,
 		discovery: discovery.Client{Address: a.Discovery, Timeout: callTime}}
 	v.log, v.lines = newLog(&v.count.LogLost)
 	sockets := a.Limits.Sockets - spareSockets
@@ -119,7 +148,7 @@
 	if told.Opening.ReportsByProbe {
 		v.members.probeQuery = "SHOW usage"
 	}
-	if v.peers, err = newPeers(&a, told.Index, &v.count); err != nil {
+	if v.peers, err = newPeers(&a.Assignment, told.Index, &v.count); err != nil {
 		return nil, fmt.Errorf("configuration: peers: %v", err)
 	}
 	v.decide = newDecider(newClock(time.Now), told, v)
@@ -190,8 +219,68 @@
 	v.decide.list(kind, a.Members)
 }
 
+// Reload takes up a configuration that has replaced the one in use. Of its values only the address of discovery
+// is one that a running driver changes; a file that makes no sense changes nothing.
+func (v *Service) Reload(text []byte, err error) {
+	var f file
+	if err == nil {
+		f, err = parse(text)
+	}
+	if err != nil {
+		v.count.ReloadsFailed.Add(1)
+		v.log.Printf("event=reload_failed error=%q", err)
+		return
+	}
+	v.count.Reloads.Add(1)
+	v.moving.Lock()
+	from, kept := v.config.Discovery, v.config.differs(f)
+	if v.config.Discovery = f.Discovery; from != f.Discovery {
+		if v.movedTo = f.Discovery; v.leave != nil {
+			v.leave()
+		}
+		v.askList()
+	}
+	v.moving.Unlock()
+	v.log.Printf("event=reloaded discovery=%s before=%s kept=%q", f.Discovery, from, strings.Join(kept, ","))
+}
+
+// differs names the values that another file has otherwise and that stay as they were up to a restart.
+func (f *file) differs(other file) (names []string) {
+	for name, value := range other.values {
+		switch name {
+		case "discovery", "known", "seed": // the list is discovery's to tell, and the seed is new with each start
+		default:
+			if !bytes.Equal(value, f.values[name]) {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// move makes discovery's calls go to where it has moved, and leave end the call that is to come.
+func (v *Service) move(leave func()) (moved bool) {
+	v.moving.Lock()
+	defer v.moving.Unlock()
+	if v.leave = leave; v.movedTo == "" {
+		return false
+	}
+	v.discovery.Close()
+	v.discovery.Address, v.movedTo = v.movedTo, ""
+	return true
+}
+
+// moves says whether the call that is out has become moot.
+func (v *Service) moves() bool {
+	v.moving.Lock()
+	defer v.moving.Unlock()
+	return v.movedTo != ""
+}
+
 // watch keeps one watch going from each time that the module asks for one until it fails. The next call follows
-// an answer at once, so that nothing is missed in between.
+// an answer at once, so that nothing is missed in between. Where discovery has moved, the old watch is left
+// at once, even while it waits, and the new one starts with a whole list, whatever its revision.
 func (v *Service) watch(ctx context.Context) {
 	defer v.discovery.Close()
 	whole := false // a list is wanted that does not build on the one held
@@ -202,16 +291,22 @@
 		case <-v.watching:
 		}
 		for {
+			call, leave := context.WithCancel(ctx)
+			whole = v.move(leave) || whole
 			var a discovery.Answer
 			var err error
 			if whole {
-				a, err = v.discovery.List(ctx)
+				a, err = v.discovery.List(call)
 			} else {
-				a, err = v.discovery.Watch(ctx, v.revision, watchWait)
+				a, err = v.discovery.Watch(call, v.revision, watchWait)
 			}
+			leave()
 			if ctx.Err() != nil {
 				return
 			}
+			if err != nil && v.moves() {
+				continue
+			}
 			if err != nil {
 				v.count.ListsFailed.Add(1)
 				v.log.Printf("event=list_failed error=%q", err)
