Idle and silent clients make room; nothing waits in accept; removed members are forgotten

Cleared: members (errors, full replies, times the same from first to last window), memory (7 of 48 MB), CPU (0.13 of a core). 1250 clients asked once and stayed: they fill the budget of 134 connections. At fault: clients.go admit, which knew only full or not, and accept waited there for the slow closing of those turned away; startup and half messages had 10 s or no limit. Now: where the budget is full, the longest idle (2 s, no op open, no byte unread) or unfinished startup (100 ms) leaves; who never asks or stops half-way is closed after 2.5 s; more than 16 commands waiting in a row are refused; accept never waits. Also covers: floods of silent connections. Could harm: clients that pause longer than 2 s where sockets are few.

--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -1,8 +1,8 @@
 package driver
 
-// This file owns the listener and the connections of clients: who is let in, the order of answers on a
-// connection, and how it ends. It must never read an op that it can't answer, answer out of order, or let one
-// connection's bad input touch another.
+// This file owns the listener and the connections of clients: who is let in, who makes room, the order of answers
+// on a connection, and how it ends. It must never read an op that it can't answer, answer out of order, let one
+// connection's bad input touch another, or wait for anybody where connections are accepted.
 
 import (
 	"bufio"
@@ -12,6 +12,8 @@
 	"io"
 	"net"
 	"os"
+	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,14 +23,18 @@
 
 const (
 	clientBuffer = 2048
-	startupTime  = 10 * time.Second
-	bodyTime     = 10 * time.Second       // for the body of a big message
-	writeTime    = 10 * time.Second       // for a client to take an answer
-	lingerTime   = 500 * time.Millisecond // for a client to see the last answer before the connection is closed
-	bigMessage   = 8 << 10                // bytes from which a message counts toward the budget of bytes
-	turnAways    = 16                     // connections over the budget that are being told so
-	acceptAfter  = 500 * time.Millisecond // how long new connections are taken after SIGTERM
-	acceptQuiet  = 50 * time.Millisecond  // and none may have come for so long
+	spokenTime   = 2500 * time.Millisecond // for a first query, and from the first byte of a message to its last
+	silentTime   = 100 * time.Millisecond  // who has not finished its startup by then may have to make room
+	idleTime     = 2 * time.Second         // as who has had no op open for so long
+	writeTime    = 2500 * time.Millisecond // for a client to take an answer
+	lingerTime   = 500 * time.Millisecond  // for a client to see the last answer before the connection is closed
+	drainMost    = 1 << 20                 // bytes that are read away meanwhile
+	pipelined    = 16                      // messages that may wait for those before them
+	bigMessage   = 8 << 10                 // bytes from which a message counts toward the budget of bytes
+	leavers      = 12                      // connections beside the budget that make room
+	turnAways    = 8                       // and that are being told that there is none
+	acceptAfter  = 500 * time.Millisecond  // how long new connections are taken after SIGTERM
+	acceptQuiet  = 50 * time.Millisecond   // and none may have come for so long
 )
 
 // message is what the reader of a connection hands on: a message, or why framing is lost.
@@ -37,19 +43,92 @@
 	body   []byte
 	weight int64 // taken from the budget of bytes
 	full   bool  // there was no room for its body
+	over   bool  // too many came at once
 	err    error
 }
 
 type client struct {
 	v        *Service
 	conn     *net.TCPConn
+	raw      syscall.RawConn
 	r        *bufio.Reader
+	opened   time.Time
 	messages chan message
 	gone     chan struct{} // closed when the client has left; why says how
 	why      string
 	done     chan struct{} // closed when this side is through
 	ops      int
+	ahead    int  // the reader's: messages in a row that came before the answer to the one before
 	skipping bool // until Sync, after a message of the extended protocol
+
+	// under the clients' lock
+	open   int       // messages begun and not yet answered; the startup is one
+	since  time.Time // the last change of that
+	spoken bool      // its startup is over
+	leaves bool      // it makes room
+}
+
+// clients are the connections that are let in.
+type clients struct {
+	mu  sync.Mutex
+	all map[*client]bool
+}
+
+// begins notes that a client has begun a message; false where it has had to make room.
+func (c *client) begins() bool {
+	c.v.clients.mu.Lock()
+	defer c.v.clients.mu.Unlock()
+	c.open++
+	c.since = time.Now()
+	return !c.leaves
+}
+
+// ends notes that n messages are through; false where it has had to make room.
+func (c *client) ends(n int) bool {
+	c.v.clients.mu.Lock()
+	defer c.v.clients.mu.Unlock()
+	c.open -= n
+	c.since, c.spoken = time.Now(), true
+	return !c.leaves
+}
+
+// makeRoom asks the connection to leave that has been of no use for the longest: its startup does not come, or no op has
+// been open on it for long and no byte of one has come. Clients that ask once and stay, or connect and say
+// nothing, must not keep out those with ops. It could harm clients that pause a little longer than idleTime
+// where sockets are few: they connect anew.
+func (v *Service) makeRoom() bool {
+	v.clients.mu.Lock()
+	defer v.clients.mu.Unlock()
+	var from *client
+	now := time.Now()
+	for c := range v.clients.all {
+		if limit := c.limit(); !c.leaves && limit > 0 && now.Sub(c.since) > limit &&
+			(from == nil || c.since.Before(from.since)) && unread(c.raw) == 0 {
+			from = c
+		}
+	}
+	if from == nil {
+		return false
+	}
+	select {
+	case v.leaving <- struct{}{}:
+	default:
+		return false
+	}
+	from.leaves = true
+	from.conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// limit is how long a client may stay as it is before it has to make room; 0 for as long as it likes.
+func (c *client) limit() time.Duration {
+	switch {
+	case !c.spoken:
+		return silentTime
+	case c.open == 0:
+		return idleTime
+	}
+	return 0
 }
 
 // accept serves connections until the context ends and no more come.
@@ -84,28 +163,28 @@
 	return b
 }
 
+// admit lets a client in: while there is room, or in place of one that makes room. It never waits: of those that
+// find none so many at a time are told so, the others are closed as they come.
 func (v *Service) admit(conn *net.TCPConn) {
-	if !v.clientBudget.take(1) {
-		v.count.ClientsTurnedAway.Add(1)
-		v.turnAway <- struct{}{}
-		v.group.Go(func() error {
-			conn.SetDeadline(time.Now().Add(lingerTime))
-			conn.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeBusy, "too many connections", ""))
-			conn.CloseWrite()
-			io.Copy(io.Discard, conn)
-			conn.Close()
-			v.log.Printf("event=client_closed client=%s reason=too_many ops=0", conn.RemoteAddr())
-			<-v.turnAway
-			return nil
-		})
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		conn.Close()
+		return
+	}
+	c := &client{v: v, conn: conn, raw: raw, opened: time.Now(), messages: make(chan message, 1),
+		gone: make(chan struct{}), done: make(chan struct{})}
+	c.since = c.opened
+	if !v.clientBudget.take(1) && !v.makeRoom() {
+		v.tellFull(c)
 		return
 	}
 	v.count.Clients.Add(1)
 	v.count.ClientsOpen.Add(1)
-	c := &client{v: v, conn: conn, r: bufio.NewReaderSize(conn, clientBuffer), messages: make(chan message, 1),
-		gone: make(chan struct{}), done: make(chan struct{})}
+	c.r = bufio.NewReaderSize(conn, clientBuffer)
+	v.clients.mu.Lock()
+	v.clients.all[c] = true
+	v.clients.mu.Unlock()
 	v.group.Go(func() error {
-		opened := time.Now()
 		var reader errgroup.Group
 		why := c.serve(&reader)
 		close(c.done)
@@ -113,19 +192,54 @@
 		conn.SetReadDeadline(time.Now().Add(lingerTime))
 		reader.Wait()
 		conn.Close()
+		v.clients.mu.Lock()
+		if delete(v.clients.all, c); c.leaves { // another has its place
+			<-v.leaving
+		} else {
+			v.clientBudget.give(1)
+		}
+		v.clients.mu.Unlock()
+		v.count.ClientsOpen.Add(-1)
+		c.logEnd(why)
 		select {
 		case m := <-c.messages:
 			v.bytes.give(m.weight)
 		default:
 		}
-		v.clientBudget.give(1)
-		v.count.ClientsOpen.Add(-1)
-		v.log.Printf("event=client_closed client=%s reason=%s ops=%d age_ms=%d", conn.RemoteAddr(), why, c.ops,
-			time.Since(opened).Milliseconds())
 		return nil
 	})
 }
 
+// tellFull says that there is no room, to so many at a time; the others are closed as they come.
+func (v *Service) tellFull(c *client) {
+	v.count.ClientsTurnedAway.Add(1)
+	select {
+	case v.turnAway <- struct{}{}:
+	default:
+		c.conn.Close()
+		c.logEnd("too_many")
+		return
+	}
+	v.group.Go(func() error {
+		c.conn.SetDeadline(time.Now().Add(lingerTime / 5))
+		c.conn.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeBusy, "too many connections", ""))
+		c.conn.CloseWrite()
+		c.drain()
+		c.conn.Close()
+		c.logEnd("too_many")
+		<-v.turnAway
+		return nil
+	})
+}
+
+func (c *client) logEnd(why string) {
+	c.v.log.Printf("event=client_closed client=%s reason=%s ops=%d age_ms=%d", c.conn.RemoteAddr(), why, c.ops,
+		time.Since(c.opened).Milliseconds())
+}
+
+// drain reads away what a client still sends, so that it sees the last answer; not without end.
+func (c *client) drain() { io.CopyN(io.Discard, c.conn, drainMost) }
+
 // serve lets a client in and answers what it sends, one after the other. It returns the reason for the end.
 func (c *client) serve(reader *errgroup.Group) string {
 	if why := c.startup(); why != "" {
@@ -155,7 +269,7 @@
 		if why == "" && answer != nil {
 			why = c.write(answer)
 		}
-		if why == "" && c.v.stopping() && m.kind == 'Q' {
+		if c.ends(1); why == "" && c.v.stopping() && m.kind == 'Q' {
 			why = "shutdown"
 		}
 		if why != "" {
@@ -166,7 +280,7 @@
 
 // startup answers requests for encryption by No and welcomes anybody.
 func (c *client) startup() string {
-	c.conn.SetDeadline(time.Now().Add(startupTime))
+	c.conn.SetDeadline(c.opened.Add(spokenTime))
 	for range 3 {
 		kind, minor, err := pgwire.ReadStartup(c.r)
 		switch {
@@ -185,7 +299,10 @@
 			continue
 		}
 		why := c.write(pgwire.AppendWelcome(nil, minor))
-		c.conn.SetReadDeadline(time.Time{})
+		c.conn.SetReadDeadline(c.opened.Add(spokenTime)) // up to the first byte of a query
+		if !c.ends(0) {
+			why = "made_room"
+		}
 		return why
 	}
 	return "no_startup"
@@ -193,37 +310,67 @@
 
 // read hands on messages until the client leaves or framing is lost, and keeps watching while one is served.
 func (c *client) read() {
-	for {
-		m, err := c.next()
+	for first := true; ; first = false {
+		if c.r.Buffered() > 0 || unread(c.raw) > 0 {
+			c.ahead++
+		} else {
+			c.ahead = 0
+		}
+		_, err := c.r.Peek(1)
+		if !c.begins() {
+			c.leave("made_room")
+			return
+		}
+		if err == nil && first {
+			c.conn.SetReadDeadline(time.Time{})
+		}
+		var m message
+		why := "silent"
+		if err == nil {
+			why = "unfinished"
+			m, err = c.next()
+		}
 		switch {
 		case errors.Is(err, pgwire.ErrFraming):
 			c.hand(message{err: err})
-			io.Copy(io.Discard, c.conn) // until the client has seen why
+			c.drain() // until the client has seen why
 			return
-		case err != nil || m.kind == 'X':
-			if c.why = "left"; m.kind == 'X' {
-				c.why = "terminate"
-			}
-			close(c.gone)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.leave(why)
+			return
+		case err != nil:
+			c.leave("left")
+			return
+		case m.kind == 'X':
+			c.leave("terminate")
 			return
 		}
+		m.over = c.ahead > pipelined
 		if !c.hand(m) {
 			c.v.bytes.give(m.weight)
-			io.Copy(io.Discard, c.conn)
+			c.drain()
 			return
 		}
 	}
 }
 
-// next reads one message. A big one for which the budget of bytes has no room is read away.
+func (c *client) leave(why string) {
+	c.why = why
+	close(c.gone)
+}
+
+// next reads one message, which must come whole in time. A big one for which the budget of bytes has no room is
+// read away.
 func (c *client) next() (m message, err error) {
+	if head, _ := c.r.Peek(min(c.r.Buffered(), 5)); !pgwire.Whole(head, c.r.Buffered()) {
+		c.conn.SetReadDeadline(time.Now().Add(spokenTime)) // it holds room that others want
+		defer c.conn.SetReadDeadline(time.Time{})
+	}
 	kind, n, err := pgwire.ReadHead(c.r)
 	if m.kind = kind; err != nil {
 		return m, err
 	}
 	if n > bigMessage {
-		c.conn.SetReadDeadline(time.Now().Add(bodyTime)) // it holds room that others want
-		defer c.conn.SetReadDeadline(time.Time{})
 		if !c.v.bytes.take(int64(n)) {
 			m.full = true
 			_, err = c.r.Discard(n)
@@ -261,7 +408,7 @@
 func (c *client) answer(m message) (answer []byte, why string) {
 	switch m.kind {
 	case 'Q':
-		if c.skipping = false; m.full {
+		if c.skipping = false; m.full || m.over {
 			c.v.count.BusyReplied.Add(1)
 			return busy(0), ""
 		}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -74,6 +74,8 @@
 	probing      errgroup.Group
 	clientBudget budget
 	bytes        budget // of big messages from clients
+	clients      clients
+	leaving      chan struct{}
 	turnAway     chan struct{}
 	closing      chan struct{} // closed when no new connection is taken any more
 	stopped      atomic.Pointer[time.Time]
@@ -134,7 +136,8 @@
 	debug.SetMemoryLimit(int64(a.Limits.MemoryMB * memoryShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, min(int(a.Limits.Cores+0.5), runtime.NumCPU())))
 
-	v := &Service{watching: make(chan struct{}, 1), turnAway: make(chan struct{}, turnAways),
+	v := &Service{watching: make(chan struct{}, 1), leaving: make(chan struct{}, leavers),
+		turnAway: make(chan struct{}, turnAways), clients: clients{all: map[*client]bool{}},
 		closing: make(chan struct{}), revision: known.Revision, config: a,
 		discovery: discovery.Client{Address: a.Discovery, Timeout: callTime}}
 	v.log, v.lines = newLog(&v.count.LogLost)
@@ -215,7 +218,7 @@
 
 // apply gives a list, or changes of it, to those who go by it: addresses first, so that sends find them.
 func (v *Service) apply(a discovery.Answer, kind logic.ListKind) {
-	v.members.list(a.Members)
+	v.members.list(a.Members, kind != logic.ListChanges)
 	v.decide.list(kind, a.Members)
 }
 
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"math"
 	"net"
 	"strconv"
@@ -288,3 +289,28 @@
 		t.Error("the unused connection was not kept")
 	}
 }
+
+// A removed member's address is let go some time after it was last wanted, also where a whole list does not name
+// it any more; one that comes back in between stays.
+func TestAddressesOfRemovedMembersAreLetGo(t *testing.T) {
+	m := &members{idleTime: time.Second, count: &counters{}, hosts: map[string]*host{}}
+	up := func(id string) discovery.Entry {
+		return discovery.Entry{ID: id, HostPort: "127.0.0.1:1", Phase: discovery.PhaseUp}
+	}
+	m.list([]discovery.Entry{up("a"), up("b"), up("c"), up("d"), up("e")}, true)
+	m.list([]discovery.Entry{{ID: "b", Phase: discovery.PhaseRemoved}, {ID: "c", Phase: discovery.PhaseRemoved}}, false)
+	m.list([]discovery.Entry{up("a"), up("c"), up("e")}, true)
+	m.list([]discovery.Entry{{ID: "e", Phase: discovery.PhaseRemoved}}, false)
+	for _, h := range m.hosts {
+		if !h.removed.IsZero() {
+			h.removed = h.removed.Add(-forgetTime)
+		}
+	}
+	m.hosts["e"].used = time.Now()
+	done, end := context.WithCancel(context.Background())
+	end()
+	m.reap(done)
+	if len(m.hosts) != 3 || m.hosts["a"] == nil || m.hosts["c"] == nil || m.hosts["e"] == nil {
+		t.Errorf("%d members known: %v", len(m.hosts), m.hosts)
+	}
+}
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -27,6 +27,7 @@
 	user, database = "svc", "main"
 	idleShare      = 0.9 // of the time after which a member closes an idle connection: then this side does
 	linkBuffer     = 4096
+	forgetTime     = time.Minute // from when a removed member's address is not wanted any more
 )
 
 // result is how a send or a probe ended.
@@ -53,7 +54,9 @@
 
 type host struct {
 	address string
-	idle    []*link // the newest last
+	idle    []*link   // the newest last
+	removed time.Time // by the list; zero while it is there
+	used    time.Time // when a connection was last asked for since
 }
 
 // link is one connection to a member.
@@ -68,26 +71,45 @@
 	served    int
 }
 
-// list takes down where members listen; connections to those that are removed are let go.
-func (m *members) list(entries []discovery.Entry) {
+// list takes down where members listen, in a whole list or in changes; connections to those that are removed are
+// let go, and in time the member itself (see reap).
+func (m *members) list(entries []discovery.Entry, whole bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	named := map[*host]bool{}
 	for _, e := range entries {
 		h := m.hosts[e.ID]
+		if e.Phase == discovery.PhaseRemoved {
+			m.remove(h)
+			continue
+		}
 		if h == nil {
 			h = &host{}
 			m.hosts[e.ID] = h
 		}
-		if e.HostPort != "" && e.HostPort != h.address {
+		if e.HostPort != h.address {
 			m.letGo(h, "moved")
 			h.address = e.HostPort
 		}
-		if e.Phase == discovery.PhaseRemoved {
-			m.letGo(h, "removed")
+		named[h], h.removed = true, time.Time{}
+	}
+	if whole {
+		for _, h := range m.hosts {
+			if !named[h] {
+				m.remove(h)
+			}
 		}
 	}
 }
 
+// remove notes that a member has left the list; the caller holds the lock.
+func (m *members) remove(h *host) {
+	if h != nil && h.removed.IsZero() {
+		h.removed = time.Now()
+		m.letGo(h, "removed")
+	}
+}
+
 // letGo closes a member's idle connections; the caller holds the lock.
 func (m *members) letGo(h *host, why string) {
 	for _, l := range h.idle {
@@ -108,7 +130,11 @@
 		case <-tick.C:
 		}
 		m.mu.Lock()
-		for _, h := range m.hosts {
+		for id, h := range m.hosts {
+			if !h.removed.IsZero() && time.Since(h.removed) > forgetTime && time.Since(h.used) > forgetTime {
+				m.letGo(h, "removed")
+				delete(m.hosts, id)
+			}
 			n := 0
 			for n < len(h.idle) && time.Since(h.idle[n].idleSince) > limit {
 				m.count.IdleClosed.Add(1)
@@ -165,16 +191,17 @@
 }
 
 // broken says whether an idle connection has ended or holds bytes that nobody asked for.
-func (l *link) broken() bool {
-	var n int
+func (l *link) broken() bool { return unread(l.raw) != 0 }
+
+// unread says whether bytes wait on a connection: 0 for none, below if it has ended. Another may be reading there.
+func unread(raw syscall.RawConn) (n int) {
 	var err error
-	if l.raw.Read(func(fd uintptr) bool {
+	if raw.Control(func(fd uintptr) {
 		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	}) != nil {
-		return true
+	}) != nil || n <= 0 && err != syscall.EAGAIN {
+		return -1
 	}
-	return n > 0 || err != syscall.EAGAIN
+	return max(n, 0)
 }
 
 // open connects to a member and waits for its welcome. The outcome tells why where there is none.
@@ -182,7 +209,7 @@
 	m.mu.Lock()
 	address := ""
 	if h := m.hosts[member]; h != nil {
-		address = h.address
+		address, h.used = h.address, time.Now()
 	}
 	m.mu.Unlock()
 	if !m.budget.take(1) && !m.spare() {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -82,6 +82,11 @@
 	return head[0], n - 4, nil
 }
 
+// Whole says whether a message that begins with a head lies within the first n bytes.
+func Whole(head []byte, n int) bool {
+	return len(head) == 5 && uint64(binary.BigEndian.Uint32(head[1:])) < uint64(n)
+}
+
 // ReadBody appends the n bytes that follow a head.
 func ReadBody(r *bufio.Reader, buf []byte, n int) ([]byte, error) {
 	for n > 0 { // grown as bytes arrive: a length alone must not cost memory
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -43,13 +43,15 @@
 	return r
 }
 
-// members makes a list event; a name may carry '-' for draining or '+' for started just now at 100 s.
+// members makes a list event; a name may carry '-' for draining, 'x' for gone or '+' for started just now at 100 s.
 func members(kind ListKind, names ...string) Event {
 	ev := Event{Kind: EvMembers, List: kind}
 	for _, n := range names {
 		e := ListEntry{Member: n[:1], Group: 1, Zone: "a", Primary: n[0] == 'p'}
 		if n[len(n)-1] == '-' {
 			e.Phase = Draining
+		} else if len(n) > 1 && n[1] == 'x' {
+			e.Phase = Gone
 		} else if n[len(n)-1] == '+' {
 			e.Started = 100000
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,13 +46,11 @@
 )
 
 type opKind struct {
-	index          int
-	need           Need
-	effect         Effect
-	scope          Scope
-	maxAge, window float64
-	target, value  float64
-	took, best     float64 // smoothed time of good answers; the same at its lowest, rising slowly
+	index                                     int
+	need                                      Need
+	effect                                    Effect
+	scope                                     Scope
+	maxAge, window, target, value, took, best float64 // took: smoothed time of good answers; best: at its lowest
 }
 
 type group struct {
@@ -80,7 +78,7 @@
 	heard, owed, quiet     float64 // last word; usual times unanswered since: of ended sends, with those out
 	errors, late, proven   float64 // smoothed: share of errors, times over the easy, sends out while so
 	over, ease, toldAt     float64 // late, half of all where a replica; the last own; when a driver told of it
-	started, asideAt       float64
+	started, asideAt, left float64 // left: when it went from the list, 0 while it is there
 	backAt, pause, trialAt float64
 	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
 	credit, creditAt       float64 // work that a cold member may still get
@@ -95,40 +93,40 @@
 }
 
 type op struct {
-	id                      string
-	kind                    *opKind
-	group                   *group
-	arrived, until, needPos float64 // its final answer is due by until; needPos: a session read's position
-	luck                    float64 // a member takes it by chance, up to so large a share
-	sends                   []send
-	out                     int // sends that are out
-	held, done              bool
-	failed                  *member // that answered it with an error
-	stalled, missed         bool    // it waited for a primary or a position, not for room; a replica was behind
+	id                          string
+	kind                        *opKind
+	group                       *group
+	arrived, until, needPos     float64 // its final answer is due by until; needPos: a session read's position
+	luck                        float64 // a member takes it by chance, up to so large a share
+	sends                       []send
+	out                         int     // sends that are out
+	failed                      *member // that answered it with an error
+	held, done, stalled, missed bool    // for a primary or a position, not for room; by a replica behind
 }
 
 type Driver struct {
-	now, zero, bound          float64 // bound: the tightest bound on the age of data
-	zone                      string
-	out                       []Action
-	state                     uint64
-	types                     []*opKind
-	members                   map[string]*member
-	byHash                    map[uint32]*member
-	groups                    []*group
-	groupOf                   map[int64]*group
-	ops                       map[string]*op
-	sweepGap, margin, swept   float64
-	checks, roleLate, carried bool
-	reports, cancels, overlap bool
-	drainOnly                 bool
-	spare, advise             float64 // spare: sends beside one that is out that may be made
-	sendCap, tellMost         int
-	coldFrom, coldFor         float64
-	coldPace, coldSpan        float64 // coldPace: multiple of its capacity that a cold member is sent at most
-	tellGap, tellLeast        float64 // all drivers tell of a member so often, 0: never; at the most often
-	words, crowd              float64 // heard in the last second, about; drivers by threes
-	watchAt, watchWait, woke  float64 // woke: when this driver last came back from a pause of its own
+	now, zero, bound        float64 // bound: the tightest bound on the age of data
+	zone                    string
+	out                     []Action
+	state                   uint64
+	types                   []*opKind
+	members                 map[string]*member
+	byHash                  map[uint32]*member
+	groups                  []*group
+	groupOf                 map[int64]*group
+	ops                     map[string]*op
+	sweepGap, margin, swept float64
+
+	checks, roleLate, carried, reports, cancels, overlap, drainOnly bool
+
+	spare, advise     float64 // spare: sends beside one that is out that may be made
+	sendCap, tellMost int
+
+	coldFrom, coldFor, coldPace, coldSpan float64 // coldPace: what a cold one is sent at most, of its capacity
+
+	tellGap, tellLeast       float64 // all drivers tell of a member so often, 0: never; at the most often
+	words, crowd             float64 // heard in the last second, about; drivers by threes
+	watchAt, watchWait, woke float64 // woke: when this driver last came back from a pause of its own
 }
 
 // Step takes what happened at now and returns what is to be done.
@@ -255,7 +253,7 @@
 			d.leave(m, e.Phase)
 			continue
 		}
-		m.draining = false
+		m.draining, m.left = false, 0
 		if e.Started > m.started {
 			d.chill(m, e.Started)
 			if g.slot == m && e.Started > g.seen {
@@ -281,24 +279,34 @@
 
 // leave takes a member out of service: one that drains or is gone gets nothing new from now on.
 func (d *Driver) leave(m *member, p Phase) {
-	if m.draining || p == Gone && d.drainOnly {
-		return // in the second case the list does not establish which members are up
+	if p == Gone && m.left == 0 {
+		m.left = d.now
+	}
+	if !m.draining && (p != Gone || !d.drainOnly) { // else the list does not establish which members are up
+		if m.draining = true; m.group.slot == m {
+			d.empty(m, false, "drains")
+		}
 	}
-	if m.draining = true; m.group.slot == m {
-		d.empty(m, false, "drains")
+}
+
+// forgets lets go of a member that left the list so long ago that no late word of it comes, with nothing out.
+func (d *Driver) forgets(m *member) bool {
+	old := m.left > 0 && d.now-m.left > max(d.coldFor, 5*trialMost)
+	if old = old && m.inFlight == 0 && (m.draining || m.aside) && m.group.slot != m; old {
+		delete(d.members, m.id)
+		delete(d.byHash, m.hash)
 	}
+	return old
 }
 
 func (d *Driver) take(ev *Event) {
 	k, g := d.types[ev.OpType], d.groupAt(ev.Group)
 	o := &op{id: ev.Op, kind: k, group: g, arrived: d.now, needPos: -1, luck: d.chance()}
 	o.until = d.now + max(ev.Left-d.margin, 0)
-	if k.need == Session {
-		if !d.carried {
-			o.needPos = g.commit
-		} else if ev.WroteAgo > 0 {
-			o.needPos = d.now - d.zero - ev.WroteAgo + 1
-		}
+	if k.need == Session && !d.carried {
+		o.needPos = g.commit
+	} else if k.need == Session && ev.WroteAgo > 0 {
+		o.needPos = d.now - d.zero - ev.WroteAgo + 1
 	}
 	d.ops[o.id], g.live = o, append(g.live, o)
 	if d.turnAway(o) {
@@ -366,13 +374,9 @@
 
 // fresh says whether what is known of a member's position covers the op's need, were it sent now.
 func (d *Driver) fresh(o *op, m *member) bool {
-	switch o.kind.need {
-	case Bounded:
-		return d.within(m, o.kind.maxAge)
-	case Session:
-		return o.needPos <= 0 || m.position >= o.needPos
-	}
-	return o.kind.need == Any
+	k := o.kind
+	return k.need == Any || k.need == Bounded && d.within(m, k.maxAge) ||
+		k.need == Session && (o.needPos <= 0 || m.position >= o.needPos)
 }
 
 // replica is the companion rule: among the replicas fresh enough, the one with fewest own sends in flight,
@@ -816,6 +820,7 @@
 
 func (d *Driver) sweep() {
 	for _, g := range d.groups {
+		g.members = slices.DeleteFunc(g.members, d.forgets)
 		d.silence(g)
 		d.search(g)
 		if dt := d.now - d.swept; dt > 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -480,3 +480,26 @@
 		r.want((r.d.warmth(m) < 1) == (out == Reset), fmt.Sprint("cold only after a cut, outcome ", out))
 	}
 }
+
+// Members that are replaced without end leave nothing behind, but not before late news of them has come in: one
+// with a send out stays, and one that comes back is a new one, cold as the list says.
+func TestMembersLongGoneAreForgotten(t *testing.T) {
+	r := start(t, opening())
+	r.op("w", once, 60000)
+	r.step(members(ListChanges, "p-"), members(ListChanges, "px"))
+	for i := range 200 {
+		r.step(members(ListFull, "r", "s", string(rune('A'+i%100))))
+		r.wait(200)
+		r.want(r.d.members["p"] != nil, "a member with a send out still known")
+		if n := len(r.d.members); n > 60 || len(r.d.groups[0].members) != n || len(r.d.byHash) != n {
+			t.Fatalf("%d members known, %d in the group", n, len(r.d.groups[0].members))
+		}
+	}
+	r.answer("w", "p", OK, Primary, r.now)
+	r.wait(10)
+	r.want(r.d.members["p"] == nil, "the member forgotten once its send is over")
+	r.step(members(ListFull, "r", "s", "p+"))
+	r.now += 5
+	r.step(Event{Kind: EvProbed, Member: "p", Outcome: OK, Report: Sight{Primary, r.now}})
+	r.want(r.op("v", once, 900) == "p" && r.d.members["p"].started == 100000, "the member that came back, with its start")
+}
