Answers and statements of exact form only; one id, one open op; one cut connection is not a member's end

At fault: members.go read (any order, any number of rows, no limit after the first byte), usage (x1=x read as a replica); statement.go (hexadecimal, nan or inf for a time); decide.go take (no look at ids); logic.go answer, case Reset. Now: order and form are checked, what differs is a failed send on a dropped connection, a good answer that was whole stays good; an answer must end a connect time after its first byte; a connection idle for 10 ms is taken before one just used, as members close some right after an answer; a second open op of the same id gets an error; two cuts with no answer between them set a member aside.

--- a/internal/driver/decide.go
+++ b/internal/driver/decide.go
@@ -57,6 +57,7 @@
 	mu     sync.Mutex
 	module logic.Driver
 	ops    map[string]*op
+	ids    map[string]bool // of open ops, as their clients wrote them
 	groups map[int64]bool
 	serial uint64
 	closed bool
@@ -72,7 +73,8 @@
 
 func newDecider(c clock, told opening.Told, do performer) *decider {
 	told.Opening.PositionZero = 0
-	d := &decider{clock: c, opTypes: told.OpTypes, do: do, ops: map[string]*op{}, groups: map[int64]bool{}}
+	d := &decider{clock: c, opTypes: told.OpTypes, do: do, ops: map[string]*op{}, ids: map[string]bool{},
+		groups: map[int64]bool{}}
 	for _, t := range told.Opening.OpTypes {
 		d.bounded = append(d.bounded, t.Need == logic.Bounded)
 	}
@@ -154,15 +156,22 @@
 // ages says whether what an op's sends are decided on grows too old.
 func (d *decider) ages(o *op) bool { return d.bounded[o.opType] }
 
-// take puts a new op before the module, under an id of the driver's own: what clients write may repeat.
-func (d *decider) take(o *op) {
+// take puts a new op before the module, under an id of the driver's own; false where the id that its client wrote
+// is that of an op still open, whose sends a member could not tell from its own.
+func (d *decider) take(o *op) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	id := string(o.statement.ID)
+	if d.ids[id] {
+		return false
+	}
+	d.ids[id] = true
 	d.serial++
 	o.id = strconv.FormatUint(d.serial, 36)
 	d.ops[o.id] = o
 	d.stepLocked(logic.Event{Kind: logic.EvOp, Op: o.id, OpType: o.opType, Group: o.statement.Group,
 		Left: o.statement.Timeout, WroteAgo: d.clock.wroteAgo(o.statement.After)})
+	return true
 }
 
 // answered tells the module how a send ended. The first good answer is the op's, if nothing ended it before.
@@ -200,8 +209,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	orders, o.todo = o.todo, nil
-	if o.final {
+	if o.final && d.ops[o.id] != nil {
 		delete(d.ops, o.id)
+		delete(d.ids, string(o.statement.ID))
 	}
 	return orders, o.rows
 }
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -27,7 +28,8 @@
 	user, database = "svc", "main"
 	idleShare      = 0.9 // of the time after which a member closes an idle connection: then this side does
 	linkBuffer     = 4096
-	forgetTime     = time.Minute // from when a removed member's address is not wanted any more
+	settleTime     = 10 * time.Millisecond // after which the end of a connection that a member closed has come
+	forgetTime     = time.Minute           // from when a removed member's address is not wanted any more
 )
 
 // result is how a send or a probe ended.
@@ -156,14 +158,22 @@
 		time.Since(l.opened).Milliseconds())
 }
 
-// kept takes the newest idle connection that is not broken.
+// kept takes the newest idle connection that is not broken, rather one that has settled: members close some right
+// after an answer, and a request that crosses such an end may have run.
 func (m *members) kept(member string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h := m.hosts[member]
 	for h != nil && len(h.idle) > 0 {
-		l := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
+		at := len(h.idle) - 1
+		for i := at; i >= 0; i-- {
+			if time.Since(h.idle[i].idleSince) > settleTime {
+				at = i
+				break
+			}
+		}
+		l := h.idle[at]
+		h.idle = slices.Delete(h.idle, at, at+1)
 		switch {
 		case time.Since(l.idleSince) > m.idleTime:
 			m.count.IdleClosed.Add(1)
@@ -292,6 +302,7 @@
 	mu        sync.Mutex // guards what follows
 	link      *link      // only while it is this send's
 	cancelled bool
+	begun     bool // its answer has
 	barred    bool // nothing may be written any more
 }
 
@@ -333,11 +344,12 @@
 	x.mu.Unlock()
 }
 
-// answered leaves a member that has given its whole answer only the time of a connect for what ends it: the
-// answer must not be lost for that.
-func (x *send) answered() {
+// answers leaves a member that has begun its answer only the time of a connect for the rest: one that does not
+// end is spoilt, and one that is whole but for its end must not be lost for that.
+func (x *send) answers() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.begun = true
 	if limit := time.Now().Add(x.m.connectTime); !x.cancelled && limit.Before(x.deadline) {
 		x.link.SetReadDeadline(limit)
 	}
@@ -381,7 +393,7 @@
 		}
 		return result{outcome: x.unlessEnded(logic.ConnectFailed)}
 	}
-	r, clean, err := read(l.r, x.answered)
+	r, clean, err := read(l.r, x.answers)
 	x.attach(nil)
 	switch {
 	case clean:
@@ -389,7 +401,9 @@
 		x.m.keep(l)
 		return r
 	case r.outcome == noOutcome && errors.Is(err, os.ErrDeadlineExceeded):
-		r.outcome = x.unlessEnded(logic.TimedOut)
+		if r.outcome = x.unlessEnded(logic.TimedOut); r.outcome == logic.TimedOut && x.begun && x.ctx.Err() == nil {
+			r.outcome = logic.Fault
+		}
 		x.m.end(l, word(r.outcome))
 	case r.outcome == noOutcome && errors.Is(err, pgwire.ErrFraming):
 		r.outcome = logic.Fault
@@ -441,60 +455,62 @@
 const noOutcome = logic.Outcome(255)
 
 // read takes one answer up to ReadyForQuery. clean says that the connection can serve again; where it is not,
-// err tells what ended it, and the outcome is the one that had come by then, or noOutcome. answered is called
-// when a good answer is whole.
-func read(from *bufio.Reader, answered func()) (r result, clean bool, err error) {
+// err tells what ended it, and the outcome is the one that had come by then, or noOutcome. What is not exactly
+// of the form is spoilt: it has no outcome, whatever it says, but for a good answer that was whole before.
+// begins is called when the first byte has come.
+func read(from *bufio.Reader, begins func()) (r result, clean bool, err error) {
 	r.outcome = noOutcome
+	if _, err := from.Peek(1); err != nil {
+		return r, false, err
+	}
+	begins()
+	spoilt := func() (result, bool, error) {
+		if r.outcome != logic.OK {
+			r = result{outcome: noOutcome}
+		}
+		return r, false, pgwire.ErrFraming
+	}
 	var rows []byte
-	var seen [3]int // RowDescription, DataRow, CommandComplete
+	var last byte // of the messages that make an answer: T, D, then C or E
 	for {
 		before := len(rows)
 		kind, message, err := pgwire.Read(from, rows)
+		if errors.Is(err, pgwire.ErrFraming) || len(message) > 2*pgwire.MaxMessage { // no answer is so long
+			return spoilt()
+		}
 		if err != nil {
 			return r, false, err
 		}
 		body := pgwire.Body(message[before:])
-		if len(message) > 2*pgwire.MaxMessage {
-			return r, false, pgwire.ErrFraming // no answer is so long
-		}
-		switch kind {
-		case 'T':
-			rows = message
-			seen[0]++
-		case 'D':
-			rows = message
-			if seen[1]++; seen[1] == 1 {
-				r.value, _ = pgwire.DataRow(body)
-			}
-		case 'C':
-			rows = message
-			seen[2]++
-			if seen == [3]int{1, 1, 1} && r.value != nil {
-				r.outcome, r.rows = logic.OK, rows
-				answered()
-			} else {
-				r.outcome, r.rows = logic.Fault, nil
+		switch {
+		case kind == 'T' && last == 0 && pgwire.RowDescription(body):
+			rows, last = message, kind
+		case kind == 'D' && last == 'T':
+			var ok bool
+			if r.value, ok = pgwire.DataRow(body); !ok {
+				return spoilt()
 			}
-		case 'E':
-			switch pgwire.ErrorCode(body) {
-			case pgwire.CodeReadOnly, pgwire.CodeBehind:
+			rows, last = message, kind
+		case kind == 'C' && last == 'D' && len(body) > 0 && body[len(body)-1] == 0:
+			rows, last = message, kind
+			r.outcome, r.rows = logic.OK, rows
+		case kind == 'E' && (last == 0 || last == 'T' || last == 'D'):
+			r.outcome = logic.Fault
+			switch code := pgwire.ErrorCode(body); {
+			case last != 0:
+			case code == pgwire.CodeReadOnly || code == pgwire.CodeBehind:
 				r.outcome = logic.Miss
-			case pgwire.CodeBusy:
+			case code == pgwire.CodeBusy:
 				r.outcome = logic.Full
-			default:
-				r.outcome = logic.Fault
 			}
-			r.rows = nil
-		case 'S':
+			last = kind
+		case kind == 'S':
 			r.note(body)
-		case 'Z':
-			if r.outcome == noOutcome {
-				r.outcome = logic.Fault
-			}
+		case kind == 'Z' && (last == 'C' || last == 'E') && len(body) == 1:
 			return r, true, nil
-		case 'N', 'K', 'R', 'I':
+		case kind == 'N':
 		default:
-			return r, false, pgwire.ErrFraming
+			return spoilt()
 		}
 	}
 }
@@ -520,21 +536,29 @@
 	}
 }
 
-// usage reads a load report: x0 is a position, in seconds, and x1 is 1 from a primary. Only a note or a probe's
-// row is one: an op's value is its client's, whatever it looks like.
+// usage reads a load report: x0 is a position, in seconds, and x1 is 1 from a primary, 0 from a replica. One that
+// can't be read in full tells nothing. Only a note or a probe's row is one: an op's value is its client's,
+// whatever it looks like.
 func (r *result) usage(text []byte) {
+	position, role := 0.0, logic.RoleUnknown
 	for len(text) > 0 {
 		var item []byte
 		item, text, _ = bytes.Cut(text, []byte(","))
-		switch name, value, _ := bytes.Cut(item, []byte("=")); string(name) {
-		case "x0":
-			r.reportPosition = finite(value) * 1000
-		case "x1":
-			if r.reportRole = logic.Replica; finite(value) == 1 {
-				r.reportRole = logic.Primary
-			}
+		name, value, _ := bytes.Cut(item, []byte("="))
+		f, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+			return
+		}
+		switch {
+		case string(name) == "x0":
+			position = f * 1000
+		case string(name) == "x1" && f == 1:
+			role = logic.Primary
+		case string(name) == "x1" && f == 0:
+			role = logic.Replica
 		}
 	}
+	r.reportPosition, r.reportRole = position, role
 }
 
 // finite reads a figure that a member wrote; 0 where it is none.
@@ -554,8 +578,11 @@
 }
 
 func word(o logic.Outcome) string {
-	if o == logic.Cancelled {
+	switch o {
+	case logic.Cancelled:
 		return "cancelled"
+	case logic.Fault:
+		return "garbled"
 	}
 	return "timed_out"
 }
--- a/internal/driver/op.go
+++ b/internal/driver/op.go
@@ -52,8 +52,10 @@
 // perform carries an op through and returns its answer, whole, or nil if the client left. gone is closed when it
 // leaves.
 func (v *Service) perform(o *op, gone <-chan struct{}) []byte {
+	if !v.decide.take(o) {
+		return repeated
+	}
 	v.count.Ops.Add(1)
-	v.decide.take(o)
 	var sends []*send
 	for {
 		left := false
@@ -105,6 +107,8 @@
 	}
 }
 
+var repeated = pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, "an op of this id is open", ""))
+
 var failed = pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed,
 	"the op failed and may have taken effect", ""))
 
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -160,6 +160,15 @@
 	return ""
 }
 
+// RowDescription says whether a row is described that has one column, in binary.
+func RowDescription(body []byte) bool {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return false
+	}
+	_, rest, ok := text(body[2:])
+	return ok && len(rest) == 18 && rest[16] == 0 && rest[17] == 1
+}
+
 // DataRow takes the only column of a row.
 func DataRow(body []byte) ([]byte, bool) {
 	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"unicode/utf8"
 )
 
 // Statement is an op as its client wrote it: one of two forms, and a comment with names and values. Its parts
@@ -33,7 +34,11 @@
 	errComment = errors.New("the comment does not parse")
 )
 
-const maxTimeout = 24 * 3600 * 1000 // a day: more is no time that anybody waits
+const (
+	maxTimeout  = 24 * 3600 * 1000 // a day: more is no time that anybody waits
+	maxPosition = 1e15
+	maxID       = 64
+)
 
 // ParseStatement takes a statement apart in place.
 func ParseStatement(s []byte) (Statement, error) {
@@ -109,13 +114,15 @@
 		which, err := -1, error(nil)
 		switch string(name) {
 		case "id":
-			which, st.ID = 0, value
+			if which, st.ID = 0, value; len(value) > maxID || !utf8.Valid(value) || bytes.ContainsAny(value, " '\"\x00\r\n") {
+				return errComment
+			}
 		case "c":
 			which, st.OpType = 1, value
 		case "d":
 			which = 2
 			st.from, st.to = from, from+len(value)
-			if st.Timeout, err = strconv.ParseFloat(string(value), 64); !(st.Timeout >= 0 && st.Timeout <= maxTimeout) {
+			if st.Timeout, err = number(value); st.Timeout > maxTimeout {
 				return errComment
 			}
 		case "cluster":
@@ -123,7 +130,7 @@
 			st.Group, err = strconv.ParseInt(string(value), 10, 64)
 		case "after":
 			which = 4
-			if st.After, err = strconv.ParseFloat(string(value), 64); !(st.After >= 0 && st.After < 1e15) {
+			if st.After, err = number(value); st.After > maxPosition {
 				return errComment
 			}
 		}
@@ -140,6 +147,16 @@
 	return nil
 }
 
+// number reads a figure of digits and at most one point: what else Go takes for a number is none here.
+func number(b []byte) (float64, error) {
+	for _, c := range b {
+		if (c < '0' || c > '9') && c != '.' {
+			return 0, errComment
+		}
+	}
+	return strconv.ParseFloat(string(b), 64)
+}
+
 // Query is the statement as a Query message whose d says how many milliseconds the driver waits. The text
 // around that figure goes out as it came in.
 func (st *Statement) Query(wait int64) net.Buffers {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,7 +74,7 @@
 	group                  *group
 	draining, listed, far  bool    // listed: the list calls it primary
 	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
-	inFlight               int
+	inFlight, cuts         int     // cuts: connections that broke since it was heard of
 	heard, owed, quiet     float64 // last word; usual times unanswered since: of ended sends, with those out
 	errors, late, proven   float64 // smoothed: share of errors, times over the easy, sends out while so
 	over, ease, toldAt     float64 // late, half of all where a replica; the last own; when a driver told of it
@@ -581,7 +581,7 @@
 	o.out--
 	s.proved = ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot
 	if note := ev.Note; ev.Outcome == OK || ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == Fault {
-		m.heard, m.owed = d.now, 0
+		m.heard, m.owed, m.cuts = d.now, 0, 0
 		if o.kind.need == Write && note.Position > 0 {
 			note.Position-- // commits are rounded up
 		}
@@ -597,7 +597,7 @@
 	case ConnectFailed, Reset:
 		if ev.Outcome == ConnectFailed && d.now-m.heard < 2*max(d.tellGap, o.kind.took) {
 			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
-		} else if s.at >= m.backAt {
+		} else if m.cuts++; s.at >= m.backAt && (m.cuts > 1 || ev.Outcome == ConnectFailed) { // not for one cut
 			d.setAside(m, tellSilent|tellCut, "connection")
 		}
 	case Fault:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -471,6 +471,7 @@
 	for _, out := range []Outcome{Reset, Fault} {
 		r := start(t, opening())
 		m := r.d.members[r.op("a", anyRead, 1200)]
+		m.cuts = 1
 		r.answer("a", m.id, out, RoleUnknown, 0)
 		if out == Fault {
 			r.d.setAside(m, 0, "errors")
@@ -481,6 +482,19 @@
 	}
 }
 
+// A connection that breaks alone is not its member's end: the primary keeps its slot unless another breaks before
+// it answers anything.
+func TestOneBrokenConnectionIsNotTheMembersEnd(t *testing.T) {
+	r := start(t, opening())
+	for i, out := range []Outcome{Reset, OK, Reset, OK, Reset, Reset} {
+		id := fmt.Sprint(i)
+		r.want(r.op(id, once, 1000) == "p", "the write at the primary")
+		r.answer(id, "p", out, Primary, r.now)
+		r.wait(300)
+	}
+	r.want(r.d.members["p"].aside && r.d.groups[0].slot == nil, "the primary set aside after two cuts in a row")
+}
+
 // Members that are replaced without end leave nothing behind, but not before late news of them has come in: one
 // with a send out stays, and one that comes back is a new one, cold as the list says.
 func TestMembersLongGoneAreForgotten(t *testing.T) {
