--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -24,7 +24,7 @@
 const (
 	clientBuffer = 2048
 	spokenTime   = 2500 * time.Millisecond // for a first query, and from the first byte of a message to its last
-	silentTime   = 100 * time.Millisecond  // who has not finished its startup by then may have to make room
+	silentTime   = 30 * time.Millisecond   // who has not sent a byte by then may have to make room
 	idleTime     = 2 * time.Second         // as who has had no op open for so long
 	writeTime    = 2500 * time.Millisecond // for a client to take an answer
 	lingerTime   = 500 * time.Millisecond  // for a client to see the last answer before the connection is closed
@@ -63,8 +63,8 @@
 
 	// under the clients' lock
 	open   int       // messages begun and not yet answered; the startup is one
-	since  time.Time // the last change of that
-	spoken bool      // its startup is over
+	ended  int       // messages that are through
+	since  time.Time // the last change of either
 	leaves bool      // it makes room
 }
 
@@ -88,13 +88,14 @@
 	c.v.clients.mu.Lock()
 	defer c.v.clients.mu.Unlock()
 	c.open -= n
-	c.since, c.spoken = time.Now(), true
+	c.ended += n
+	c.since = time.Now()
 	return !c.leaves
 }
 
-// makeRoom asks the connection to leave that has been of no use for the longest: its startup does not come, or no op has
-// been open on it for long and no byte of one has come. Clients that ask once and stay, or connect and say
-// nothing, must not keep out those with ops. It could harm clients that pause a little longer than idleTime
+// makeRoom asks the connection to leave that is of the least use: no byte has come on it, or it has asked at most
+// once and stays, or else none has been without an op for longer. Clients that ask once and stay, or connect and
+// say nothing, must not keep out those with ops. It could harm clients that pause a little longer than idleTime
 // where sockets are few: they connect anew.
 func (v *Service) makeRoom() bool {
 	v.clients.mu.Lock()
@@ -103,7 +104,7 @@
 	now := time.Now()
 	for c := range v.clients.all {
 		if limit := c.limit(); !c.leaves && limit > 0 && now.Sub(c.since) > limit &&
-			(from == nil || c.since.Before(from.since)) && unread(c.raw) == 0 {
+			(from == nil || c.use() < from.use() || c.use() == from.use() && c.since.Before(from.since)) && unread(c.raw) == 0 {
 			from = c
 		}
 	}
@@ -123,12 +124,23 @@
 // limit is how long a client may stay as it is before it has to make room; 0 for as long as it likes.
 func (c *client) limit() time.Duration {
 	switch {
-	case !c.spoken:
+	case c.open > 0:
+		return 0
+	case c.ended == 0:
 		return silentTime
-	case c.open == 0:
-		return idleTime
 	}
-	return 0
+	return idleTime
+}
+
+// use ranks clients by what has come from them: nothing, a startup and at most one op, more.
+func (c *client) use() int {
+	switch {
+	case c.ended == 0:
+		return 0
+	case c.ended <= 2:
+		return 1
+	}
+	return 2
 }
 
 // accept serves connections until the context ends and no more come.
@@ -281,6 +293,11 @@
 // startup answers requests for encryption by No and welcomes anybody.
 func (c *client) startup() string {
 	c.conn.SetDeadline(c.opened.Add(spokenTime))
+	if _, err := c.r.Peek(1); !c.begins() {
+		return "made_room"
+	} else if err != nil {
+		return "no_startup"
+	}
 	for range 3 {
 		kind, minor, err := pgwire.ReadStartup(c.r)
 		switch {
@@ -300,9 +317,7 @@
 		}
 		why := c.write(pgwire.AppendWelcome(nil, minor))
 		c.conn.SetReadDeadline(c.opened.Add(spokenTime)) // up to the first byte of a query
-		if !c.ends(0) {
-			why = "made_room"
-		}
+		c.ends(1)
 		return why
 	}
 	return "no_startup"
