A member is set aside for broken connections only when nothing of the driver's is out there

Logs: 'set aside: connection' 123 times on two drivers, back with the next answer within 1 to 100 ms; one wrong word sets the other driver's aside too, empties the primary's slot, cuts the window to 4 and, after 250 ms, counts the member as just started, which the budget of rule 4 holds down for its whole warm-up. At fault: logic.go answer (one refused connect or two resets prove a death), welcome and fill (a window cut for a false alarm). Now: a refused connect counts at once only where nothing was heard lately; otherwise three broken or refused in a row, and neither while a send is still out there, as a process that dies breaks all. An alarm of under 250 ms cuts no window. Also covers: connections cut by something between. Could harm: a member that accepts and breaks each connection is noticed after three.

--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -70,6 +70,7 @@
 	address   string
 	opened    time.Time
 	idleSince time.Time
+	rested    time.Duration // before its last request
 	served    int
 }
 
@@ -154,8 +155,8 @@
 	l.Close()
 	m.budget.give(1)
 	m.count.Open.Add(-1)
-	m.log.Printf("event=member_closed member=%s reason=%s served=%d age_ms=%d", l.member, why, l.served,
-		time.Since(l.opened).Milliseconds())
+	m.log.Printf("event=member_closed member=%s reason=%s served=%d age_ms=%d rested_ms=%d", l.member, why, l.served,
+		time.Since(l.opened).Milliseconds(), l.rested.Milliseconds())
 }
 
 // kept takes the newest idle connection that is not broken, rather one that has settled: members close some right
@@ -173,6 +174,7 @@
 			}
 		}
 		l := h.idle[at]
+		l.rested = time.Since(l.idleSince)
 		h.idle = slices.Delete(h.idle, at, at+1)
 		switch {
 		case time.Since(l.idleSince) > m.idleTime:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,6 +14,7 @@
 //  6. word to peers: positions, the primary seen, who answers and how fast, who is silent.
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -29,6 +30,7 @@
 	trialShare, unsentShare = 0.1, 0.5      // chance of a held write's trial a sweep; of its time, held unsent
 	pauseLeast, tellBudget  = 20.0, 30000.0 // sweeps missed: a pause; words a second, by threes of drivers
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
+	cutsLimit               = 3             // connections broken or refused in a row that set a member aside
 	errorLimit, errorWeight = 0.5, 0.15     // share of errors that sets aside; weight of one answer in it
 	trialFirst, trialMost   = 250.0, 2000.0 // pauses before a member set aside, or a failed call, is tried again
 	holdShare               = 0.04          // of the latency target: a read waits so long for room
@@ -324,11 +326,8 @@
 	if p <= 0 || o.kind.need == Write {
 		return false
 	}
-	best := 0.0
-	for _, k := range d.types {
-		best = max(best, k.value/k.took)
-	}
-	return d.chance() < min(p*(1.5-o.kind.value/o.kind.took/best), 0.9)
+	k := slices.MaxFunc(d.types, func(a, b *opKind) int { return cmp.Compare(a.value/a.took, b.value/b.took) })
+	return d.chance() < min(p*(1.5-o.kind.value/o.kind.took/(k.value/k.took)), 0.9)
 }
 
 // route is the ordinary path of an op: writes and fresh reads go to the writer slot's primary and wait while
@@ -595,10 +594,11 @@
 		d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false, true) // the member may still be at work on it
 		m.owed += (d.now - max(s.at, m.heard, d.woke)) / o.kind.took
 	case ConnectFailed, Reset:
-		if ev.Outcome == ConnectFailed && d.now-m.heard < 2*max(d.tellGap, o.kind.took) {
+		recent := ev.Outcome == Reset || m.inFlight > 0 || d.now-m.heard < 2*max(d.tellGap, o.kind.took)
+		if m.cuts++; s.at >= m.backAt && (!recent || m.inFlight == 0 && m.cuts >= cutsLimit) {
+			d.setAside(m, tellSilent|tellCut, "connection") // the dead break and refuse all; some break alone
+		} else if ev.Outcome == ConnectFailed {
 			d.pace(m, o.kind, 1, true, true) // it serves on connections that it has; new ones are slow or few
-		} else if m.cuts++; s.at >= m.backAt && (m.cuts > 1 || ev.Outcome == ConnectFailed) { // not for one cut
-			d.setAside(m, tellSilent|tellCut, "connection")
 		}
 	case Fault:
 		if o.failed != nil && !o.done && o.out == 0 {
@@ -656,9 +656,7 @@
 		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
 	}
 	d.pace(m, o.kind, x, false, true)
-	if m.aside {
-		d.welcome(m, "answers")
-	}
+	d.welcome(m, "answers")
 	if !o.done {
 		d.feel(o, min(math.Floor((d.now-o.arrived)/o.kind.target), 1))
 	}
@@ -707,14 +705,12 @@
 
 func (d *Driver) fill(m *member, when float64, by string) {
 	g := m.group
-	if g.slot != nil || g.last != nil { // all drivers let go of held writes at about the same time
+	if g.slot != nil || g.last != nil && (g.last != m || d.now-g.emptied >= trialFirst) { // all let go of writes
 		m.window, m.late = min(m.window, startWindow), max(m.late, min(startLate, d.crowd-1))
 		m.over = m.late
 	}
 	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
-	if m.aside {
-		d.welcome(m, by)
-	}
+	d.welcome(m, by)
 	if m.news = true; by == "answer" || by == "report" {
 		m.toldAt = d.now - d.tellGap // the others wait for this word
 	}
@@ -782,11 +778,15 @@
 func (d *Driver) after(pause float64) float64 { return d.now + pause*(1+2*(d.crowd-1)*d.chance()) }
 
 func (d *Driver) welcome(m *member, by string) {
-	if m.cut != 0 && m.started < m.asideAt && d.now-m.asideAt >= trialFirst { // it has started again
-		d.chill(m, d.now)
+	if !m.aside {
+		return
+	}
+	if d.now-m.asideAt >= trialFirst { // sooner it was a false alarm
+		if m.window = min(m.window, startWindow); m.cut != 0 && m.started < m.asideAt { // it has started again
+			d.chill(m, d.now)
+		}
 	}
-	m.aside, m.cut, m.backAt, m.heard, m.errors, m.owed = false, 0, d.now, d.now, 0, 0
-	m.window = min(m.window, startWindow)
+	m.aside, m.cut, m.cuts, m.backAt, m.heard, m.errors, m.owed = false, 0, 0, d.now, d.now, 0, 0
 	d.log("group %d: %s is back (%s)", m.group.id, m.id, by)
 }
 
