--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,7 +27,7 @@
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
 	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; design: ops held
-	trialShare, unsentShare = 0.1, 0.5      // chance of a held write's trial a sweep; of its time, held unsent
+	trialShare, unsentShare = 0.1, 0.45     // chance of a held write's trial a sweep; of its time, held unsent
 	pauseLeast, tellBudget  = 20.0, 30000.0 // sweeps missed: a pause; words a second, by threes of drivers
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
 	cutsLimit               = 3             // connections broken or refused in a row that set a member aside
@@ -95,15 +95,15 @@
 }
 
 type op struct {
-	id                          string
-	kind                        *opKind
-	group                       *group
-	arrived, until, needPos     float64 // its final answer is due by until; needPos: a session read's position
-	luck                        float64 // a member takes it by chance, up to so large a share
-	sends                       []send
-	out                         int     // sends that are out
-	failed                      *member // that answered it with an error
-	held, done, stalled, missed bool    // for a primary or a position, not for room; by a replica behind
+	id                                   string
+	kind                                 *opKind
+	group                                *group
+	arrived, until, needPos              float64 // until: when it is due; needPos: a session read's position
+	luck                                 float64 // a member takes it by chance, up to so large a share
+	sends                                []send
+	out                                  int     // sends that are out
+	failed                               *member // that answered it with an error
+	held, done, written, stalled, missed bool    // stalled: not for want of room; missed: by a replica behind
 }
 
 type Driver struct {
@@ -578,7 +578,8 @@
 	s.open = false
 	m.inFlight--
 	o.out--
-	s.proved = ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot
+	unsent := ev.Outcome == ConnectFailed || ev.Outcome == Moot
+	s.proved, o.written = unsent || ev.Outcome == Miss || ev.Outcome == Full, o.written || !unsent
 	if note := ev.Note; ev.Outcome == OK || ev.Outcome == Miss || ev.Outcome == Full || ev.Outcome == Fault {
 		m.heard, m.owed, m.cuts = d.now, 0, 0
 		if o.kind.need == Write && note.Position > 0 {
@@ -657,16 +658,14 @@
 	}
 	d.pace(m, o.kind, x, false, true)
 	d.welcome(m, "answers")
-	if !o.done {
-		d.feel(o, min(math.Floor((d.now-o.arrived)/o.kind.target), 1))
-	}
+	d.feel(o, min(math.Floor((d.now-o.arrived)/o.kind.target), 1))
 	if o.kind.need == Write {
 		o.group.commit = max(o.group.commit, ev.Note.Position)
 	}
 }
 
 func (d *Driver) feel(o *op, late float64) {
-	if !o.stalled && o.kind.need != Write {
+	if !o.done && !o.stalled && o.kind.need != Write {
 		s := &o.group.strain[o.kind.index]
 		*s += (late - *s) * 2 * smooth
 	}
@@ -859,7 +858,7 @@
 
 func (d *Driver) attend(o *op) {
 	switch {
-	case d.now >= o.until || o.held && (len(o.sends) == 0 && d.now-o.arrived > unsentShare*(o.until-o.arrived) ||
+	case d.now >= o.until || o.held && (!o.written && d.now-o.arrived > unsentShare*(o.until-o.arrived) ||
 		!d.mayRepeat(o, nil)):
 		d.finish(o) // its time or its token has run out; unsent, its client still has time to ask again
 	case o.held && o.kind.need < Fresh && (!o.stalled && d.now-o.arrived > holdShare*o.kind.target ||
