--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -25,7 +25,9 @@
 	clientBuffer = 2048
 	spokenTime   = 2500 * time.Millisecond // for a first query, and from the first byte of a message to its last
 	silentTime   = 30 * time.Millisecond   // who has not sent a byte by then may have to make room
-	idleTime     = 2 * time.Second         // as who has had no op open for so long
+	idleTime     = 100 * time.Millisecond  // as who has had no op open for so long
+	roomEvery    = 50 * time.Millisecond   // room is made beforehand
+	roomShare    = 0.65                    // of the budget: while less is free
 	writeTime    = 2500 * time.Millisecond // for a client to take an answer
 	lingerTime   = 500 * time.Millisecond  // for a client to see the last answer before the connection is closed
 	drainMost    = 1 << 20                 // bytes that are read away meanwhile
@@ -66,6 +68,7 @@
 	ended  int       // messages that are through
 	since  time.Time // the last change of either
 	leaves bool      // it makes room
+	given  bool      // and its place is already another's
 }
 
 // clients are the connections that are let in.
@@ -95,9 +98,9 @@
 
 // makeRoom asks the connection to leave that is of the least use: no byte has come on it, or it has asked at most
 // once and stays, or else none has been without an op for longer. Clients that ask once and stay, or connect and
-// say nothing, must not keep out those with ops. It could harm clients that pause a little longer than idleTime
-// where sockets are few: they connect anew.
-func (v *Service) makeRoom() bool {
+// say nothing, must not keep out those with ops. With give its place goes to another at once. It could harm
+// clients that pause a little longer than idleTime while many connections are open: they connect anew.
+func (v *Service) makeRoom(give bool) bool {
 	v.clients.mu.Lock()
 	defer v.clients.mu.Unlock()
 	var from *client
@@ -111,16 +114,35 @@
 	if from == nil {
 		return false
 	}
-	select {
-	case v.leaving <- struct{}{}:
-	default:
-		return false
+	if give {
+		select {
+		case v.leaving <- struct{}{}:
+		default:
+			return false
+		}
 	}
-	from.leaves = true
+	from.leaves, from.given = true, give
 	from.conn.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
 
+// keepRoom makes room beforehand: clients are limited too, and one that is slow to close connections which it has
+// done with, or never does, is short of them long before the budget here is used up.
+func (v *Service) keepRoom(ctx context.Context) {
+	enough := int64(float64(v.clientBudget.left.Load()) * roomShare)
+	tick := time.NewTicker(roomEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for n := enough - v.clientBudget.left.Load(); n > 0 && v.makeRoom(false); n-- {
+		}
+	}
+}
+
 // limit is how long a client may stay as it is before it has to make room; 0 for as long as it likes.
 func (c *client) limit() time.Duration {
 	switch {
@@ -186,7 +208,7 @@
 	c := &client{v: v, conn: conn, raw: raw, opened: time.Now(), messages: make(chan message, 1),
 		gone: make(chan struct{}), done: make(chan struct{})}
 	c.since = c.opened
-	if !v.clientBudget.take(1) && !v.makeRoom() {
+	if !v.clientBudget.take(1) && !v.makeRoom(true) {
 		v.tellFull(c)
 		return
 	}
@@ -205,7 +227,7 @@
 		reader.Wait()
 		conn.Close()
 		v.clients.mu.Lock()
-		if delete(v.clients.all, c); c.leaves { // another has its place
+		if delete(v.clients.all, c); c.given {
 			<-v.leaving
 		} else {
 			v.clientBudget.give(1)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -179,6 +179,7 @@
 	var back errgroup.Group
 	back.Go(func() error { v.watch(life); return nil })
 	back.Go(func() error { v.members.reap(life); return nil })
+	back.Go(func() error { v.keepRoom(life); return nil })
 	if v.peers.conn != nil {
 		back.Go(func() error { v.peers.write(life); return nil })
 		back.Go(func() error { v.peers.read(life, v.decide); return nil })
