--- a/cmd/weirwind/standin_test.go
+++ b/cmd/weirwind/standin_test.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -143,6 +144,7 @@
 	changes  chan string // answers to watches, in turn
 	asked    chan string // what discovery was asked
 	lists    *httptest.Server
+	mute     atomic.Bool // discovery answers no watch that finds nothing new
 }
 
 func newSite(t *testing.T, members ...*member) *site {
@@ -157,6 +159,8 @@
 			}
 			io.WriteString(w, text)
 		case <-r.Context().Done():
+		case <-s.patience(r):
+			fmt.Fprintf(w, `{"revision":%s,"complete":false,"members":[]}`, r.URL.Query().Get("since"))
 		}
 	}))
 	t.Cleanup(s.lists.Close)
@@ -176,6 +180,24 @@
 	return s
 }
 
+// patience is over when a watch has waited for as long as it asked to, and never where discovery is mute.
+func (s *site) patience(r *http.Request) <-chan time.Time {
+	if ms, err := strconv.Atoi(r.URL.Query().Get("timeout_ms")); err == nil && !s.mute.Load() {
+		return time.After(time.Duration(ms) * time.Millisecond)
+	}
+	return nil
+}
+
+// asks waits until discovery is asked so; a watch that found nothing new is asked again.
+func (s *site) asks(t *testing.T, want string) {
+	t.Helper()
+	for got := next(t, s.asked); got != want; got = next(t, s.asked) {
+		if !strings.Contains(got, "since=") {
+			t.Fatalf("asked %q, want %q", got, want)
+		}
+	}
+}
+
 // list is the list in discovery's form; phases holds id=phase for members that are not up.
 func (s *site) list(revision int, complete bool, phases string) string {
 	var entries []string
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -29,12 +29,12 @@
 )
 
 const (
-	spareSockets = 32   // of the limit: listener, peers, discovery, log, poller, connections being turned away
-	clientShare  = 0.6  // of the sockets: ops that are held need a client's and no member's
-	memoryShare  = 0.75 // of the limit: from there on the collector works harder
-	bytesShare   = 0.25 // of the limit, for big messages from clients
-	watchWait    = 20 * time.Second
-	callTime     = 2500 * time.Millisecond // beyond the wait: discovery itself gives up sooner
+	spareSockets = 32                      // of the limit: listener, peers, discovery, log, poller, connections being turned away
+	clientShare  = 0.6                     // of the sockets: ops that are held need a client's and no member's
+	memoryShare  = 0.75                    // of the limit: from there on the collector works harder
+	bytesShare   = 0.25                    // of the limit, for big messages from clients
+	watchWait    = 1500 * time.Millisecond // a connection that fell silent is found out after this
+	callTime     = 1700 * time.Millisecond // and that: what discovery has to tell counts as told 2 s after the wait
 	probesAtOnce = 64
 	logTime      = time.Second // for the last lines of the log
 )
