--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,7 @@
 	coldShare, strainSlope  = 0.8, 2.0      // of a cold member's budget; chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
 	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
-	smooth                  = 0.03
+	smooth, stuck           = 0.03, 6.0     // weight of an answer; usual times after which a send is lost
 )
 
 type opKind struct {
@@ -59,47 +59,50 @@
 	id, held, serving int64 // held: ops held; serving: members not draining
 	members           []*member
 	slot, last        *member // the writer slot: the believed primary, nil while empty; who was there before
-	seen, emptied     float64 // time of the newest evidence that filled the slot; when it was emptied
-	silent            bool    // emptied by silence or a dead connection, not by the member's own word
-	live              []*op   // unfinished ops in order of arrival
-	probeAt           float64
-	trial             *op       // a held write out at a member whose role is not known
-	work, flow, rate  float64   // own work answered: since the last sweep; usual ms a ms; the same by warm ones
-	strain            []float64 // per op type: share of ops late or refused for want of room
-	late, blur, cold  float64   // times over the easy ones at replicas; how little own sends tell; least warmth
-	commit            float64   // the last that own writes have seen, for sessions that do not carry theirs
+
+	seen, emptied, probeAt float64 // time of the newest evidence that filled the slot; when it was emptied
+
+	silent           bool      // emptied by silence or a dead connection, not by the member's own word
+	live             []*op     // unfinished ops in order of arrival
+	trial            *op       // a held write out at a member whose role is not known
+	work, flow, rate float64   // own work answered: since the last sweep; usual ms a ms; the same by warm ones
+	strain           []float64 // per op type: share of ops late or refused for want of room
+	late, blur, cold float64   // times over the easy ones at replicas; how little own sends tell; least warmth
+	commit           float64   // the last that own writes have seen, for sessions that do not carry theirs
 }
 
 type member struct {
-	id, zone               string
-	hash                   uint32
-	group                  *group
-	draining, listed, far  bool    // listed: the list calls it primary
-	position, replicaAt    float64 // replicaAt: when it last said that it is a replica
-	inFlight, cuts         int     // cuts: connections that broke since it was heard of
-	heard, owed, quiet     float64 // last word; usual times unanswered since: of ended sends, with those out
-	errors, late, proven   float64 // smoothed: share of errors, times over the easy, sends out while so
-	over, ease, toldAt     float64 // late, half of all where a replica; the last own; when a driver told of it
-	started, asideAt, left float64 // left: when it went from the list, 0 while it is there
-	backAt, pause, trialAt float64
-	window, cutAt, fullAt  float64 // sends that may be out, when that was last cut, and no sends before fullAt
-	credit, creditAt       float64 // work that a cold member may still get
-	aside, news            bool    // news: to tell peers
-	say, cut               uint64  // the flags that go with it; set aside as connections broke or none came
+	id, zone              string
+	hash                  uint32
+	group                 *group
+	draining, listed, far bool    // listed: the list calls it primary
+	position, replicaAt   float64 // replicaAt: when it last said that it is a replica
+	inFlight, cuts        int     // cuts: connections that broke since it was heard of
+	heard, owed, quiet    float64 // last word; usual times unanswered since: of ended sends, with those out
+	errors, late, proven  float64 // smoothed: share of errors, times over the easy, sends out while so
+
+	over, ease, toldAt, backAt, pause, trialAt float64 // over: late, at a replica half of all; ease: own
+	started, asideAt, left                     float64 // left: the list, 0 while it is there
+	window, cutAt, fullAt, credit, creditAt    float64 // window: sends that may be out; credit: of a cold one
+
+	aside, news bool   // news: to tell peers
+	say, cut    uint64 // the flags that go with it; set aside as connections broke or none came
 }
 
 type send struct {
 	to           *member
 	at           float64
 	open, proved bool // proved: known never to have run
+	counts       int  // as so many in flight: none once it is lost, as its connection fell silent
 }
 
 type op struct {
-	id                                   string
-	kind                                 *opKind
-	group                                *group
-	arrived, until, needPos              float64 // until: when it is due; needPos: a session read's position
-	luck                                 float64 // a member takes it by chance, up to so large a share
+	id    string
+	kind  *opKind
+	group *group
+
+	arrived, until, needPos, luck float64 // until: when it is due; luck: a member takes it up to such a share
+
 	sends                                []send
 	out                                  int     // sends that are out
 	failed                               *member // that answered it with an error
@@ -107,17 +110,16 @@
 }
 
 type Driver struct {
-	now, zero, bound        float64 // bound: the tightest bound on the age of data
-	zone                    string
-	out                     []Action
-	state                   uint64
-	types                   []*opKind
-	members                 map[string]*member
-	byHash                  map[uint32]*member
-	groups                  []*group
-	groupOf                 map[int64]*group
-	ops                     map[string]*op
-	sweepGap, margin, swept float64
+	now, zero, bound, sweepGap, margin, swept float64 // bound: the tightest bound on the age of data
+	zone                                      string
+	out                                       []Action
+	state                                     uint64
+	types                                     []*opKind
+	members                                   map[string]*member
+	byHash                                    map[uint32]*member
+	groups                                    []*group
+	groupOf                                   map[int64]*group
+	ops                                       map[string]*op
 
 	checks, roleLate, carried, reports, cancels, overlap, drainOnly bool
 
@@ -126,9 +128,9 @@
 
 	coldFrom, coldFor, coldPace, coldSpan float64 // coldPace: what a cold one is sent at most, of its capacity
 
-	tellGap, tellLeast       float64 // all drivers tell of a member so often, 0: never; at the most often
-	words, crowd             float64 // heard in the last second, about; drivers by threes
-	watchAt, watchWait, woke float64 // woke: when this driver last came back from a pause of its own
+	tellGap, tellLeast float64 // all drivers tell of a member so often, 0: never; at the most often
+
+	watchAt, watchWait, woke, words, crowd float64 // woke: from a pause of its own; crowd: drivers by threes
 }
 
 // Step takes what happened at now and returns what is to be done.
@@ -556,7 +558,7 @@
 
 func (d *Driver) send(o *op, m *member) {
 	d.unhold(o)
-	o.sends = append(o.sends, send{to: m, at: d.now, open: true})
+	o.sends = append(o.sends, send{to: m, at: d.now, open: true, counts: 1})
 	m.inFlight++
 	o.out++
 	m.credit -= o.kind.took
@@ -576,7 +578,7 @@
 	s := &o.sends[ev.Send]
 	m := s.to
 	s.open = false
-	m.inFlight--
+	m.inFlight -= s.counts
 	o.out--
 	unsent := ev.Outcome == ConnectFailed || ev.Outcome == Moot
 	s.proved, o.written = unsent || ev.Outcome == Miss || ev.Outcome == Full, o.written || !unsent
@@ -592,7 +594,9 @@
 	case OK:
 		d.good(o, m, s.at, ev)
 	case TimedOut, Cancelled:
-		d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false, true) // the member may still be at work on it
+		if s.counts > 0 {
+			d.pace(m, o.kind, (d.now-s.at)/d.easy(o.kind), false, true) // the member may still be at work on it
+		}
 		m.owed += (d.now - max(s.at, m.heard, d.woke)) / o.kind.took
 	case ConnectFailed, Reset:
 		recent := ev.Outcome == Reset || m.inFlight > 0 || d.now-m.heard < 2*max(d.tellGap, o.kind.took)
@@ -921,6 +925,10 @@
 				x := (d.now - max(s.at, s.to.heard, d.woke)) / o.kind.took
 				s.to.quiet += x
 				all += x
+				if s.to.heard > s.at && d.now-s.at > stuck*o.kind.took { // others got answers since
+					s.to.inFlight -= s.counts
+					s.counts = 0
+				}
 			}
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -537,3 +537,23 @@
 	r.step(Event{Kind: EvProbed, Member: "p", Outcome: OK, Report: Sight{Primary, r.now}})
 	r.want(r.op("v", once, 900) == "p" && r.d.members["p"].started == 100000, "the member that came back, with its start")
 }
+
+// A send whose connection fell silent is not in flight any more once others, later ones, have been answered there
+// for long, and its end is not a slow answer; while nothing is answered, all of them count.
+func TestLostSendsDoNotCountAsInFlight(t *testing.T) {
+	r := start(t, opening())
+	r.op("lost", once, 2000)
+	p := r.d.members["p"]
+	r.wait(60)
+	r.want(p.inFlight == 1, "the send in flight")
+	for i := range 80 {
+		id := fmt.Sprint(i)
+		r.op(id, once, 2000)
+		r.wait(15)
+		r.answer(id, "p", OK, Primary, r.now)
+	}
+	r.want(p.inFlight == 0 && !p.aside, "the lost send not in flight")
+	before := p.late
+	r.step(Event{Kind: EvAnswer, Op: "lost", Outcome: TimedOut})
+	r.want(p.inFlight == 0 && p.late == before, "its end no slow answer")
+}
