A member that answers on a connection older than its supposed start is not cold

At fault: logic.go welcome, which takes any return after 250 ms of broken connections for a start. Now the answer's connection tells: opened before the supposed start, the start is taken back; one that the list names stays.

--- a/internal/driver/decide.go
+++ b/internal/driver/decide.go
@@ -30,7 +30,9 @@
 	return clock{read, now, float64(now.UnixMicro()) / 1000}
 }
 
-func (c clock) now() float64 { return c.unixMs + float64(c.read().Sub(c.start).Microseconds())/1000 }
+func (c clock) now() float64 { return c.at(c.read()) }
+
+func (c clock) at(t time.Time) float64 { return c.unixMs + float64(t.Sub(c.start).Microseconds())/1000 }
 
 // sight turns what a member wrote of itself into the module's words. What can't be true is left out.
 func (c clock) sight(role logic.Role, position float64) logic.Sight {
@@ -181,7 +183,11 @@
 	if r.outcome == logic.OK && !o.final {
 		o.final, o.rows = true, r.rows
 	}
-	ev := logic.Event{Kind: logic.EvAnswer, Op: o.id, Send: n, Member: r.member, Outcome: r.outcome, Closed: o.final,
+	opened := 0.0
+	if r.outcome == logic.OK && !r.opened.IsZero() {
+		opened = d.clock.at(r.opened)
+	}
+	ev := logic.Event{Kind: logic.EvAnswer, Opened: opened, Op: o.id, Send: n, Member: r.member, Outcome: r.outcome, Closed: o.final,
 		Note: d.clock.sight(r.role, r.position), Report: d.clock.sight(r.reportRole, r.reportPosition)}
 	d.stepLocked(ev)
 	if o.rows != nil {
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -36,8 +36,9 @@
 type result struct {
 	member                   string
 	outcome                  logic.Outcome
-	rows                     []byte // a good answer's messages, as they came
-	value                    []byte // the value in it
+	opened                   time.Time // when the connection was
+	rows                     []byte    // a good answer's messages, as they came
+	value                    []byte    // the value in it
 	role, reportRole         logic.Role
 	position, reportPosition float64 // Unix ms; 0 for unknown
 }
@@ -396,6 +397,7 @@
 		return result{outcome: x.unlessEnded(logic.ConnectFailed)}
 	}
 	r, clean, err := read(l.r, x.answers)
+	r.opened = l.opened
 	x.attach(nil)
 	switch {
 	case clean:
--- a/logic/api.go
+++ b/logic/api.go
@@ -95,7 +95,7 @@
 	EvOpen    EventKind = iota // Opening
 	EvMembers                  // List, Members
 	EvOp                       // Op, OpType, Group, Left, WroteAgo
-	EvAnswer                   // Op, Send, Member, Outcome, Note, Closed, Report
+	EvAnswer                   // Op, Send, Member, Outcome, Note, Closed, Opened, Report
 	EvProbed                   // Member, Outcome, Report, Took
 	EvGone                     // Op
 	EvTimer
@@ -178,6 +178,7 @@
 	Took     float64
 	Note     Sight
 	Closed   bool
+	Opened   float64 // clock time at which the connection of a good answer was opened, 0 for unknown
 	Report   Sight
 	Data     []byte
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,7 +26,7 @@
 // Tuned values. Those that weigh time are multiples of what is observed or of the opening's own figures.
 const (
 	probeEvery, probeIdle   = 200.0, 1000.0 // design: probes of a group with an empty slot; with a full one
-	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; design: ops held
+	probers, heldCap        = 8.0, 2000     // drivers that probe a member at a time, about; open ops of a group
 	trialShare, unsentShare = 0.1, 0.45     // chance of a held write's trial a sweep; of its time, held unsent
 	pauseLeast, tellBudget  = 20.0, 30000.0 // sweeps missed: a pause; words a second, by threes of drivers
 	silentReads, silentSlot = 7.0, 9.0      // usual times owed that set a member aside; that empty the slot
@@ -56,9 +56,9 @@
 }
 
 type group struct {
-	id, held, serving int64 // held: ops held; serving: members not draining
-	members           []*member
-	slot, last        *member // the writer slot: the believed primary, nil while empty; who was there before
+	id, serving int64 // serving: members not draining
+	members     []*member
+	slot, last  *member // the writer slot: the believed primary, nil while empty; who was there before
 
 	seen, emptied, probeAt float64 // time of the newest evidence that filled the slot; when it was emptied
 
@@ -366,7 +366,7 @@
 
 func (d *Driver) hold(o *op) {
 	o.held = true
-	if o.group.held++; o.group.held > heldCap {
+	if len(o.group.live) > heldCap {
 		d.finish(o)
 	}
 }
@@ -549,15 +549,8 @@
 	}
 }
 
-func (d *Driver) unhold(o *op) {
-	if o.held {
-		o.held = false
-		o.group.held--
-	}
-}
-
 func (d *Driver) send(o *op, m *member) {
-	d.unhold(o)
+	o.held = false
 	o.sends = append(o.sends, send{to: m, at: d.now, open: true, counts: 1})
 	m.inFlight++
 	o.out++
@@ -662,6 +655,9 @@
 	}
 	d.pace(m, o.kind, x, false, true)
 	d.welcome(m, "answers")
+	if ev.Opened > 0 && ev.Opened < m.started && m.started == m.backAt {
+		m.started = 0 // its connection is older than the start that its return was taken for
+	}
 	d.feel(o, min(math.Floor((d.now-o.arrived)/o.kind.target), 1))
 	if o.kind.need == Write {
 		o.group.commit = max(o.group.commit, ev.Note.Position)
@@ -717,7 +713,7 @@
 	if m.news = true; by == "answer" || by == "report" {
 		m.toldAt = d.now - d.tellGap // the others wait for this word
 	}
-	d.log("group %d: %s is primary (%s), %d held", g.id, m.id, by, g.held)
+	d.log("group %d: %s is primary (%s), %d open", g.id, m.id, by, len(g.live))
 	d.release(g)
 }
 
@@ -809,8 +805,7 @@
 }
 
 func (d *Driver) close(o *op) {
-	d.unhold(o)
-	o.done = true
+	o.held, o.done = false, true
 	for i := range o.sends {
 		if o.sends[i].open && d.cancels {
 			d.act(Action{Kind: ActCancel, Op: o.id, Send: i})
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -486,6 +486,16 @@
 		r.d.welcome(m, "answers")
 		r.want((r.d.warmth(m) < 1) == (out == Reset), fmt.Sprint("cold only after a cut, outcome ", out))
 	}
+	for _, opened := range []float64{0, 100050, 100450} { // a connection from before tells that it did not start again
+		r := start(t, opening())
+		p := r.d.members["p"]
+		r.op("w", once, 900)
+		r.d.setAside(p, tellSilent|tellCut, "connection")
+		r.wait(400)
+		r.d.welcome(p, "peer")
+		r.step(Event{Kind: EvAnswer, Op: "w", Member: "p", Outcome: OK, Closed: true, Opened: opened})
+		r.want((r.d.warmth(p) < 1) == (opened != 100050), fmt.Sprint("cold unless its connection is old, opened ", opened))
+	}
 }
 
 // Connections that break are not their member's end: the primary keeps its slot unless one is refused, or
