--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// What a client that left was waiting for may come in: its connection is good for the next op.
+func TestClientThatLeavesCostsNoConnection(t *testing.T) {
+	release := make(chan struct{})
+	m := newMember(t, "m", func(q string) []byte { <-release; return row("v:"+q[:6], "writer") })
+	s := newSite(t, m)
+	s.settings["profiles"].([]any)[0].(map[string]any)["aim"] = 20e6
+	p := s.start(t)
+	c := p.connect()
+	c.Write(pgwire.AppendQuery(nil, read(20000)))
+	next(t, m.queries)
+	c.Close()
+	p.await("event=client_closed")
+	close(release)
+	for p.counters(); field(p.counters(), "reused") == "0"; {
+		kinds, said := p.connect().ask(read(20000))
+		want(t, kinds, said, acked, "v:SELECT")
+	}
+	if line := p.counters(); field(line, "left") != "1" || field(line, "cancelled") != "0" {
+		t.Error(line)
+	}
+}
+
 // An idle connection that the member has closed costs no op anything; one that is kept is used again.
 func TestConnectionsAreKept(t *testing.T) {
 	m := newMember(t, "m", serves("writer"))
--- a/internal/driver/op.go
+++ b/internal/driver/op.go
@@ -80,7 +80,11 @@
 					return nil
 				})
 			case logic.ActCancel:
-				sends[a.Send].cancel()
+				if s := sends[a.Send]; a.Wait > 0 {
+					time.AfterFunc(duration(a.Wait), s.cancel)
+				} else {
+					s.cancel()
+				}
 			case logic.ActRefuse:
 				v.count.BusyReplied.Add(1)
 				answer = busy(a.Wait)
--- a/logic/api.go
+++ b/logic/api.go
@@ -187,10 +187,10 @@
 type ActionKind uint8
 
 const (
-	ActSend ActionKind = iota // Op, Member, Wait
-	ActCancel
-	ActRefuse // busy reply; Wait is the retry advice
-	ActFail   // error reply
+	ActSend   ActionKind = iota // Op, Member, Wait
+	ActCancel                   // Op, Send; Wait: so much later, if it is still out
+	ActRefuse                   // busy reply; Wait is the retry advice
+	ActFail                     // error reply
 	ActProbe
 	ActTimer   // Wait
 	ActMessage // Data, to every other driver
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -103,10 +103,10 @@
 
 	arrived, until, needPos, luck float64 // until: when it is due; luck: a member takes it up to such a share
 
-	sends                                []send
-	out                                  int     // sends that are out
-	failed                               *member // that answered it with an error
-	held, done, written, stalled, missed bool    // stalled: not for want of room; missed: by a replica behind
+	sends                                      []send
+	out                                        int     // sends that are out
+	failed                                     *member // that answered it with an error
+	held, done, gone, written, stalled, missed bool    // stalled: not for want of room; missed: by one behind
 }
 
 type Driver struct {
@@ -157,6 +157,7 @@
 			}
 		case EvGone:
 			if o := d.ops[ev.Op]; o != nil && !o.done {
+				o.gone = true
 				d.close(o)
 			}
 		case EvTimer:
@@ -807,8 +808,11 @@
 func (d *Driver) close(o *op) {
 	o.held, o.done = false, true
 	for i := range o.sends {
-		if o.sends[i].open && d.cancels {
-			d.act(Action{Kind: ActCancel, Op: o.id, Send: i})
+		if wait := 0.0; o.sends[i].open && d.cancels {
+			if o.gone { // cut off, its connection would be lost with it; the member may run it all the same
+				wait = o.kind.target
+			}
+			d.act(Action{Kind: ActCancel, Op: o.id, Send: i, Wait: wait})
 		}
 	}
 	if o.out == 0 {
