--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -92,6 +92,7 @@
 		"full":    {func(string) []byte { return fault("53300", "writer") }, pgwire.CodeBusy, false},
 		"reset":   {func(string) []byte { return nil }, pgwire.CodeFailed, true},
 		"half":    {func(string) []byte { return row("v", "writer")[:40] }, pgwire.CodeFailed, true},
+		"stalls":  {func(string) []byte { return row("v", "writer")[:40] }, pgwire.CodeFailed, true},
 		"no row":  {func(string) []byte { return append(msg('C', "SELECT 0\x00"), note("writer")...) }, pgwire.CodeFailed, true},
 		"garbage": {func(string) []byte { return []byte("\x00\x00\x00\x00\x00\x00\x00") }, pgwire.CodeFailed, true},
 		"silence": {func(string) []byte { <-forever; return nil }, pgwire.CodeFailed, true},
@@ -200,7 +201,7 @@
 	c.Close()
 	p.await("event=client_closed")
 	close(release)
-	for p.counters(); field(p.counters(), "reused") == "0"; {
+	for field(p.counters(), "reused") == "0" {
 		kinds, said := p.connect().ask(read(20000))
 		want(t, kinds, said, acked, "v:SELECT")
 	}
--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -86,14 +86,13 @@
 	return !c.leaves
 }
 
-// ends notes that n messages are through; false where it has had to make room.
-func (c *client) ends(n int) bool {
+// ends notes that a message is through.
+func (c *client) ends() {
 	c.v.clients.mu.Lock()
 	defer c.v.clients.mu.Unlock()
-	c.open -= n
-	c.ended += n
+	c.open--
+	c.ended++
 	c.since = time.Now()
-	return !c.leaves
 }
 
 // makeRoom asks the connection to leave that is of the least use: no byte has come on it, or it has asked at most
@@ -303,7 +302,7 @@
 		if why == "" && answer != nil {
 			why = c.write(answer)
 		}
-		if c.ends(1); why == "" && c.v.stopping() && m.kind == 'Q' {
+		if c.ends(); why == "" && c.v.stopping() && m.kind == 'Q' {
 			why = "shutdown"
 		}
 		if why != "" {
@@ -339,7 +338,7 @@
 		}
 		why := c.write(pgwire.AppendWelcome(nil, minor))
 		c.conn.SetReadDeadline(c.opened.Add(spokenTime)) // up to the first byte of a query
-		c.ends(1)
+		c.ends()
 		return why
 	}
 	return "no_startup"
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -75,8 +75,8 @@
 	clientBudget budget
 	bytes        budget // of big messages from clients
 	clients      clients
-	leaving      chan struct{}
-	turnAway     chan struct{}
+	leaving      chan struct{} // a place for each that makes room for one already let in
+	turnAway     chan struct{} // and for each that is told that there is none
 	closing      chan struct{} // closed when no new connection is taken any more
 	stopped      atomic.Pointer[time.Time]
 	probes       atomic.Int64
@@ -93,6 +93,7 @@
 
 type logger = *log.Logger
 
+// parse reads a configuration, at the start and again on SIGHUP, and refuses one that makes no sense.
 func parse(text []byte) (f file, err error) {
 	if err = json.Unmarshal(text, &f.Assignment); err == nil {
 		err = json.Unmarshal(text, &f.values)
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -175,10 +175,9 @@
 			}
 		}
 		l := h.idle[at]
-		l.rested = time.Since(l.idleSince)
 		h.idle = slices.Delete(h.idle, at, at+1)
-		switch {
-		case time.Since(l.idleSince) > m.idleTime:
+		switch l.rested = time.Since(l.idleSince); {
+		case l.rested > m.idleTime:
 			m.count.IdleClosed.Add(1)
 			m.end(l, "idle")
 		case l.broken():
@@ -305,7 +304,6 @@
 	mu        sync.Mutex // guards what follows
 	link      *link      // only while it is this send's
 	cancelled bool
-	begun     bool // its answer has
 	barred    bool // nothing may be written any more
 }
 
@@ -352,7 +350,6 @@
 func (x *send) answers() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.begun = true
 	if limit := time.Now().Add(x.m.connectTime); !x.cancelled && limit.Before(x.deadline) {
 		x.link.SetReadDeadline(limit)
 	}
@@ -405,8 +402,8 @@
 		x.m.keep(l)
 		return r
 	case r.outcome == noOutcome && errors.Is(err, os.ErrDeadlineExceeded):
-		if r.outcome = x.unlessEnded(logic.TimedOut); r.outcome == logic.TimedOut && x.begun && x.ctx.Err() == nil {
-			r.outcome = logic.Fault
+		if r.outcome = x.unlessEnded(logic.TimedOut); r.outcome == logic.TimedOut && time.Now().Before(x.deadline) {
+			r.outcome = logic.Fault // the limit of answers was over: it had begun
 		}
 		x.m.end(l, word(r.outcome))
 	case r.outcome == noOutcome && errors.Is(err, pgwire.ErrFraming):
@@ -534,7 +531,7 @@
 			r.role = logic.Replica
 		}
 	case "commit_clock":
-		r.position = finite(value)
+		r.position, _ = figure(value)
 	case "usage":
 		r.usage(value)
 	}
@@ -549,8 +546,8 @@
 		var item []byte
 		item, text, _ = bytes.Cut(text, []byte(","))
 		name, value, _ := bytes.Cut(item, []byte("="))
-		f, err := strconv.ParseFloat(string(value), 64)
-		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		f, ok := figure(value)
+		if !ok {
 			return
 		}
 		switch {
@@ -565,13 +562,13 @@
 	r.reportPosition, r.reportRole = position, role
 }
 
-// finite reads a figure that a member wrote; 0 where it is none.
-func finite(text []byte) float64 {
+// figure reads a figure that a member wrote; 0 where it is none.
+func figure(text []byte) (f float64, ok bool) {
 	f, err := strconv.ParseFloat(string(text), 64)
 	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-		return 0
+		return 0, false
 	}
-	return f
+	return f, true
 }
 
 // of is the counter of an outcome; nil where a good answer needs none.
