A driver that starts knows what it knew: recalled memory, operators' file, command line

Need: a restart forgets the primary, who was set aside, usual times and, for sessions that don't carry their writes, the last commit.

--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -1,51 +1,135 @@
-// Command weirwind is the driver on sockets. It reads its configuration from the file that PROXY_CONFIG names,
-// serves until SIGTERM, reads its configuration again on SIGHUP, and puts its counters into the log on SIGUSR1 and
-// at its end.
+// Command weirwind is the driver on sockets, and the tool for what it keeps. This file owns the command line: what
+// can be asked, and the exit codes: 0 for good, 1 for bad input or damaged state, 2 for a call that is wrong. It must
+// never do the work itself.
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
 
 	"weirwind/internal/driver"
+	"weirwind/internal/operator"
 )
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "weirwind:", err)
-		os.Exit(1)
+type commands struct {
+	Run     runCommand     `cmd:"" default:"1" help:"Serve until SIGTERM (the default). SIGHUP reads both files again, SIGUSR1 logs the counters."`
+	Check   checkCommand   `cmd:"" help:"Say what is wrong with the files, or what is in force."`
+	State   stateCommands  `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+type files struct {
+	Config   string `help:"The platform's configuration." env:"PROXY_CONFIG" placeholder:"FILE"`
+	Operator string `help:"The operators' file." env:"WEIRWIND_OPERATOR" placeholder:"FILE"`
+}
+
+const examples = `A read and write splitter for database clusters.
+
+Examples:
+
+  PROXY_CONFIG=config.json weirwind
+  weirwind run --config config.json --operator operator.hcl
+  weirwind check --operator operator.hcl
+  weirwind state show --json /var/lib/weirwind
+  weirwind state forget --member m7 /var/lib/weirwind`
+
+func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// command carries a call out and gives the exit code.
+func command(args []string, out, problems io.Writer) int {
+	var c commands
+	left := -1 // the code with which the help leaves
+	parser, err := kong.New(&c, kong.Name("weirwind"), kong.Description(examples), kong.UsageOnError(),
+		kong.Writers(out, problems), kong.Exit(func(code int) { left = max(left, code) }), kong.BindTo(out, (*io.Writer)(nil)))
+	if err != nil {
+		panic(err) // the commands are constants
+	}
+	call, err := parser.Parse(args)
+	if left >= 0 {
+		return left
+	}
+	if err != nil {
+		fmt.Fprintf(problems, "weirwind: %v\n", err)
+		return 2
+	}
+	if err := call.Run(); err != nil {
+		fmt.Fprintln(problems, "weirwind:", err)
+		return 1
 	}
+	return 0
 }
 
-func run() error {
-	asked := make(chan os.Signal, 8) // from the first moment on: by default SIGHUP and SIGUSR1 end a process
-	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	path := os.Getenv("PROXY_CONFIG")
-	if path == "" {
-		return errors.New("PROXY_CONFIG names no file")
+// read gives the text of the platform's configuration, and the operators' file, which need not be.
+func (f *files) read() (text []byte, o operator.File, err error) {
+	if f.Config == "" {
+		return nil, o, errors.New("PROXY_CONFIG names no file")
 	}
-	text, err := os.ReadFile(path)
+	if text, err = os.ReadFile(f.Config); err != nil {
+		return nil, o, fmt.Errorf("PROXY_CONFIG: %v", err)
+	}
+	o, err = f.operators()
+	return text, o, err
+}
+
+func (f *files) operators() (operator.File, error) {
+	if f.Operator == "" {
+		return operator.Default(), nil
+	}
+	text, err := os.ReadFile(f.Operator)
 	if err != nil {
-		return fmt.Errorf("PROXY_CONFIG: %v", err)
+		return operator.Default(), fmt.Errorf("operators' file: %v", err)
+	}
+	return operator.Parse(f.Operator, text)
+}
+
+type checkCommand struct {
+	files
+}
+
+// Run says what holds; with a mistake anywhere it tells that instead.
+func (c *checkCommand) Run(out io.Writer) error {
+	if c.Config == "" && c.Operator == "" {
+		return errors.New("nothing to check: name --config, --operator or both")
 	}
-	service, err := driver.New(text)
+	if c.Config != "" {
+		text, err := os.ReadFile(c.Config)
+		if err == nil {
+			err = driver.Check(text)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %v", c.Config, err)
+		}
+		fmt.Fprintf(out, "%s: good\n", c.Config)
+	}
+	o, err := c.operators()
 	if err != nil {
 		return err
 	}
-	go func() {
-		for s := range asked {
-			if s == syscall.SIGUSR1 {
-				service.Report()
-			} else {
-				service.Reload(os.ReadFile(path))
+	if c.Operator != "" {
+		fmt.Fprintf(out, "%s: good; in force:\n%s", c.Operator, o)
+	}
+	return nil
+}
+
+type versionCommand struct{}
+
+func (versionCommand) Run(out io.Writer) error {
+	version, revision := "devel", ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = " " + s.Value
 			}
 		}
-	}()
-	return service.Run(ctx, os.Stderr)
+		fmt.Fprintf(out, "weirwind %s%s %s\n", version, revision, info.GoVersion)
+		return nil
+	}
+	fmt.Fprintf(out, "weirwind %s\n", version)
+	return nil
 }
--- a/cmd/weirwind/main_test.go
+++ b/cmd/weirwind/main_test.go
@@ -465,7 +465,7 @@
 		`"name":"n0"`:              `"peer_listen":"x","peers_all":"y"`,
 		`"discovery":`:             `"elsewhere":`,
 	} {
-		p := launch(t, strings.Replace(string(good), old, bad, 1))
+		p := launch(t, strings.Replace(string(good), old, bad, 1), "")
 		line := next(t, p.lines)
 		if !strings.HasPrefix(line, "weirwind: ") || len(p.lines) > 0 {
 			t.Errorf("%s: %s", bad, line)
@@ -544,7 +544,7 @@
 		s = newSite(t, a, b)
 		s.limits["sockets"] = 500
 		text, _ := json.Marshal(s.config)
-		if line := p.reload(string(text)); field(line, "event") != "reloaded" || field(line, "kept") != `"limits"` {
+		if line := p.reload(string(text)); field(line, "event") != "reloaded" || field(line, "kept") != "limits" {
 			t.Error(line)
 		}
 		s.asks(t, "/discovery/hosts")
--- a/cmd/weirwind/standin_test.go
+++ b/cmd/weirwind/standin_test.go
@@ -145,6 +145,7 @@
 	asked    chan string // what discovery was asked
 	lists    *httptest.Server
 	mute     atomic.Bool // discovery answers no watch that finds nothing new
+	operator string      // the operators' file, empty for none
 }
 
 func newSite(t *testing.T, members ...*member) *site {
@@ -223,6 +224,33 @@
 	path    string // of its configuration
 	lines   chan string
 	exited  chan error
+
+	operator string // the path of the operators' file
+	before   []string
+}
+
+// said gives a line of the log that holds the text, be it one from before another that was waited for.
+func (p *program) said(text string) string {
+	p.t.Helper()
+	for _, line := range p.before {
+		if strings.Contains(line, text) {
+			return line
+		}
+	}
+	return p.await(text)
+}
+
+// ends stops the program and waits until it is gone.
+func (p *program) ends(by os.Signal) {
+	p.t.Helper()
+	p.cmd.Process.Signal(by)
+	for range p.lines {
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		p.t.Fatal("does not end")
+	}
 }
 
 func (s *site) start(t *testing.T) *program {
@@ -231,19 +259,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := launch(t, string(text))
+	p := launch(t, string(text), s.operator)
 	p.address = field(p.await("event=serving"), "listen")
 	return p
 }
 
-func launch(t *testing.T, config string) *program {
+// launch starts the program with a configuration, and an operators' file where there is one.
+func launch(t *testing.T, config, operators string) *program {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
+	folder := t.TempDir()
+	path := filepath.Join(folder, "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p := &program{t: t, path: path, cmd: exec.Command(os.Args[0]), lines: make(chan string, 100000), exited: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	if operators != "" {
+		p.operator = filepath.Join(folder, "operator.hcl")
+		if err := os.WriteFile(p.operator, []byte(operators), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.cmd.Env = append(p.cmd.Env, "WEIRWIND_OPERATOR="+p.operator)
+	}
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -275,6 +312,7 @@
 			if strings.Contains(line, text) {
 				return line
 			}
+			p.before = append(p.before, line)
 		case <-limit:
 			p.t.Fatalf("no line with %q", text)
 		}
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,16 @@
+# The operators' file: what an installation switches on beside the platform's configuration. Named by
+# --operator FILE or WEIRWIND_OPERATOR. Every value below but the folder is the default; without the file, or
+# without a block, that block's feature is off. SIGHUP reads it again; docs/operator.md says what changes then.
+
+log {
+  format = "text" # or "json"
+  level  = "info" # "debug", "info", "warn", "error": the least that is written
+}
+
+# What the driver has learned, kept across restarts. Off on the platform, which has no disk that persists.
+state {
+  folder       = "/var/lib/weirwind" # one driver a folder; made if it is missing
+  save_every   = "1s"                # 50ms to 1m; member lists are saved as they come
+  limit_mb     = 16                  # of all files together, 1 to 1024
+  switch_least = "0s"                # no primary is replaced in less; 0s: the platform's time to stop sending
+}
--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -183,7 +183,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		default: // out of descriptors, say: what is open goes on
-			v.log.Printf("event=accept_failed error=%q", err)
+			v.log.Warn("accept_failed", "error", err)
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
@@ -266,8 +266,8 @@
 }
 
 func (c *client) logEnd(why string) {
-	c.v.log.Printf("event=client_closed client=%s reason=%s ops=%d age_ms=%d", c.conn.RemoteAddr(), why, c.ops,
-		time.Since(c.opened).Milliseconds())
+	c.v.log.Info("client_closed", "client", c.conn.RemoteAddr().String(), "reason", why, "ops", c.ops,
+		"age_ms", time.Since(c.opened).Milliseconds())
 }
 
 // drain reads away what a client still sends, so that it sees the last answer; not without end.
--- a/internal/driver/counters.go
+++ b/internal/driver/counters.go
@@ -5,9 +5,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"reflect"
 	"strings"
 	"sync/atomic"
@@ -22,17 +21,18 @@
 	TimedOut, Cancelled, Unsent, Probes                atomic.Int64
 	MessagesIn, MessagesOut, MessagesBad, MessagesLost atomic.Int64
 	Lists, ListsFailed, Reloads, ReloadsFailed         atomic.Int64
+	StateSaves, StateBytes, StateFailed                atomic.Int64
 	LogLost                                            atomic.Int64
 }
 
-func (c *counters) String() string {
-	var b strings.Builder
+// attrs are the counters for a line of the log.
+func (c *counters) attrs() (attrs []any) {
 	v := reflect.ValueOf(c).Elem()
 	for i := range v.NumField() {
 		n := v.Field(i).Addr().Interface().(*atomic.Int64).Load()
-		fmt.Fprintf(&b, " %s=%d", strings.ToLower(v.Type().Field(i).Name), n)
+		attrs = append(attrs, slog.Int64(strings.ToLower(v.Type().Field(i).Name), n))
 	}
-	return b.String()
+	return attrs
 }
 
 // queue is a writer that hands lines on to a slower one.
@@ -41,9 +41,19 @@
 	lost  *atomic.Int64
 }
 
-func newLog(lost *atomic.Int64) (*log.Logger, *queue) {
+// newLog makes the log and the queue that its lines go through. The form is "text", in parts name=value, or "json".
+func newLog(form string, level slog.Leveler, lost *atomic.Int64) (*slog.Logger, *queue) {
 	q := &queue{make(chan []byte, 4096), lost}
-	return log.New(q, "", log.LstdFlags|log.Lmicroseconds|log.LUTC), q
+	o := &slog.HandlerOptions{Level: level, ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.MessageKey && len(groups) == 0 {
+			a.Key = "event"
+		}
+		return a
+	}}
+	if form == "json" {
+		return slog.New(slog.NewJSONHandler(q, o)), q
+	}
+	return slog.New(slog.NewTextHandler(q, o)), q
 }
 
 func (q *queue) Write(line []byte) (int, error) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -10,7 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"runtime"
 	"runtime/debug"
@@ -25,6 +25,7 @@
 
 	"weirwind/internal/discovery"
 	"weirwind/internal/opening"
+	"weirwind/internal/operator"
 	"weirwind/logic"
 )
 
@@ -64,7 +65,9 @@
 
 // Service is one driver.
 type Service struct {
-	log          logger
+	log          *slog.Logger
+	level        slog.LevelVar
+	keep         *keeper // of learned state; nil where none is kept
 	count        counters
 	decide       *decider
 	members      *members
@@ -91,8 +94,6 @@
 	leave   func()     // ends the call to discovery that is out
 }
 
-type logger = *log.Logger
-
 // parse reads a configuration, at the start and again on SIGHUP, and refuses one that makes no sense.
 func parse(text []byte) (f file, err error) {
 	if err = json.Unmarshal(text, &f.Assignment); err == nil {
@@ -127,8 +128,9 @@
 	return f, nil
 }
 
-// New reads an assignment, opens the sockets and the module. The driver serves as soon as Run is called.
-func New(text []byte) (*Service, error) {
+// New reads an assignment, opens the sockets and the module, which is told what an earlier run has left where the
+// operators keep that. The driver serves as soon as Run is called.
+func New(text []byte, o operator.File) (*Service, error) {
 	a, err := parse(text)
 	if err != nil {
 		return nil, err
@@ -141,7 +143,8 @@
 		turnAway: make(chan struct{}, turnAways), clients: clients{all: map[*client]bool{}},
 		closing: make(chan struct{}), revision: known.Revision, config: a,
 		discovery: discovery.Client{Address: a.Discovery, Timeout: callTime}}
-	v.log, v.lines = newLog(&v.count.LogLost)
+	v.level.Set(o.Log.Level)
+	v.log, v.lines = newLog(o.Log.Format, &v.level, &v.count.LogLost)
 	sockets := a.Limits.Sockets - spareSockets
 	v.clientBudget.left.Store(int64(float64(sockets) * clientShare))
 	v.bytes.left.Store(int64(a.Limits.MemoryMB * bytesShare * (1 << 20)))
@@ -156,7 +159,11 @@
 		return nil, fmt.Errorf("configuration: peers: %v", err)
 	}
 	v.decide = newDecider(newClock(time.Now), told, v)
-	v.apply(known, logic.ListCached)
+	if o.State != nil {
+		v.begin(*o.State, told, known)
+	} else {
+		v.apply(known, logic.ListCached)
+	}
 	address, err := net.ResolveTCPAddr("tcp", a.Listen)
 	if err == nil {
 		v.listener, err = net.ListenTCP("tcp", address)
@@ -176,11 +183,14 @@
 		v.lines.run(logging, logTo)
 		close(logged)
 	}()
-	v.log.Printf("event=serving listen=%s", v.listener.Addr())
+	v.log.Info("serving", "listen", v.listener.Addr().String())
 	var back errgroup.Group
 	back.Go(func() error { v.watch(life); return nil })
 	back.Go(func() error { v.members.reap(life); return nil })
 	back.Go(func() error { v.keepRoom(life); return nil })
+	if v.keep != nil {
+		go v.keep.run(life) // a disk that hangs must not keep the rest from ending
+	}
 	if v.peers.conn != nil {
 		back.Go(func() error { v.peers.write(life); return nil })
 		back.Go(func() error { v.peers.read(life, v.decide); return nil })
@@ -188,16 +198,19 @@
 	stop := context.AfterFunc(ctx, func() {
 		now := time.Now()
 		v.stopped.Store(&now)
-		v.log.Printf("event=stopping%s", &v.count)
+		v.log.Info("stopping", v.count.attrs()...)
 	})
 	defer stop()
 	err := v.accept(ctx, v.listener)
 	v.group.Wait()
+	if v.keep != nil {
+		v.keep.finish()
+	}
 	v.decide.close()
 	v.probing.Wait()
 	end()
 	back.Wait()
-	v.log.Printf("event=stopped%s", &v.count)
+	v.log.Info("stopped", v.count.attrs()...)
 	stopLog()
 	select {
 	case <-logged:
@@ -207,7 +220,7 @@
 }
 
 // Report puts the counters into the log.
-func (v *Service) Report() { v.log.Printf("event=counters%s", &v.count) }
+func (v *Service) Report() { v.log.Info("counters", v.count.attrs()...) }
 
 func (v *Service) stopping() bool { return v.stopped.Load() != nil }
 
@@ -222,21 +235,28 @@
 func (v *Service) apply(a discovery.Answer, kind logic.ListKind) {
 	v.members.list(a.Members, kind != logic.ListChanges)
 	v.decide.list(kind, a.Members)
+	if v.keep != nil {
+		v.keep.list(a, kind)
+	}
 }
 
 // Reload takes up a configuration that has replaced the one in use. Of its values only the address of discovery
-// is one that a running driver changes; a file that makes no sense changes nothing.
-func (v *Service) Reload(text []byte, err error) {
+// is one that a running driver changes; a file that makes no sense changes nothing. The operators' file goes with
+// it: the log's level, and how often and how much state is saved.
+func (v *Service) Reload(text []byte, err error, o operator.File) {
 	var f file
 	if err == nil {
 		f, err = parse(text)
 	}
 	if err != nil {
 		v.count.ReloadsFailed.Add(1)
-		v.log.Printf("event=reload_failed error=%q", err)
+		v.log.Error("reload_failed", "error", err)
 		return
 	}
 	v.count.Reloads.Add(1)
+	if v.keep != nil && o.State != nil {
+		v.keep.change(*o.State)
+	}
 	v.moving.Lock()
 	from, kept := v.config.Discovery, v.config.differs(f)
 	if v.config.Discovery = f.Discovery; from != f.Discovery {
@@ -246,7 +266,8 @@
 		v.askList()
 	}
 	v.moving.Unlock()
-	v.log.Printf("event=reloaded discovery=%s before=%s kept=%q", f.Discovery, from, strings.Join(kept, ","))
+	v.log.Info("reloaded", "discovery", f.Discovery, "before", from, "kept", strings.Join(kept, ","))
+	v.level.Set(o.Log.Level)
 }
 
 // differs names the values that another file has otherwise and that stay as they were up to a restart.
@@ -314,13 +335,13 @@
 			}
 			if err != nil {
 				v.count.ListsFailed.Add(1)
-				v.log.Printf("event=list_failed error=%q", err)
+				v.log.Warn("list_failed", "error", err)
 				v.decide.list(logic.ListFailed, nil)
 				break
 			}
 			v.count.Lists.Add(1)
 			if whole = !a.Complete && a.Revision < v.revision; whole {
-				v.log.Printf("event=list_went_back from=%d to=%d", v.revision, a.Revision)
+				v.log.Warn("list_went_back", "from", v.revision, "to", a.Revision)
 				continue
 			}
 			v.revision = a.Revision
@@ -349,7 +370,7 @@
 	})
 }
 
-func (v *Service) note(text string) { v.log.Printf("event=decided text=%q", text) }
+func (v *Service) note(text string) { v.log.Info("decided", "text", text) }
 
 func (v *Service) tellPeers(data []byte) { v.peers.tell(data) }
 
@@ -359,3 +380,9 @@
 	default:
 	}
 }
+
+// Check says what is wrong with a configuration.
+func Check(text []byte) error {
+	_, err := parse(text)
+	return err
+}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"log/slog"
 	"math"
 	"net"
 	"strconv"
@@ -239,9 +240,9 @@
 // Lines that can't be written in time are dropped and counted, and nobody waits.
 func TestLogNeverBlocks(t *testing.T) {
 	var c counters
-	l, q := newLog(&c.LogLost)
+	l, q := newLog("text", slog.LevelInfo, &c.LogLost)
 	for range cap(q.lines) + 5 {
-		l.Print("x")
+		l.Info("x")
 	}
 	if c.LogLost.Load() != 5 {
 		t.Errorf("%d lines lost", c.LogLost.Load())
@@ -277,7 +278,7 @@
 		}
 	}()
 	var count counters
-	l, _ := newLog(&count.LogLost)
+	l, _ := newLog("json", slog.LevelInfo, &count.LogLost)
 	room := &budget{}
 	room.left.Store(2)
 	m := &members{connectTime: 10 * time.Second, idleTime: time.Hour, budget: room, count: &count, log: l,
--- a/internal/driver/members.go
+++ b/internal/driver/members.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -48,7 +49,7 @@
 	connectTime, idleTime time.Duration
 	budget                *budget
 	count                 *counters
-	log                   logger
+	log                   *slog.Logger
 	probeQuery            string
 
 	mu    sync.Mutex
@@ -156,8 +157,8 @@
 	l.Close()
 	m.budget.give(1)
 	m.count.Open.Add(-1)
-	m.log.Printf("event=member_closed member=%s reason=%s served=%d age_ms=%d rested_ms=%d", l.member, why, l.served,
-		time.Since(l.opened).Milliseconds(), l.rested.Milliseconds())
+	m.log.Info("member_closed", "member", l.member, "reason", why, "served", l.served,
+		"age_ms", time.Since(l.opened).Milliseconds(), "rested_ms", l.rested.Milliseconds())
 }
 
 // kept takes the newest idle connection that is not broken, rather one that has settled: members close some right
@@ -235,7 +236,7 @@
 	if err != nil {
 		m.budget.give(1)
 		m.count.Open.Add(-1)
-		m.log.Printf("event=member_closed member=%s reason=no_connection served=0 error=%q", member, err)
+		m.log.Info("member_closed", "member", member, "reason", "no_connection", "served", 0, "error", err)
 		return nil, logic.ConnectFailed
 	}
 	l := &link{Conn: conn, r: bufio.NewReaderSize(conn, linkBuffer), member: member, address: address,
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"sync"
 )
 
@@ -171,6 +172,30 @@
 		s.total() > s.o.Limit/2
 }
 
+// Cap changes the cap on size, in bytes, but not to under LeastLimit.
+func (s *Store) Cap(limit int64) {
+	s.compacting.Lock()
+	defer s.compacting.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.o.Limit = max(limit, LeastLimit)
+}
+
+// Check says whether the log that is written to still stands in the folder: a file that was removed takes writes
+// all the same.
+func (s *Store) Check() error {
+	names, err := s.fs.List(s.o.Folder)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && s.file != nil && !slices.Contains(names, logName(s.generation)) {
+		err = errors.New("durable: the log has gone from its folder")
+	}
+	if err != nil && s.failed == nil {
+		s.failed = err
+	}
+	return err
+}
+
 // Written is how many bytes have been written since Open.
 func (s *Store) Written() int64 {
 	s.mu.Lock()
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -23,6 +23,7 @@
 	Index          int            // this driver's number among all
 	ConnectTimeout float64        // milliseconds, as is ConnIdle
 	ConnIdle       float64        // members close a connection that has been idle so long
+	DrainGrace     float64        // milliseconds in which sends must stop after a drain was told; 0 for unknown
 }
 
 // setup is the part of the settings that is read; other keys are skipped.
@@ -47,6 +48,7 @@
 		PositionZero float64   `json:"position_zero"`
 		ShowsRole    string    `json:"shows_role"`
 		WriteMarks   string    `json:"write_marks"`
+		Stamps       bool
 	} `json:"family_info"`
 	Limits struct {
 		Cancel        bool
@@ -70,6 +72,7 @@
 		Fall             float64
 		TipMultiple      float64 `json:"tip_multiple"`
 		OnlyDrainingBind bool    `json:"only_draining_binds"`
+		StopSending      float64 `json:"stop_sending_within"`
 	}
 }
 
@@ -108,7 +111,7 @@
 	o := &logic.Opening{
 		Seed: seed, Drivers: s.Siblings, Zone: s.Zone, Tick: ms(s.Tick),
 		SessionCarried: s.Family.WriteMarks == "brought",
-		PositionZero:   ms(s.Family.PositionZero), ListOnRequest: s.Registry == "on_request",
+		PositionZero:   ms(s.Family.PositionZero), Positions: s.Family.Stamps, ListOnRequest: s.Registry == "on_request",
 		MayProbe: s.Limits.MayProbe, MayCancel: s.Limits.Cancel, MayMessage: s.Limits.Peers,
 		MayOverlap: s.Limits.ParallelTries,
 		SendCap:    s.Limits.SendCap,
@@ -152,5 +155,5 @@
 		names[p.Name] = i
 	}
 	return Told{Opening: o, OpTypes: names, Index: s.Index, ConnectTimeout: ms(s.Limits.ConnectTime),
-		ConnIdle: ms(s.Limits.ConnIdle)}, nil
+		ConnIdle: ms(s.Limits.ConnIdle), DrainGrace: ms(s.Rules.StopSending)}, nil
 }
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,209 @@
+// Package operator reads the operators' file: what an installation switches on beside the platform's own
+// configuration, in HCL. It owns names, types, defaults and their limits. It must never act on what it reads, and
+// never let a name pass that it does not know.
+package operator
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/hashicorp/hcl/v2/hclwrite"
+	"github.com/zclconf/go-cty/cty"
+	"github.com/zclconf/go-cty/cty/convert"
+)
+
+// File is what an operators' file says, defaults filled in. The zero File is not one: use Default.
+type File struct {
+	Log   Log
+	State *State // nil: nothing is kept on disk
+}
+
+// Log is the block "log".
+type Log struct {
+	Format string     // "text" or "json"
+	Level  slog.Level // the least that is written
+}
+
+// State is the block "state": where learned state is kept across restarts.
+type State struct {
+	Folder    string
+	SaveEvery time.Duration
+	LimitMB   int // of all files together
+	// SwitchLeast: no change of a primary takes less. 0: as long as the platform gives drivers to stop sending to a
+	// member that drains.
+	SwitchLeast time.Duration
+}
+
+// Default is what holds where there is no file.
+func Default() File { return File{Log: Log{Format: "text", Level: slog.LevelInfo}} }
+
+// Parse reads a file's text; name is for errors, which carry file, line and column, one a line.
+func Parse(name string, text []byte) (File, error) {
+	f := Default()
+	syntax, problems := hclsyntax.ParseConfig(text, name, hcl.InitialPos)
+	r := &reader{problems: problems}
+	if !problems.HasErrors() {
+		blocks := r.content(syntax.Body, &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "state"}}})
+		seen := map[string]*hcl.Range{}
+		for _, b := range blocks.Blocks {
+			if before := seen[b.Type]; before != nil {
+				r.problem(b.DefRange, "The block %q stands twice; it stands already at line %d.", b.Type, before.Start.Line)
+				continue
+			}
+			seen[b.Type] = &b.DefRange
+			switch b.Type {
+			case "log":
+				f.Log = r.log(b)
+			case "state":
+				f.State = r.state(b)
+			}
+		}
+	}
+	if r.problems.HasErrors() {
+		return Default(), problemsError(r.problems)
+	}
+	return f, nil
+}
+
+// problemsError tells all that is wrong, one problem a line.
+type problemsError hcl.Diagnostics
+
+func (p problemsError) Error() string {
+	var lines []string
+	for _, d := range p {
+		where := ""
+		if d.Subject != nil {
+			where = fmt.Sprintf("%s:%d,%d: ", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column)
+		}
+		lines = append(lines, where+strings.TrimSuffix(d.Summary, ".")+": "+strings.ReplaceAll(d.Detail, "\n", " "))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// reader collects problems while it reads, so that all of a file are told at once.
+type reader struct {
+	problems hcl.Diagnostics
+}
+
+func (r *reader) problem(at hcl.Range, format string, args ...any) {
+	r.problems = append(r.problems, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Bad value",
+		Detail: fmt.Sprintf(format, args...), Subject: &at})
+}
+
+// content takes a body apart; names that the schema lacks are problems.
+func (r *reader) content(body hcl.Body, schema *hcl.BodySchema) *hcl.BodyContent {
+	c, problems := body.Content(schema)
+	r.problems = append(r.problems, problems...)
+	return c
+}
+
+// block reads a block that holds attributes alone.
+func (r *reader) block(b *hcl.Block, names ...string) hcl.Attributes {
+	schema := &hcl.BodySchema{}
+	for _, n := range names {
+		schema.Attributes = append(schema.Attributes, hcl.AttributeSchema{Name: n})
+	}
+	return r.content(b.Body, schema).Attributes
+}
+
+// value gives an attribute as the type wanted; ok is false where it is not there or a problem.
+func (r *reader) value(attrs hcl.Attributes, name string, want cty.Type) (v cty.Value, at hcl.Range, ok bool) {
+	a := attrs[name]
+	if a == nil {
+		return v, at, false
+	}
+	at = a.Expr.Range()
+	v, problems := a.Expr.Value(nil)
+	if r.problems = append(r.problems, problems...); problems.HasErrors() {
+		return v, at, false
+	}
+	v, err := convert.Convert(v, want)
+	if err != nil || v.IsNull() || !v.IsKnown() {
+		r.problem(at, "%s wants a %s.", name, want.FriendlyName())
+		return v, at, false
+	}
+	return v, at, true
+}
+
+func (r *reader) text(attrs hcl.Attributes, name, otherwise string) (string, hcl.Range) {
+	if v, at, ok := r.value(attrs, name, cty.String); ok {
+		return v.AsString(), at
+	}
+	return otherwise, hcl.Range{}
+}
+
+func (r *reader) oneOf(attrs hcl.Attributes, name, otherwise string, words ...string) string {
+	s, at := r.text(attrs, name, otherwise)
+	for _, w := range words {
+		if s == w {
+			return s
+		}
+	}
+	r.problem(at, "%s is %q; it may be %s.", name, s, strings.Join(words, ", "))
+	return otherwise
+}
+
+func (r *reader) duration(attrs hcl.Attributes, name string, otherwise, least, most time.Duration) time.Duration {
+	s, at := r.text(attrs, name, otherwise.String())
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		r.problem(at, "%s is %q; it wants a time such as %q.", name, s, otherwise)
+	} else if d < least || d > most {
+		r.problem(at, "%s is %s; it may be %s to %s.", name, d, least, most)
+	} else {
+		return d
+	}
+	return otherwise
+}
+
+func (r *reader) whole(attrs hcl.Attributes, name string, otherwise, least, most int) int {
+	v, at, ok := r.value(attrs, name, cty.Number)
+	if !ok {
+		return otherwise
+	}
+	f, _ := v.AsBigFloat().Float64()
+	if n := int(f); float64(n) == f && n >= least && n <= most {
+		return n
+	}
+	r.problem(at, "%s is %g; it may be a whole number, %d to %d.", name, f, least, most)
+	return otherwise
+}
+
+func (r *reader) log(b *hcl.Block) Log {
+	attrs := r.block(b, "format", "level")
+	l := Log{Format: r.oneOf(attrs, "format", "text", "text", "json")}
+	l.Level.UnmarshalText([]byte(r.oneOf(attrs, "level", "info", "debug", "info", "warn", "error")))
+	return l
+}
+
+func (r *reader) state(b *hcl.Block) *State {
+	attrs := r.block(b, "folder", "save_every", "limit_mb", "switch_least")
+	s := &State{
+		SaveEvery:   r.duration(attrs, "save_every", time.Second, 50*time.Millisecond, time.Minute),
+		LimitMB:     r.whole(attrs, "limit_mb", 16, 1, 1024),
+		SwitchLeast: r.duration(attrs, "switch_least", 0, 0, time.Minute),
+	}
+	var at hcl.Range
+	if s.Folder, at = r.text(attrs, "folder", ""); s.Folder == "" {
+		if at.Filename == "" {
+			at = b.DefRange
+		}
+		r.problem(at, "state wants a folder.")
+	}
+	return s
+}
+
+// String is the file as it is in force, defaults included, in its own form.
+func (f File) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "log {\n  format = %q\n  level  = %q\n}\n", f.Log.Format, strings.ToLower(f.Log.Level.String()))
+	if s := f.State; s != nil {
+		fmt.Fprintf(&b, "state {\n  folder       = %s\n  save_every   = %q\n  limit_mb     = %d\n  switch_least = %q\n}\n",
+			hclwrite.TokensForValue(cty.StringVal(s.Folder)).Bytes(), s.SaveEvery, s.LimitMB, s.SwitchLeast)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,95 @@
+package operator
+
+import (
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestDefaultsAndValues(t *testing.T) {
+	f, err := Parse("x.hcl", nil)
+	if err != nil || f != Default() || f.State != nil {
+		t.Fatal(f, err)
+	}
+	f, err = Parse("x.hcl", []byte("state {\n folder = \"/var/lib/weirwind\"\n}"))
+	if err != nil || *f.State != (State{Folder: "/var/lib/weirwind", SaveEvery: time.Second, LimitMB: 16}) {
+		t.Fatal(f, err)
+	}
+	f, err = Parse("x.hcl", []byte(`log {
+  format = "json"
+  level = "warn"
+}
+state {
+  folder = "s"
+  save_every = "250ms"
+  limit_mb = 2
+  switch_least = "3s"
+}`))
+	if err != nil || f.Log != (Log{"json", slog.LevelWarn}) ||
+		*f.State != (State{"s", 250 * time.Millisecond, 2, 3 * time.Second}) {
+		t.Fatal(f, err)
+	}
+	again, err := Parse("again", []byte(f.String()))
+	if err != nil || again.Log != f.Log || *again.State != *f.State {
+		t.Fatalf("does not read its own form: %v\n%s", err, f)
+	}
+}
+
+// Each mistake is told with file, line and column, and all of a file at once.
+func TestMistakes(t *testing.T) {
+	for text, want := range map[string]string{
+		"log {\n  colour = true\n}":    "x.hcl:2,3: Unsupported argument",
+		"logs {\n}":                    "x.hcl:1,1: Unsupported block type",
+		"log \"a\" {\n}":               "x.hcl:1,5: ",
+		"log {\n  format = \"xml\"\n}": `x.hcl:2,12: Bad value: format is "xml"; it may be text, json.`,
+		"log {\n  level = [1]\n}":      "x.hcl:2,11: Bad value: level wants a string.",
+		"log {\n}\nlog {\n}":           `x.hcl:3,1: Bad value: The block "log" stands twice; it stands already at line 1.`,
+		"state {\n}":                   "x.hcl:1,1: Bad value: state wants a folder.",
+		"state {\n  folder = \"a\"\n  save_every = \"soon\"\n}": `x.hcl:3,16: Bad value: save_every is "soon"; it wants a time such as "1s".`,
+		"state {\n  folder = \"a\"\n  save_every = \"1ms\"\n}":  "x.hcl:3,16: Bad value: save_every is 1ms; it may be 50ms to 1m0s.",
+		"state {\n  folder = \"a\"\n  limit_mb = 1.5\n}":        "x.hcl:3,14: Bad value: limit_mb is 1.5; it may be a whole number, 1 to 1024.",
+		"state {\n  folder = null\n}":                           "x.hcl:2,12: Bad value: folder wants a string.",
+		"state {\n  folder = who\n}":                            "x.hcl:2,12: ",
+		"state {":                                               "x.hcl:1,7: ",
+		"state {\n  folder = \"a\"\n  limit_mb = 0\n  x = 1\n}": "x.hcl:4,3: Unsupported argument",
+	} {
+		f, err := Parse("x.hcl", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		} else if f.State != nil {
+			t.Errorf("%q: takes effect all the same", text)
+		}
+	}
+	if _, err := Parse("x.hcl", []byte("log {\n  a = 1\n  b = 2\n}")); err == nil || strings.Count(err.Error(), "\n") != 1 {
+		t.Errorf("two mistakes: %v", err)
+	}
+}
+
+// The example that the repository documents is a good file and shows each default as it is.
+func TestTheExample(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/operator.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("operator.hcl", text)
+	if err != nil || f.State == nil {
+		t.Fatal(err)
+	}
+	plain, _ := Parse("", []byte("state {\n folder = \""+f.State.Folder+"\"\n}"))
+	if f.Log != plain.Log || *f.State != *plain.State {
+		t.Errorf("the example differs from the defaults:\n%s\n%s", f, plain)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("state {\n  folder = \"a\"\n  limit_mb = 1.5\n}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if v, err := Parse("x", text); err == nil {
+			if again, err := Parse("y", []byte(v.String())); err != nil || again.Log != v.Log {
+				t.Fatalf("%v\n%s", err, v)
+			}
+		}
+	})
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -72,6 +72,7 @@
 	ListRole        ListRole
 	SessionCarried  bool // session reads say how long ago the session wrote; else the driver remembers
 	PositionZero    float64
+	Positions       bool // members tell how far they have applied the log
 	ListOnRequest   bool
 	ReportsByProbe  bool // a probe's report shows role and position
 	MayProbe        bool
@@ -99,7 +100,9 @@
 	EvProbed                   // Member, Outcome, Report, Took
 	EvGone                     // Op
 	EvTimer
-	EvMessage // Data
+	EvMessage  // Data
+	EvRecall   // Memory: what an earlier run knew, behind the first list and before the first op
+	EvRemember // Memory, which the module fills for a run to come
 )
 
 // ListKind says how Members relates to the list known so far.
@@ -181,6 +184,45 @@
 	Opened   float64 // clock time at which the connection of a good answer was opened, 0 for unknown
 	Report   Sight
 	Data     []byte
+	Memory   *Memory
+}
+
+// Memory is what one run of a driver leaves to the next. Times are clock times in milliseconds. Who hands one to
+// EvRecall has left out what is too old or too doubtful to be said at all; the module decides by the dates what the
+// rest may do. EvRemember keeps the slices' room.
+type Memory struct {
+	Ceiling float64 // a position that no commit of an earlier run lies beyond, in milliseconds after PositionZero
+	Trust   float64 // milliseconds: a primary can't be replaced in less
+	OpTypes []TypeMemory
+	Groups  []GroupMemory
+	Members []MemberMemory
+}
+
+// TypeMemory is of the op type at the same index: its usual and best time, 0 for unknown.
+type TypeMemory struct {
+	Took, Best float64
+}
+
+// GroupMemory names the primary that a group's slot held, or held last.
+type GroupMemory struct {
+	Group int64
+	Slot  string  // empty for none ever
+	Held  bool    // it was in the slot still
+	Seen  float64 // newest evidence that it is the primary
+	Rate  float64 // usual milliseconds of work answered a millisecond; 0 for unknown
+
+	Commit float64 // the position of the last own write, 0 for none or where sessions carry theirs
+}
+
+// MemberMemory is of one member.
+type MemberMemory struct {
+	Member   string
+	Group    int64
+	Position float64 // as in Sight
+	Started  float64 // by the list, or as its return was taken for a start; 0 for long ago
+	Aside    float64 // since when it has been set aside, 0 for not
+	Cut      bool    // as its connections broke or none came
+	Window   float64 // sends that may be out there; 0 for unknown
 }
 
 // ActionKind names what is to be done.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,6 +86,7 @@
 	window, cutAt, fullAt, credit, creditAt    float64 // window: sends that may be out; credit: of a cold one
 
 	aside, news bool   // news: to tell peers
+	doubted     bool   // the primary of an earlier run: no write before it has answered as primary
 	say, cut    uint64 // the flags that go with it; set aside as connections broke or none came
 }
 
@@ -131,6 +132,7 @@
 	tellGap, tellLeast float64 // all drivers tell of a member so often, 0: never; at the most often
 
 	watchAt, watchWait, woke, words, crowd float64 // woke: from a pause of its own; crowd: drivers by threes
+	ceiling                                float64 // commits of earlier runs lie before it
 }
 
 // Step takes what happened at now and returns what is to be done.
@@ -164,6 +166,10 @@
 			due = true
 		case EvMessage:
 			d.hear(ev.Data)
+		case EvRecall:
+			d.recall(ev.Memory)
+		case EvRemember:
+			d.remember(ev.Memory)
 		}
 	}
 	if due { // after the answers that came with the timer
@@ -197,6 +203,9 @@
 			d.bound = min(d.bound, t.MaxAge)
 		}
 	}
+	if p.Positions && !d.carried {
+		d.ceiling = d.now - d.zero // an earlier run may have acknowledged writes up to now
+	}
 	if d.crowd = 1; p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
 		d.crowd = max(1, float64(p.Drivers)/3)
 		d.tellLeast = min(max(d.bound/4, 10*p.Tick), probeEvery) * min(d.crowd/3, 1)
@@ -218,7 +227,7 @@
 func (d *Driver) groupAt(id int64) *group {
 	g := d.groupOf[id]
 	if g == nil {
-		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1),
+		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), commit: d.ceiling,
 			strain: make([]float64, len(d.types))}
 		d.groupOf[id] = g
 		d.groups = append(d.groups, g)
@@ -282,6 +291,91 @@
 	}
 }
 
+// recall takes what an earlier run knew as what it is, dated evidence. Of a primary, what is younger than any
+// switch can be fills the slot; what is older only orders the search, as do slots that were empty. Only where
+// the list follows the roles does an older word yield to the list's.
+func (d *Driver) recall(k *Memory) {
+	d.ceiling = max(d.ceiling, k.Ceiling)
+	for i, t := range k.OpTypes[:min(len(k.OpTypes), len(d.types))] {
+		if t.Took > 0 && t.Best > 0 {
+			d.types[i].took, d.types[i].best = t.Took, min(t.Best, t.Took)
+		}
+	}
+	for i := range k.Members {
+		r := &k.Members[i]
+		m := d.members[r.Member]
+		if m == nil || m.group.id != r.Group {
+			continue
+		}
+		if m.position = max(m.position, r.Position); r.Window > 0 {
+			m.window = r.Window
+		}
+		if r.Started > 0 && r.Started >= m.started { // what it may be sent while cold begins at nothing, not anew
+			m.started, m.backAt, m.credit, m.creditAt = r.Started, r.Started, 0, d.now
+		}
+		if r.Aside >= m.started && r.Aside > 0 && !m.draining {
+			m.aside, m.asideAt, m.pause, m.trialAt = true, r.Aside, trialFirst, d.after(trialFirst)
+			if r.Cut {
+				m.cut = tellCut
+			}
+			if m.group.slot == m {
+				d.empty(m, true, "recalled as set aside")
+			}
+		}
+	}
+	for _, r := range k.Groups {
+		g, m := d.groupOf[r.Group], d.members[r.Slot]
+		if g == nil {
+			continue
+		}
+		if g.commit = max(g.commit, d.ceiling); r.Rate > 0 {
+			g.rate, g.blur = r.Rate, min(d.crowd-1, 1) // alike in all drivers that start at once: chance decides
+		}
+		listed := g.slot // by a list that may be as old
+		if m == nil || m.group != g || r.Seen <= g.seen || m.started > r.Seen {
+			continue
+		}
+		if age := d.now - r.Seen; r.Held && age >= 0 && age < k.Trust && !m.draining && !m.aside {
+			d.fill(m, r.Seen, "recalled")
+		} else if listed == nil || !d.roleLate {
+			g.slot, g.last, g.seen, g.emptied, g.probeAt, m.doubted = nil, m, r.Seen, r.Seen, d.now, true
+			if d.log("group %d: %s was primary, to be asked", g.id, m.id); d.reports && !m.draining {
+				d.act(Action{Kind: ActProbe, Member: m.id})
+			}
+			d.search(g)
+		}
+	}
+}
+
+func (d *Driver) remember(k *Memory) {
+	k.OpTypes, k.Groups, k.Members = k.OpTypes[:0], k.Groups[:0], k.Members[:0]
+	for _, t := range d.types {
+		k.OpTypes = append(k.OpTypes, TypeMemory{Took: t.took, Best: t.best})
+	}
+	for _, g := range d.groups {
+		r := GroupMemory{Group: g.id, Held: g.slot != nil, Rate: g.rate, Commit: g.commit}
+		if p := cmp.Or(g.slot, g.last); p != nil && !math.IsInf(g.seen, -1) {
+			r.Slot, r.Seen = p.id, g.seen
+		}
+		k.Groups = append(k.Groups, r)
+		for _, m := range g.members {
+			r := MemberMemory{Member: m.id, Group: g.id, Position: m.position, Started: m.started, Cut: m.cut != 0,
+				Window: m.window}
+			if m.aside {
+				r.Aside = m.asideAt
+			}
+			k.Members = append(k.Members, r)
+		}
+	}
+}
+
+// denied says whether no other member can be the primary, as all say that they are replicas or don't answer.
+func (g *group) denied(p *member) bool {
+	return !slices.ContainsFunc(g.members, func(m *member) bool {
+		return m != p && !m.draining && !m.aside && math.IsInf(m.replicaAt, -1)
+	})
+}
+
 // leave takes a member out of service: one that drains or is gone gets nothing new from now on.
 func (d *Driver) leave(m *member, p Phase) {
 	if p == Gone && m.left == 0 {
@@ -709,7 +803,7 @@
 		m.window, m.late = min(m.window, startWindow), max(m.late, min(startLate, d.crowd-1))
 		m.over = m.late
 	}
-	g.slot, g.last, g.seen = m, nil, max(g.seen, when)
+	g.slot, g.last, g.seen, m.doubted = m, nil, max(g.seen, when), false
 	d.welcome(m, by)
 	if m.news = true; by == "answer" || by == "report" {
 		m.toldAt = d.now - d.tellGap // the others wait for this word
@@ -895,7 +989,8 @@
 		return
 	}
 	for _, m := range g.members {
-		if m.aside || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) || !d.admits(m, o) {
+		if m.aside || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) || !d.admits(m, o) ||
+			m.doubted && !g.denied(m) {
 			continue
 		}
 		g.trial = o
