--- a/logic/logic.go
+++ b/logic/logic.go
@@ -296,6 +296,9 @@
 // the list follows the roles does an older word yield to the list's.
 func (d *Driver) recall(k *Memory) {
 	d.ceiling = max(d.ceiling, k.Ceiling)
+	for _, g := range d.groups {
+		g.commit = max(g.commit, d.ceiling)
+	}
 	for i, t := range k.OpTypes[:min(len(k.OpTypes), len(d.types))] {
 		if t.Took > 0 && t.Best > 0 {
 			d.types[i].took, d.types[i].best = t.Took, min(t.Best, t.Took)
@@ -328,7 +331,7 @@
 		if g == nil {
 			continue
 		}
-		if g.commit = max(g.commit, d.ceiling); r.Rate > 0 {
+		if r.Rate > 0 {
 			g.rate, g.blur = r.Rate, min(d.crowd-1, 1) // alike in all drivers that start at once: chance decides
 		}
 		listed := g.slot // by a list that may be as old
--- /dev/null
+++ b/logic/recall_test.go
@@ -0,0 +1,227 @@
+package logic
+
+import (
+	"math"
+	"testing"
+)
+
+// recalls starts a driver whose list names p, and tells it of an earlier run.
+func recalls(t *testing.T, o *Opening, k Memory) *rig {
+	r := start(t, o)
+	r.step(Event{Kind: EvRecall, Memory: &k})
+	return r
+}
+
+func slotMemory(member string, held bool, ago float64) Memory {
+	return Memory{Trust: 500, Groups: []GroupMemory{{Group: 1, Slot: member, Held: held, Seen: 100000 - ago}}}
+}
+
+// A recalled primary younger than a switch fills the slot, also against the list of the day's start; at the bound,
+// out of the slot, from the future or gone it does not.
+func TestRecalledPrimaryByItsAge(t *testing.T) {
+	for _, x := range []struct {
+		k    Memory
+		want string
+	}{{slotMemory("r", true, 0), "r"}, {slotMemory("r", true, 499), "r"}, {slotMemory("r", true, 500), ""},
+		{slotMemory("r", true, 90e3), ""}, {slotMemory("r", false, 10), ""}, {slotMemory("r", true, -1), ""},
+		{slotMemory("p", true, 10), "p"}, {slotMemory("p", true, 500), ""}, {slotMemory("x", true, 10), "p"},
+		{Memory{Trust: 500}, "p"}} {
+		r := recalls(t, opening(), x.k)
+		if got := r.op("w", once, 2000); got != x.want {
+			t.Errorf("%+v: write sent to %q, want %q", x.k.Groups, got, x.want)
+		}
+	}
+	r := start(t, opening())
+	r.step(members(ListFull, "p", "r-", "s"))
+	k := slotMemory("r", true, 10)
+	r.step(Event{Kind: EvRecall, Memory: &k})
+	r.want(r.op("w", once, 2000) != "r", "no write to a recalled primary that drains")
+}
+
+// Where the list follows the roles it yields only to evidence that is young.
+func TestRecalledAgainstAListThatFollows(t *testing.T) {
+	o := opening()
+	o.ListRole = RoleLate
+	r := recalls(t, o, slotMemory("r", true, 90e3))
+	r.want(r.op("w", once, 2000) == "p", "the list's primary")
+	r = recalls(t, o, slotMemory("r", true, 10))
+	r.want(r.op("w", once, 2000) == "r", "the recalled primary")
+}
+
+// An old one is asked at once and first; it gets no write before it has answered as primary, be the search by
+// probes or by trials.
+func TestOldRecalledPrimaryOnlyOrdersTheSearch(t *testing.T) {
+	r := recalls(t, opening(), slotMemory("r", true, 90e3))
+	r.want(count(r.acts, ActProbe, "") > 0 && r.acts[len(r.acts)-1].Kind != ActSend, "probes")
+	first := ""
+	for _, a := range r.acts {
+		if a.Kind == ActProbe && first == "" {
+			first = a.Member
+		}
+	}
+	r.want(first == "r", "r to be probed first")
+	r.want(r.op("w", once, 2000) == "", "the write to be held")
+	r.step(Event{Kind: EvProbed, Member: "r", Outcome: OK, Took: 1, Report: Sight{Primary, r.now}})
+	r.want(to(r.acts, "w") == "r", "the write to go to r once it has answered")
+
+	o := opening()
+	o.ReportsByProbe, o.MayProbe = false, false
+	r = recalls(t, o, slotMemory("r", true, 90e3))
+	sent := map[string]int{}
+	r.step(Event{Kind: EvOp, Op: "a", OpType: once, Group: 1, Left: 2000})
+	for range 100 { // p and s deny in turn, and only then is r tried
+		if m := to(r.acts, "a"); m == "r" {
+			if sent[m]++; sent["p"] == 0 || sent["s"] == 0 {
+				t.Fatal("r got a write while another might be the primary")
+			}
+			r.answer("a", m, OK, Primary, r.now)
+		} else if m != "" {
+			sent[m]++
+			r.answer("a", m, Miss, Replica, r.now)
+		}
+		r.wait(5)
+	}
+	r.want(sent["r"] > 0, "r to be tried when all others have denied")
+}
+
+// What speaks against a recalled primary in this run wins over it.
+func TestRecalledPrimaryYieldsToWhatIsNewer(t *testing.T) {
+	r := recalls(t, opening(), slotMemory("r", true, 400))
+	r.op("w", once, 2000)
+	r.answer("w", "r", Miss, Replica, r.now)
+	r.want(to(r.acts, "w") == "", "the write to be held after the miss")
+	r.step(Event{Kind: EvProbed, Member: "s", Outcome: OK, Took: 1, Report: Sight{Primary, r.now}})
+	r.want(to(r.acts, "w") == "s", "the write to go to the primary found")
+	k := slotMemory("r", true, 400) // told once more, late: the slot is s's, by newer evidence
+	r.step(Event{Kind: EvRecall, Memory: &k})
+	r.want(r.op("v", once, 2000) == "s", "the newer primary to stay")
+}
+
+// Who was set aside stays so until it answers a trial; a member that has started since is not concerned.
+func TestRecalledAsSetAside(t *testing.T) {
+	k := Memory{Members: []MemberMemory{{Member: "r", Group: 1, Aside: 99000, Cut: true}, {Member: "s", Group: 9, Aside: 99000},
+		{Member: "p", Group: 1, Aside: 99000, Started: 99500}}}
+	r := recalls(t, opening(), k)
+	r.d.members["p"].inFlight = 99
+	for i := range 5 {
+		id := string(rune('a' + i))
+		r.want(r.op(id, anyRead, 1000) == "s", "reads to go where nothing is known")
+		r.answer(id, "s", OK, Replica, r.now)
+	}
+	r.want(!r.d.members["p"].aside, "p in use, as it has started since")
+	r.wait(1000)
+	r.want(r.op("t", anyRead, 1000) == "r", "a trial when its pause is over")
+	r.answer("t", "r", OK, Replica, r.now)
+	r.want(!r.d.members["r"].aside, "r back")
+	r.want(r.d.warmth(r.d.members["r"]) < 1, "r to count as just started, as its connections broke")
+}
+
+// Rule 4: what a cold member may be sent begins at nothing after a restart, not at another first credit.
+func TestRestartGrantsNoBudgetAnew(t *testing.T) {
+	granted := func(k *Memory) (n int) {
+		for seed := range uint64(300) {
+			o := opening()
+			o.Seed = (seed + 1) * 0x9E3779B97F4A7C15
+			r := &rig{t: t, now: 100000}
+			r.step(Event{Kind: EvOpen, Opening: o}, members(ListCached, "p", "r+"))
+			if k != nil {
+				r.step(Event{Kind: EvRecall, Memory: k})
+			}
+			r.d.members["r"].credit *= 3 // what a first op of any type costs
+			if r.op("a", anyRead, 1000) == "r" {
+				n++
+			}
+		}
+		return n
+	}
+	k := Memory{Members: []MemberMemory{{Member: "r", Group: 1, Started: 100000}}}
+	if with, without := granted(&k), granted(nil); with != 0 || without == 0 {
+		t.Errorf("of 300 drivers that start at once %d send to the cold member, %d without memory", with, without)
+	}
+}
+
+// 300 drivers start at once with the same knowledge: no member gets much more of their first ops than its share.
+func TestDriversThatStartAtOnceSpreadOut(t *testing.T) {
+	k := Memory{Trust: 500, OpTypes: []TypeMemory{{60, 50}, {70, 60}}, Groups: []GroupMemory{{Group: 1, Slot: "p", Held: true, Seen: 99990,
+		Rate: 3}}}
+	names := []string{"p", "r", "s", "t", "u", "v"}
+	for i, n := range names {
+		k.Members = append(k.Members, MemberMemory{Member: n, Group: 1, Position: 99980 + float64(i), Window: float64(4 + 3*i)})
+	}
+	for _, talk := range []bool{true, false} {
+		for _, kind := range []int{bounded, anyRead, session} {
+			got := map[string]int{}
+			for seed := range uint64(300) {
+				o := opening()
+				o.Seed, o.Drivers, o.MayMessage, o.Checks = (seed+1)*0x9E3779B97F4A7C15, 300, talk, ChecksNone
+				r := &rig{t: t, now: 100000}
+				r.step(Event{Kind: EvOpen, Opening: o}, members(ListCached, names...), Event{Kind: EvRecall, Memory: &k})
+				got[r.op("a", kind, 1000)]++
+			}
+			for m, n := range got {
+				if m == "" || n > 2*300/5 {
+					t.Errorf("messages %v, type %d: of 300 first ops %q gets %d: %v", talk, kind, m, n, got)
+				}
+			}
+		}
+	}
+}
+
+// Sessions that do not carry their writes: what an earlier run acknowledged lies before this one's start, or before
+// a ceiling that was held further ahead.
+func TestCeilingsOfSessions(t *testing.T) {
+	o := opening()
+	o.SessionCarried, o.Positions, o.Checks = false, true, ChecksNone
+	position := func(r *rig, at float64) {
+		for _, m := range []string{"r", "s"} {
+			r.step(Event{Kind: EvProbed, Member: m, Outcome: OK, Took: 1, Report: Sight{Replica, at}})
+		}
+	}
+	r := start(t, o)
+	position(r, 99999)
+	r.want(r.op("a", session, 1000) == "p", "the primary: replicas may lack what an earlier run wrote")
+	r.wait(20)
+	position(r, 100001)
+	r.want(r.op("b", session, 1000) != "p", "a replica that is past the start")
+	r = recalls(t, o, Memory{Ceiling: 102000})
+	position(r, 101999)
+	r.want(r.op("a", session, 1000) == "p", "the primary: under the ceiling")
+	position(r, 102000)
+	r.want(r.op("b", session, 1000) != "p", "a replica past the ceiling")
+	o.Positions = false // nobody tells positions: then no replica could ever do
+	r = start(t, o)
+	r.want(r.op("a", session, 1000) != "p", "a replica, where positions are not told")
+}
+
+// What one run remembers, the next recalls: slot, usual times, who is set aside, windows.
+func TestRememberAndRecall(t *testing.T) {
+	r := start(t, opening())
+	for i := range 40 {
+		id := string(rune('A' + i))
+		r.op(id, anyRead, 1000)
+		r.now += 37
+		r.answer(id, to(r.all, id), OK, Replica, r.now-20)
+	}
+	r.step(Event{Kind: EvProbed, Member: "p", Outcome: OK, Took: 1, Report: Sight{Primary, r.now}})
+	r.d.setAside(r.d.members["s"], tellSilent|tellCut, "test")
+	k := Memory{Trust: 1000}
+	r.step(Event{Kind: EvRemember, Memory: &k})
+	again := &rig{t: t, now: r.now + 100}
+	again.step(Event{Kind: EvOpen, Opening: opening()}, members(ListCached, "p", "r", "s"), Event{Kind: EvRecall, Memory: &k})
+	var back Memory
+	again.step(Event{Kind: EvRemember, Memory: &back})
+	if len(back.Groups) != 1 || back.Groups[0] != k.Groups[0] || back.Groups[0].Slot != "p" || !back.Groups[0].Held {
+		t.Errorf("groups %+v, want %+v", back.Groups, k.Groups)
+	}
+	for i, m := range k.Members {
+		if back.Members[i] != m {
+			t.Errorf("member %+v, want %+v", back.Members[i], m)
+		}
+	}
+	if back.OpTypes[anyRead] != k.OpTypes[anyRead] || k.OpTypes[anyRead].Took == opening().OpTypes[anyRead].LatencyTarget/3 {
+		t.Errorf("op types %+v, want %+v", back.OpTypes, k.OpTypes)
+	}
+	again.step(Event{Kind: EvRecall, Memory: &Memory{OpTypes: make([]TypeMemory, 99), Groups: []GroupMemory{{Group: 77, Slot: "p"}},
+		Members: []MemberMemory{{Member: "nobody"}}}})
+	again.want(!math.IsNaN(again.d.types[0].took) && again.d.types[0].took > 0, "nothing taken from what fits nothing")
+}
