Old state costs no more than a short search; restarts and idle memory are measured

Cause: with a state too old to be trusted the first write took 1,021 ms against 233 ms without state: trials at the members that denied had used up its sends. Change: when every other member has denied, the kept primary fills the slot by elimination instead of by a further trial; cmd/weirwind/measure_test.go takes restarts and idle memory, internal/learned/scale_test.go saves and recovery at 10,000 members.

--- /dev/null
+++ b/cmd/weirwind/measure_test.go
@@ -0,0 +1,206 @@
+package main
+
+// Measurements of restarts and of idle memory, against the stand-ins: `make measure`. In CI they run once each, so
+// that they go on working.
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirwind/internal/pgwire"
+)
+
+var (
+	restarts = flag.Int("restarts", 1, "restarts of each kind that are measured")
+	build    = flag.String("binary", "", "the program that is measured; else the tests' own")
+	before   = flag.String("before", "", "another build, whose idle memory is measured beside it")
+)
+
+// lagging is a replica that answers reads with a position 20 ms old.
+func lagging(q string) []byte {
+	if strings.HasPrefix(q, "INSERT") {
+		return fault("25006", "reader")
+	}
+	m := msg('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+	m = append(append(m, msg('D', "\x00\x01\x00\x00\x00\x01v")...), msg('C', "SELECT 1\x00")...)
+	m = append(append(m, msg('S', "server_role\x00reader\x00")...), msg('S', fmt.Sprintf("commit_clock\x00%d\x00", time.Now().UnixMilli()-20))...)
+	return pgwire.AppendReady(m)
+}
+
+// first is how long it took from the start of the program to the first acked op of a type, and how many tries were
+// turned away before.
+type first struct {
+	took    time.Duration
+	refused int
+}
+
+func firstAcked(address string, began time.Time, opType string) (f first) {
+	for time.Since(began) < patience {
+		c, err := dialTo(address)
+		if err != nil {
+			time.Sleep(200 * time.Microsecond)
+			continue
+		}
+		for time.Since(began) < patience {
+			kinds, _ := c.ask(statement(opType, 1000))
+			if kinds == acked {
+				c.Close()
+				f.took = time.Since(began)
+				return f
+			}
+			if !strings.HasSuffix(kinds, "Z") {
+				break
+			}
+			f.refused++
+		}
+		c.Close()
+	}
+	f.took = time.Since(began)
+	return f
+}
+
+// TestMeasureRestarts takes the time from the start of the program to the first acked write and the first acked
+// bounded read, with state and without, in turn, after SIGTERM, after SIGKILL, and with a state too old to be
+// trusted. The list names the primary of the day's start, which is another by now.
+func TestMeasureRestarts(t *testing.T) {
+	type variant struct {
+		name   string
+		signal os.Signal
+		state  string
+	}
+	variants := []variant{{"graceful, no state", syscall.SIGTERM, ""}, {"graceful, state", syscall.SIGTERM, `switch_least = "60s"`},
+		{"killed, no state", syscall.SIGKILL, ""}, {"killed, state", syscall.SIGKILL, `switch_least = "60s"`},
+		{"stale state", syscall.SIGKILL, `switch_least = "1ms"`}}
+	write, bounded := map[string][]first{}, map[string][]first{}
+	for _, v := range variants {
+		members := []*member{newMember(t, "a", lagging), newMember(t, "b", takes), newMember(t, "c", lagging), newMember(t, "d", lagging)}
+		for _, m := range members {
+			m.lateBy.Store(5) // what a handshake with TLS costs, about
+		}
+		s := newSite(t, members...)
+		ln := freeAddress(t)
+		s.config["listen"] = ln
+		folder := ""
+		if v.state != "" {
+			folder = s.keeps(t, v.state)
+		}
+		for range *restarts {
+			p := s.start(t)
+			c := p.connect()
+			for range 3 {
+				c.ask(statement("write", 1000))
+				c.ask(statement("recent", 1000))
+			}
+			if folder != "" {
+				kept(t, folder, slotIs("b"))
+			}
+			p.ends(v.signal)
+			drainAll(members)
+			text, _ := json.Marshal(s.config)
+			if v.name == "stale state" {
+				time.Sleep(300 * time.Millisecond) // in the time of a switch nothing is stale
+			}
+			began := time.Now()
+			q := launch(t, string(text), s.operator)
+			read := make(chan first, 1)
+			go func() { read <- firstAcked(ln, began, "recent") }()
+			write[v.name] = append(write[v.name], firstAcked(ln, began, "write"))
+			bounded[v.name] = append(bounded[v.name], <-read)
+			q.ends(syscall.SIGKILL)
+			drainAll(members)
+		}
+	}
+	t.Logf("%d restarts each; milliseconds from the start of the program, and tries turned away before", *restarts)
+	t.Logf("%-20s | first acked write: median, worst, turned away | first acked bounded read: median, worst, turned away", "")
+	for _, v := range variants {
+		t.Logf("%-20s | %s | %s", v.name, summary(write[v.name]), summary(bounded[v.name]))
+		for _, f := range append(write[v.name], bounded[v.name]...) {
+			if f.took > patience {
+				t.Errorf("%s: no op acked in %v", v.name, patience)
+			}
+		}
+	}
+}
+
+func summary(all []first) string {
+	slices.SortFunc(all, func(a, b first) int { return int(a.took - b.took) })
+	refused := 0
+	for _, f := range all {
+		refused += f.refused
+	}
+	ms := func(f first) float64 { return float64(f.took.Microseconds()) / 1000 }
+	return fmt.Sprintf("%7.1f %7.1f %4d", ms(all[len(all)/2]), ms(all[len(all)-1]), refused)
+}
+
+func drainAll(members []*member) {
+	for _, m := range members {
+		writes(m)
+		for len(m.closed) > 0 {
+			<-m.closed
+		}
+	}
+}
+
+// TestMeasureIdleMemory takes the resident memory of the program at rest: without an operators' file, with one, and
+// of an earlier build where one is named.
+func TestMeasureIdleMemory(t *testing.T) {
+	s := newSite(t, newMember(t, "m", takes))
+	text, _ := json.Marshal(s.config)
+	rest := func(path, operators string) [2]int {
+		was := *build
+		*build = path
+		p := launch(t, string(text), operators)
+		*build = was
+		p.await("event=serving")
+		p.counters()
+		defer p.ends(syscall.SIGKILL)
+		return resident(t, p.cmd.Process.Pid)
+	}
+	plain := rest(*build, "")
+	s.keeps(t, "")
+	with := rest(*build, s.operator)
+	t.Logf("resident at rest, of it anonymous: %v KiB, with state %v KiB", plain, with)
+	if *before != "" {
+		t.Logf("resident at rest, build before: %v KiB", rest(*before, ""))
+	}
+	if with[0] > 32<<10 {
+		t.Errorf("%d KiB at rest", with[0])
+	}
+}
+
+// resident is the memory of a process, all of it and what is no file's, in KiB.
+func resident(t *testing.T, pid int) (kib [2]int) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Skip(err)
+	}
+	for i, name := range []string{"VmRSS:", "RssAnon:"} {
+		_, rest, _ := strings.Cut(string(text), name)
+		if kib[i], err = strconv.Atoi(strings.Fields(rest)[0]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return kib
+}
+
+// programCommand runs what is measured: a build, or the tests' own program.
+func programCommand() *exec.Cmd {
+	if *build == "" {
+		return exec.Command(os.Args[0])
+	}
+	path, err := filepath.Abs(*build)
+	if err != nil {
+		path = *build
+	}
+	return exec.Command(path)
+}
--- a/cmd/weirwind/standin_test.go
+++ b/cmd/weirwind/standin_test.go
@@ -244,7 +244,8 @@
 func (p *program) ends(by os.Signal) {
 	p.t.Helper()
 	p.cmd.Process.Signal(by)
-	for range p.lines {
+	for l := range p.lines {
+		p.before = append(p.before, l)
 	}
 	select {
 	case <-p.exited:
@@ -272,7 +273,7 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &program{t: t, path: path, cmd: exec.Command(os.Args[0]), lines: make(chan string, 100000), exited: make(chan error, 1)}
+	p := &program{t: t, path: path, cmd: programCommand(), lines: make(chan string, 100000), exited: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
 	if operators != "" {
 		p.operator = filepath.Join(folder, "operator.hcl")
@@ -360,6 +361,29 @@
 	return &client{p.t, conn, bufio.NewReader(conn)}
 }
 
+// dialTo connects to an address where the program may not listen yet, and is let in.
+func dialTo(address string) (*client, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	c := &client{nil, conn, bufio.NewReader(conn)}
+	c.Write(pgwire.AppendStartup(nil, "svc", "main"))
+	c.hear()
+	return c, nil
+}
+
+// freeAddress is one at which nobody listens, for a program that is to come back at the same.
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func (p *program) connect() *client {
 	p.t.Helper()
 	c := p.dial()
--- /dev/null
+++ b/internal/learned/scale_test.go
@@ -0,0 +1,137 @@
+package learned
+
+// Cost at large size: go test -run '^$' -bench . ./internal/learned
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"weirwind/internal/durable"
+	"weirwind/logic"
+)
+
+const manyMembers, manyGroups = 10000, 1000
+
+// large is a book of many members, and what the module would tell of them at a time.
+func large() (*Book, func(ms float64) *logic.Memory) {
+	b := NewBook(rules(), nil, at(0))
+	b.Begin(at(0))
+	var entries []Entry
+	for i := range manyMembers {
+		entries = append(entries, Entry{ID: fmt.Sprintf("s-%08x", i*2654435761%(1<<32)), Address: fmt.Sprintf("10.%d.%d.%d:6432", i>>16, i>>8&255, i&255),
+			Zone: "a", Group: int64(i % manyGroups), Phase: PhaseUp, Access: "reader"})
+	}
+	b.List(at(0), 41, true, entries)
+	return b, func(ms float64) *logic.Memory {
+		k := &logic.Memory{OpTypes: []logic.TypeMemory{{Took: 80, Best: 40}, {Took: 120, Best: 100}}}
+		for i := range manyGroups {
+			k.Groups = append(k.Groups, logic.GroupMemory{Group: int64(i), Slot: entries[i].ID, Held: true, Seen: day + ms - float64(i%900), Rate: 1.5})
+		}
+		for i, e := range entries {
+			k.Members = append(k.Members, logic.MemberMemory{Member: e.ID, Group: e.Group, Position: day + ms - float64(i%300), Window: 4 + float64(i%17)})
+		}
+		return k
+	}
+}
+
+// BenchmarkSave: a tick of a large book, nearly all of whose slots were seen anew, down to the disk.
+func BenchmarkSave(b *testing.B) {
+	book, tell := large()
+	store, _, err := durable.Open(durable.OS{}, durable.Options{Folder: b.TempDir(), Tag: Tag})
+	if err != nil || store.Compact(book.Snapshot()) != nil {
+		b.Fatal(err)
+	}
+	book.Tick(at(0), tell(0), true)
+	ms := 0.0
+	b.ReportAllocs()
+	for b.Loop() {
+		ms += 1000
+		b.StopTimer()
+		k := tell(ms)
+		b.StartTimer()
+		records := book.Tick(at(ms), k, false)
+		if store.Due() {
+			err = store.Compact(book.Snapshot())
+		} else {
+			err = store.Append(records...)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(store.Written())/float64(b.N), "B-written/op")
+}
+
+// BenchmarkSnapshot: all of it anew, as at a start and when the log has grown long.
+func BenchmarkSnapshot(b *testing.B) {
+	book, tell := large()
+	book.Tick(at(0), tell(0), true)
+	folder := b.TempDir()
+	store, _, err := durable.Open(durable.OS{}, durable.Options{Folder: folder, Tag: Tag})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := store.Compact(book.Snapshot()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	names, _ := filepath.Glob(folder + "/*.snapshot")
+	info, err := os.Stat(names[0])
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(info.Size()), "B-file")
+}
+
+// BenchmarkRecovery: from files to a belief.
+func BenchmarkRecovery(b *testing.B) {
+	book, tell := large()
+	o := durable.Options{Folder: b.TempDir(), Tag: Tag}
+	store, _, err := durable.Open(durable.OS{}, o)
+	if err != nil || store.Compact(book.Snapshot()) != nil {
+		b.Fatal(err)
+	}
+	if err := store.Append(book.Tick(at(0), tell(0), true)...); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		found, err := durable.Recover(durable.OS{}, o)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := Load(found.Snapshot, found.Records)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if belief := Believe(s, rules(), at(100), List{}); len(belief.Memory.Members) != manyMembers {
+			b.Fatal(len(belief.Memory.Members))
+		}
+	}
+}
+
+// TestSteadyDay counts what an hour of a steady day writes, for a group of five members and for a large book.
+func TestSteadyDay(t *testing.T) {
+	hour := func(b *Book, tell func(float64) *logic.Memory, seconds int) (bytes int) {
+		for s := range seconds {
+			for _, r := range b.Tick(at(float64(s)*1000), tell(float64(s)*1000), false) {
+				bytes += len(r) + 16
+			}
+		}
+		return bytes * 3600 / seconds
+	}
+	b := NewBook(rules(), nil, at(0))
+	b.Begin(at(0))
+	b.List(at(0), 41, true, listed("1", "2", "3"))
+	small := hour(b, func(ms float64) *logic.Memory { return memory(ms) }, 3600)
+	book, tell := large()
+	big := hour(book, tell, 60)
+	t.Logf("bytes an hour in records: 3 members %d, %d members %d", small, manyMembers, big)
+	if small > 1<<20 || big > 256<<20 {
+		t.Errorf("%d and %d bytes an hour", small, big)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -988,12 +988,16 @@
 func (d *Driver) tryRole(o *op) {
 	g := o.group
 	if g.slot != nil || g.trial != nil && g.trial.out > 0 || d.reports || o.kind.need != Write ||
-		len(o.sends) >= d.sendCap-1 || d.chance()*(d.crowd-1) > trialShare {
+		d.chance()*(d.crowd-1) > trialShare {
+		return
+	}
+	if p := g.last; p != nil && p.doubted && !p.draining && !p.aside && g.denied(p) {
+		d.fill(p, g.seen, "no other is")
 		return
 	}
 	for _, m := range g.members {
-		if m.aside || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) || !d.admits(m, o) ||
-			m.doubted && !g.denied(m) {
+		if m.aside || m.doubted || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) ||
+			!d.admits(m, o) || len(o.sends) >= d.sendCap-1 {
 			continue
 		}
 		g.trial = o
