--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What CI runs stands in .ci/run; `make run` wants PROXY_CONFIG (README.md has an example).
-.PHONY: build test lint run fuzz
+.PHONY: build test lint run fuzz measure
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -18,3 +18,12 @@
 	go test -fuzz FuzzParseStatement -fuzztime 20s ./internal/pgwire
 	go test -fuzz FuzzMessages -fuzztime 20s ./internal/pgwire
 	go test -fuzz FuzzParse -fuzztime 20s ./internal/discovery
+	go test -fuzz FuzzRecover -fuzztime 20s ./internal/durable
+	go test -fuzz FuzzLoad -fuzztime 20s ./internal/learned
+	go test -fuzz FuzzParse -fuzztime 20s ./internal/operator
+
+# BEFORE names an earlier build, whose idle memory is measured beside this one's.
+measure: build
+	go test -count=1 -run TestMeasure -v ./cmd/weirwind -args -restarts 50 -binary $(CURDIR)/bin/weirwind -before "$(BEFORE)"
+	go test -run TestSteadyDay -v -bench . -benchtime 2s ./internal/learned
+	go test -run '^$$' -bench Op -benchtime 20000x -count 5 ./internal/driver
--- /dev/null
+++ b/internal/driver/bench_test.go
@@ -0,0 +1,115 @@
+package driver
+
+// The cost of an op through the whole service with state saved and not, on loopback:
+// go test -run '^$' -bench Op -benchtime 20000x -count 5 ./internal/driver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"weirwind/internal/operator"
+	"weirwind/internal/pgwire"
+)
+
+// echo is a member that answers every query by the same row.
+func echo(b *testing.B) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { ln.Close() })
+	answer := append(slices.Clone(described), frame('D', []byte("\x00\x01\x00\x00\x00\x01v"))...)
+	answer = append(answer, frame('C', []byte("SELECT 1\x00"))...)
+	answer = pgwire.AppendReady(append(answer, frame('S', []byte("server_role\x00writer\x00"))...))
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				pgwire.ReadStartup(r)
+				conn.Write(pgwire.AppendWelcome(nil, 0))
+				var buf []byte
+				for {
+					if _, buf, err = pgwire.Read(r, buf[:0]); err != nil {
+						return
+					}
+					conn.Write(answer)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func BenchmarkOp(b *testing.B) {
+	for _, keeps := range []bool{false, true} {
+		b.Run(map[bool]string{false: "no-state", true: "state"}[keeps], func(b *testing.B) {
+			member := echo(b)
+			lists, err := net.Listen("tcp", "127.0.0.1:0") // a discovery that says nothing
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer lists.Close()
+			o := operator.Default()
+			if keeps {
+				o.State = &operator.State{Folder: b.TempDir(), SaveEvery: time.Second, LimitMB: 16}
+			}
+			v, err := New(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"cores":8,"memory_mb":192,"sockets":1024},`+
+				`"known":{"revision":1,"complete":true,"members":[{"id":"m","host_port":%q,"cell":3,"phase":"up","access":"writer"}]},`+
+				`"settings":{"tick":5000,"family_info":{"needs_by_class":["eventual"],"shows_role":"static"},"policy_limits":{"send_cap":4,`+
+				`"connect_timeout":1000000,"conn_idle":60000000},"profiles":[{"name":"read","aim":300000,"deadline":1e6,"effect":"repeatable","points":1}]}}`,
+				lists.Addr().String(), member), o)
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan error)
+			go func() { ended <- v.Run(ctx, io.Discard) }()
+			conn, err := net.Dial("tcp", v.listener.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := bufio.NewReader(conn)
+			ready := func() {
+				for {
+					kind, _, err := pgwire.Read(r, nil)
+					if err != nil || kind == 'E' {
+						b.Fatal(err, string(kind))
+					}
+					if kind == 'Z' {
+						return
+					}
+				}
+			}
+			conn.Write(pgwire.AppendStartup(nil, "svc", "main"))
+			ready()
+			took := make([]time.Duration, 0, b.N)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				query := pgwire.AppendQuery(nil, fmt.Sprintf("SELECT v FROM records WHERE k = 'ab' /* id=%016x,c=read,d=900,cluster=3 */", i))
+				began := time.Now()
+				conn.Write(query)
+				ready()
+				took = append(took, time.Since(began))
+			}
+			b.StopTimer()
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds()), "p99-ns")
+			b.ReportMetric(float64(took[len(took)/2].Nanoseconds()), "p50-ns")
+			conn.Close()
+			stop()
+			<-ended
+		})
+	}
+}
