What discovery tells goes through the roster

Need: one place decides which members there are, whoever tells them. Change: internal/driver/listing.go puts discovery's answers before the roster and hands its changes out; the handling of revisions that go back moved there.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -26,6 +26,7 @@
 	"weirwind/internal/discovery"
 	"weirwind/internal/opening"
 	"weirwind/internal/operator"
+	"weirwind/internal/roster"
 	"weirwind/logic"
 )
 
@@ -86,9 +87,13 @@
 	lines        *queue
 	listener     *net.TCPListener
 	discovery    discovery.Client
-	revision     int64
 	config       file
 
+	listing sync.Mutex // guards what follows
+	roster  *roster.Roster
+
+	registry *operator.Registry // nil where members come from discovery alone
+
 	moving  sync.Mutex // guards what follows
 	movedTo string     // where discovery is now, until the watch has moved there
 	leave   func()     // ends the call to discovery that is out
@@ -141,7 +146,7 @@
 
 	v := &Service{watching: make(chan struct{}, 1), leaving: make(chan struct{}, leavers),
 		turnAway: make(chan struct{}, turnAways), clients: clients{all: map[*client]bool{}},
-		closing: make(chan struct{}), revision: known.Revision, config: a,
+		closing: make(chan struct{}), config: a,
 		discovery: discovery.Client{Address: a.Discovery, Timeout: callTime}}
 	v.level.Set(o.Log.Level)
 	v.log, v.lines = newLog(o.Log.Format, &v.level, &v.count.LogLost)
@@ -159,10 +164,12 @@
 		return nil, fmt.Errorf("configuration: peers: %v", err)
 	}
 	v.decide = newDecider(newClock(time.Now), told, v)
+	v.registry = o.Registry
+	v.roster = roster.New(rosterRules(o.Registry))
 	if o.State != nil {
 		v.begin(*o.State, told, known)
 	} else {
-		v.apply(known, logic.ListCached)
+		v.start(known)
 	}
 	address, err := net.ResolveTCPAddr("tcp", a.Listen)
 	if err == nil {
@@ -231,15 +238,6 @@
 	return time.Now()
 }
 
-// apply gives a list, or changes of it, to those who go by it: addresses first, so that sends find them.
-func (v *Service) apply(a discovery.Answer, kind logic.ListKind) {
-	v.members.list(a.Members, kind != logic.ListChanges)
-	v.decide.list(kind, a.Members)
-	if v.keep != nil {
-		v.keep.list(a, kind)
-	}
-}
-
 // Reload takes up a configuration that has replaced the one in use. Of its values only the address of discovery
 // is one that a running driver changes; a file that makes no sense changes nothing. The operators' file goes with
 // it: the log's level, and how often and how much state is saved.
@@ -309,7 +307,7 @@
 // at once, even while it waits, and the new one starts with a whole list, whatever its revision.
 func (v *Service) watch(ctx context.Context) {
 	defer v.discovery.Close()
-	whole := false // a list is wanted that does not build on the one held
+	whole := v.registry != nil // a list is wanted that does not build on the one held
 	for {
 		select {
 		case <-ctx.Done():
@@ -324,7 +322,7 @@
 			if whole {
 				a, err = v.discovery.List(call)
 			} else {
-				a, err = v.discovery.Watch(call, v.revision, watchWait)
+				a, err = v.discovery.Watch(call, v.revision(), watchWait)
 			}
 			leave()
 			if ctx.Err() != nil {
@@ -335,20 +333,15 @@
 			}
 			if err != nil {
 				v.count.ListsFailed.Add(1)
+				v.lost(roster.Discovery)
 				v.log.Warn("list_failed", "error", err)
 				v.decide.list(logic.ListFailed, nil)
 				break
 			}
 			v.count.Lists.Add(1)
-			if whole = !a.Complete && a.Revision < v.revision; whole {
-				v.log.Warn("list_went_back", "from", v.revision, "to", a.Revision)
-				continue
-			}
-			v.revision = a.Revision
-			if a.Complete {
-				v.apply(a, logic.ListFull)
-			} else if len(a.Members) > 0 {
-				v.apply(a, logic.ListChanges)
+			held := v.revision()
+			if whole = v.told(discoveryUpdate(a)) == roster.Gap; whole {
+				v.log.Warn("list_went_back", "from", held, "to", a.Revision)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/driver/listing.go
@@ -0,0 +1,101 @@
+package driver
+
+// This file owns the way of member lists into the driver: what sources tell goes before the roster, and what the
+// roster shows goes to those who go by it. It must never choose between sources, or let two of them be told at once.
+
+import (
+	"weirwind/internal/discovery"
+	"weirwind/internal/operator"
+	"weirwind/internal/roster"
+	"weirwind/logic"
+)
+
+// start gives the list that a start begins with. It is one that discovery told, which goes on from there; where there
+// is a registry beside it, nobody knows who told it.
+func (v *Service) start(known discovery.Answer) {
+	u := discoveryUpdate(known)
+	if u.Whole = true; v.registry != nil {
+		u.Source = roster.Known
+	}
+	v.listing.Lock()
+	defer v.listing.Unlock()
+	out := v.roster.Told(v.decide.clock.now(), u)
+	v.roster.Broke(u.Source)
+	v.give(out, logic.ListCached)
+}
+
+// told takes what a source told, and says what the roster makes of it.
+func (v *Service) told(u roster.Update) roster.Verdict {
+	v.listing.Lock()
+	defer v.listing.Unlock()
+	out := v.roster.Told(v.decide.clock.now(), u)
+	v.give(out, logic.ListChanges)
+	return out.Verdict
+}
+
+// lost notes that a source can't be heard.
+func (v *Service) lost(s roster.Source) {
+	v.listing.Lock()
+	defer v.listing.Unlock()
+	v.roster.Broke(s)
+	v.give(v.roster.Tick(v.decide.clock.now()), logic.ListChanges)
+}
+
+// give hands changes out: addresses first, so that sends find them. The caller holds the lock.
+func (v *Service) give(out roster.Outcome, kind logic.ListKind) {
+	for _, text := range out.Notes {
+		v.log.Warn("roster", "text", text)
+	}
+	changes := make([]discovery.Entry, 0, len(out.Changes))
+	for _, e := range out.Changes {
+		changes = append(changes, fromRoster(e))
+	}
+	v.members.list(changes, false)
+	v.decide.list(kind, changes) // also with nothing new: a list has come
+	if v.keep != nil {
+		_, revision, _ := v.roster.Revision(roster.Discovery)
+		if _, known, _ := v.roster.Revision(roster.Known); revision == 0 {
+			revision = known // a registry counts in revisions of its own
+		}
+		v.keep.list(revision, changes)
+	}
+}
+
+// revision is up to where discovery's list is held.
+func (v *Service) revision() int64 {
+	v.listing.Lock()
+	defer v.listing.Unlock()
+	if _, revision, told := v.roster.Revision(roster.Discovery); told {
+		return revision
+	}
+	_, revision, _ := v.roster.Revision(roster.Known)
+	return revision
+}
+
+var rosterPhases = map[string]roster.Phase{discovery.PhaseUp: roster.Up, discovery.PhaseDraining: roster.Draining,
+	discovery.PhaseRemoved: roster.Gone}
+
+func discoveryUpdate(a discovery.Answer) roster.Update {
+	u := roster.Update{Source: roster.Discovery, Revision: a.Revision, Whole: a.Complete, Exact: true}
+	for _, e := range a.Members {
+		u.Entries = append(u.Entries, toRoster(e))
+	}
+	return u
+}
+
+func toRoster(e discovery.Entry) roster.Entry {
+	return roster.Entry{ID: e.ID, Address: e.HostPort, Zone: e.Locality, Group: e.Cell, Phase: rosterPhases[e.Phase], Access: e.Access,
+		Started: e.Started}
+}
+
+func fromRoster(e roster.Entry) discovery.Entry {
+	return discovery.Entry{ID: e.ID, HostPort: e.Address, Locality: e.Zone, Cell: e.Group, Access: e.Access, Started: e.Started,
+		Phase: [...]string{roster.Up: discovery.PhaseUp, roster.Draining: discovery.PhaseDraining, roster.Gone: discovery.PhaseRemoved}[e.Phase]}
+}
+
+func rosterRules(g *operator.Registry) roster.Rules {
+	if g == nil {
+		return roster.Rules{Lead: roster.Discovery}
+	}
+	return roster.Rules{Lead: roster.Registry, TakeOver: milliseconds(g.TakeOver), Confirm: milliseconds(g.Confirm)}
+}
--- a/internal/driver/state.go
+++ b/internal/driver/state.go
@@ -139,19 +139,18 @@
 		for _, e := range belief.List.Entries {
 			known.Members = append(known.Members, toDiscovery(e))
 		}
-		v.revision = known.Revision
 	}
 	k.book = learned.NewBook(rules, r.state, now)
 	k.book.Begin(now)
 	v.keep = k
-	v.apply(known, logic.ListCached)
+	v.start(known)
 	v.decide.step(logic.Event{Kind: logic.EvRecall, Memory: &belief.Memory})
 	k.store, k.behind = r.store, true
 	if r.err != nil {
 		k.failed(now, r.err)
 	}
 	v.log.Info("state_recalled", "verdict", string(belief.Verdict), "age_ms", int64(belief.Age), "from_kept", belief.FromKept,
-		"revision", v.revision, "members", len(belief.Memory.Members), "groups", len(belief.Memory.Groups),
+		"revision", known.Revision, "members", len(belief.Memory.Members), "groups", len(belief.Memory.Groups),
 		"dropped", strings.Join(belief.Dropped, "; "), "took_us", time.Since(began).Microseconds())
 }
 
@@ -165,21 +164,21 @@
 		Started: e.Started}
 }
 
-// list takes what the list has told and wakes the saver; it waits for nothing.
-func (k *keeper) list(a discovery.Answer, kind logic.ListKind) {
+// list takes changes of the list, and discovery's revision, and wakes the saver; it waits for nothing.
+func (k *keeper) list(revision int64, changes []discovery.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if kind != logic.ListChanges {
-		clear(k.entries)
+	if len(changes) == 0 && revision == k.revision {
+		return
 	}
-	for _, e := range a.Members {
+	for _, e := range changes {
 		if e.Phase == discovery.PhaseRemoved {
 			delete(k.entries, e.ID)
 		} else {
 			k.entries[e.ID] = toLearned(e)
 		}
 	}
-	k.revision, k.news = a.Revision, true
+	k.revision, k.news = revision, true
 	select {
 	case k.kick <- struct{}{}:
 	default:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net/url"
 	"strings"
 	"time"
 
@@ -20,6 +21,22 @@
 type File struct {
 	Log   Log
 	State *State // nil: nothing is kept on disk
+	// Registry is where members stand beside the platform's discovery; nil for nowhere.
+	Registry *Registry
+}
+
+// Registry is the block "registry", whose label is the dialect.
+type Registry struct {
+	Dialect   string   // "etcd" or "consul"
+	Endpoints []string // URLs, http or https
+	Prefix    string   // of the members' keys
+	Service   string   // consul: members are a service's instances, with their health, instead of keys
+	// CredentialsFile holds name:password (etcd) or a token (consul); read anew for each connection. Empty for none.
+	CredentialsFile string
+	CAFile          string        // certificates that sign the endpoints'; empty for the system's
+	TakeOver        time.Duration // so long after the registry fell silent discovery leads
+	Confirm         time.Duration // a list that lost most members must say so again after so long
+	Silence         time.Duration // a watch that gives no sign for so long is left and resumed
 }
 
 // Log is the block "log".
@@ -47,7 +64,8 @@
 	syntax, problems := hclsyntax.ParseConfig(text, name, hcl.InitialPos)
 	r := &reader{problems: problems}
 	if !problems.HasErrors() {
-		blocks := r.content(syntax.Body, &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "state"}}})
+		blocks := r.content(syntax.Body, &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "state"},
+			{Type: "registry", LabelNames: []string{"dialect"}}}})
 		seen := map[string]*hcl.Range{}
 		for _, b := range blocks.Blocks {
 			if before := seen[b.Type]; before != nil {
@@ -60,6 +78,8 @@
 				f.Log = r.log(b)
 			case "state":
 				f.State = r.state(b)
+			case "registry":
+				f.Registry = r.registry(b)
 			}
 		}
 	}
@@ -197,6 +217,40 @@
 	return s
 }
 
+func (r *reader) registry(b *hcl.Block) *Registry {
+	attrs := r.block(b, "endpoints", "prefix", "service", "credentials_file", "ca_file", "take_over", "confirm", "silence")
+	g := &Registry{Dialect: b.Labels[0]}
+	if g.Dialect != "etcd" && g.Dialect != "consul" {
+		r.problem(b.LabelRanges[0], "registry is %q; it may be etcd, consul.", g.Dialect)
+	}
+	v, at, ok := r.value(attrs, "endpoints", cty.List(cty.String))
+	if !ok {
+		at = b.DefRange
+	} else {
+		for _, e := range v.AsValueSlice() {
+			u, err := url.Parse(e.AsString())
+			if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" || strings.Trim(u.Path, "/") != "" {
+				r.problem(at, "%q is no URL of an endpoint, such as https://10.0.0.5:2379.", e.AsString())
+			}
+			g.Endpoints = append(g.Endpoints, strings.TrimSuffix(e.AsString(), "/"))
+		}
+	}
+	if len(g.Endpoints) == 0 {
+		r.problem(at, "registry wants endpoints.")
+	}
+	var of hcl.Range
+	g.Prefix, _ = r.text(attrs, "prefix", "weirwind/members/")
+	if g.Service, of = r.text(attrs, "service", ""); g.Service != "" && g.Dialect != "consul" {
+		r.problem(of, "service is consul's alone.")
+	}
+	g.CredentialsFile, _ = r.text(attrs, "credentials_file", "")
+	g.CAFile, _ = r.text(attrs, "ca_file", "")
+	g.TakeOver = r.duration(attrs, "take_over", 30*time.Second, 0, 24*time.Hour)
+	g.Confirm = r.duration(attrs, "confirm", 3*time.Second, 0, 10*time.Minute)
+	g.Silence = r.duration(attrs, "silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute)
+	return g
+}
+
 // String is the file as it is in force, defaults included, in its own form.
 func (f File) String() string {
 	var b strings.Builder
@@ -205,5 +259,16 @@
 		fmt.Fprintf(&b, "state {\n  folder       = %s\n  save_every   = %q\n  limit_mb     = %d\n  switch_least = %q\n}\n",
 			hclwrite.TokensForValue(cty.StringVal(s.Folder)).Bytes(), s.SaveEvery, s.LimitMB, s.SwitchLeast)
 	}
+	if g := f.Registry; g != nil {
+		quoted := func(s string) string { return string(hclwrite.TokensForValue(cty.StringVal(s)).Bytes()) }
+		ends := make([]string, len(g.Endpoints))
+		for i, e := range g.Endpoints {
+			ends[i] = quoted(e)
+		}
+		fmt.Fprintf(&b, "registry %q {\n  endpoints        = [%s]\n  prefix           = %s\n  service          = %s\n  credentials_file = %s\n"+
+			"  ca_file          = %s\n  take_over        = %q\n  confirm          = %q\n  silence          = %q\n}\n", g.Dialect,
+			strings.Join(ends, ", "), quoted(g.Prefix), quoted(g.Service), quoted(g.CredentialsFile), quoted(g.CAFile), g.TakeOver,
+			g.Confirm, g.Silence)
+	}
 	return b.String()
 }
