--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,236 @@
+// Package registry speaks to key-value registries that hold members: etcd's v3 API in its plain HTTP form, and Consul's
+// HTTP API. It carries out the calls that a roster.Course names and tells what came. It must never choose an
+// endpoint, a pause or a revision itself, keep a list, or wait without an end.
+//
+// This file owns the calls' way over HTTP, what their ends mean, and the loop that carries out a course.
+package registry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"weirwind/internal/roster"
+)
+
+// Options name a registry; they are the operators' file's, checked there.
+type Options struct {
+	Dialect         string
+	Endpoints       []string
+	Prefix          string
+	Service         string
+	CredentialsFile string
+	CAFile          string
+	Silence         time.Duration // of a watch that gives no sign
+}
+
+// Client is one dialect. Each call goes to one endpoint and ends with the context. Tell is called with what came, in
+// order; the error says how the call ended, see EndOf.
+type Client interface {
+	// Read gives the whole list, the registry's newest where exact, else any server's own.
+	Read(ctx context.Context, endpoint int, exact bool, tell func(roster.Update)) error
+	// Follow gives what changes from a revision on, until an error; sign is called for each sign of life.
+	Follow(ctx context.Context, endpoint int, from int64, sign func(), tell func(roster.Update)) error
+}
+
+const (
+	connectTime = 2 * time.Second
+	callTime    = 10 * time.Second // of a call that is to be answered at once
+	maxAnswer   = 64 << 20         // bytes of one answer, or one message of a watch
+	pageSize    = 2000             // entries asked for at once
+)
+
+// Errors that tell how a call ended.
+var (
+	errCompacted = errors.New("the revision is not kept any more")
+	errRefused   = errors.New("refused")
+	errLagging   = errors.New("the server is behind what is known")
+	errSilent    = errors.New("no sign of life")
+	errCancelled = errors.New("the registry ended the watch")
+)
+
+// EndOf gives the meaning of a call's error.
+func EndOf(err error) roster.End {
+	switch {
+	case err == nil:
+		return roster.Answered
+	case errors.Is(err, errCompacted):
+		return roster.Compacted
+	case errors.Is(err, errRefused):
+		return roster.Refused
+	case errors.Is(err, errLagging):
+		return roster.Lagging
+	case errors.Is(err, errSilent):
+		return roster.Silent
+	}
+	return roster.Broken
+}
+
+// New makes a client. An error: the certificates can't be read.
+func New(o Options) (Client, error) {
+	h := &caller{o: o}
+	t := &http.Transport{DialContext: (&net.Dialer{Timeout: connectTime}).DialContext, TLSHandshakeTimeout: connectTime,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true}
+	if o.CAFile != "" {
+		pem, err := os.ReadFile(o.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s: no certificate in it", o.CAFile)
+		}
+		t.TLSClientConfig = &tls.Config{RootCAs: pool}
+	}
+	h.http.Transport = t
+	if o.Dialect == "consul" {
+		return &consul{caller: h}, nil
+	}
+	return &etcd{caller: h, tokens: map[int]string{}}, nil
+}
+
+// caller makes single calls.
+type caller struct {
+	o    Options
+	http http.Client
+}
+
+// credentials reads what the operators put into the file, anew each time: it may change in service.
+func (h *caller) credentials() (string, error) {
+	if h.o.CredentialsFile == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(h.o.CredentialsFile)
+	if err != nil {
+		return "", fmt.Errorf("%w: %v", errRefused, err)
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// call sends a request and gives its answer, whose body the caller closes.
+func (h *caller) call(ctx context.Context, method string, endpoint int, path string, header map[string]string, body any) (*http.Response, error) {
+	var text io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		text = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, h.o.Endpoints[endpoint]+path, text)
+	if err != nil {
+		return nil, err
+	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	return h.http.Do(r)
+}
+
+// bounded reads an answer whole.
+func bounded(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = fmt.Errorf("an answer of over %d bytes", maxAnswer)
+	}
+	return b, err
+}
+
+// watchdog ends a context when no sign of life has come for so long.
+func watchdog(ctx context.Context, silence time.Duration) (watched context.Context, sign func(), stop func()) {
+	watched, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(silence, func() { cancel(errSilent) })
+	return watched, func() { timer.Reset(silence) }, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+// ended gives the reason for which a watched call ended, where the watchdog had one.
+func ended(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return errSilent
+	}
+	return err
+}
+
+// Watcher carries out a course: it keeps a list current until its context ends.
+type Watcher struct {
+	Client   Client
+	Course   *roster.Course
+	Position func() (revision int64, told bool)            // up to where the list is known
+	Told     func(roster.Update) (roster.Verdict, float64) // takes an update; Held comes with the milliseconds after which to ask again
+	Lost     func(error)                                   // the registry can't be heard
+	Alive    func()                                        // it spoke
+	Now      func() float64                                // milliseconds
+}
+
+// Run goes on until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		call := w.Course.Next(w.Position())
+		if !sleep(ctx, call.After) {
+			return
+		}
+		began, verdict, again := false, roster.Applied, 0.0
+		broken, stop := context.WithCancel(ctx)
+		tell := func(u roster.Update) {
+			if verdict != roster.Applied && verdict != roster.Partial && verdict != roster.Old {
+				return // what follows a gap waits for the whole list
+			}
+			began = true
+			if verdict, again = w.Told(u); verdict == roster.Gap || verdict == roster.Held {
+				stop()
+			}
+		}
+		var err error
+		if call.Kind == roster.Read {
+			limited, done := context.WithTimeout(broken, callTime)
+			err = w.Client.Read(limited, call.Endpoint, call.Exact, tell)
+			done()
+		} else {
+			err = w.Client.Follow(broken, call.Endpoint, call.Revision, func() { began = true; w.Alive() }, tell)
+		}
+		stop()
+		if ctx.Err() != nil {
+			return
+		}
+		switch {
+		case verdict == roster.Held:
+			w.Course.Again(again)
+		case verdict == roster.Gap:
+			w.Course.Gap(w.Now())
+		case verdict == roster.Old && call.Kind == roster.Read && err == nil:
+			w.Course.Ended(w.Now(), call.Kind, roster.Lagging, began)
+		default:
+			if err != nil && EndOf(err) != roster.Compacted {
+				w.Lost(err)
+			}
+			w.Course.Ended(w.Now(), call.Kind, EndOf(err), began)
+		}
+	}
+}
+
+func sleep(ctx context.Context, ms float64) bool {
+	if ms <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(time.Duration(ms * float64(time.Millisecond)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
