--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -17,10 +17,11 @@
 )
 
 type commands struct {
-	Run     runCommand     `cmd:"" default:"1" help:"Serve until SIGTERM (the default). SIGHUP reads both files again, SIGUSR1 logs the counters."`
-	Check   checkCommand   `cmd:"" help:"Say what is wrong with the files, or what is in force."`
-	State   stateCommands  `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Run      runCommand       `cmd:"" default:"1" help:"Serve until SIGTERM (the default). SIGHUP reads both files again, SIGUSR1 logs the counters."`
+	Check    checkCommand     `cmd:"" help:"Say what is wrong with the files, or what is in force."`
+	State    stateCommands    `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
+	Registry registryCommands `cmd:"" help:"Look at the members in a key-value registry."`
+	Version  versionCommand   `cmd:"" help:"Print the version."`
 }
 
 type files struct {
@@ -36,7 +37,8 @@
   weirwind run --config config.json --operator operator.hcl
   weirwind check --operator operator.hcl
   weirwind state show --json /var/lib/weirwind
-  weirwind state forget --member m7 /var/lib/weirwind`
+  weirwind state forget --member m7 /var/lib/weirwind
+  weirwind registry watch --operator operator.hcl`
 
 func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
 
--- a/internal/driver/counters.go
+++ b/internal/driver/counters.go
@@ -21,6 +21,7 @@
 	TimedOut, Cancelled, Unsent, Probes                atomic.Int64
 	MessagesIn, MessagesOut, MessagesBad, MessagesLost atomic.Int64
 	Lists, ListsFailed, Reloads, ReloadsFailed         atomic.Int64
+	Registries, RegistriesFailed                       atomic.Int64
 	StateSaves, StateBytes, StateFailed                atomic.Int64
 	LogLost                                            atomic.Int64
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -26,6 +26,7 @@
 	"weirwind/internal/discovery"
 	"weirwind/internal/opening"
 	"weirwind/internal/operator"
+	"weirwind/internal/registry"
 	"weirwind/internal/roster"
 	"weirwind/logic"
 )
@@ -92,7 +93,8 @@
 	listing sync.Mutex // guards what follows
 	roster  *roster.Roster
 
-	registry *operator.Registry // nil where members come from discovery alone
+	registry  *operator.Registry // nil where members come from discovery alone
+	following *registry.Watcher
 
 	moving  sync.Mutex // guards what follows
 	movedTo string     // where discovery is now, until the watch has moved there
@@ -171,6 +173,11 @@
 	} else {
 		v.start(known)
 	}
+	if v.registry != nil {
+		if err := v.openRegistry(told.Opening.Drivers, seedOf(a.Seed)); err != nil {
+			return nil, err
+		}
+	}
 	address, err := net.ResolveTCPAddr("tcp", a.Listen)
 	if err == nil {
 		v.listener, err = net.ListenTCP("tcp", address)
@@ -195,6 +202,10 @@
 	back.Go(func() error { v.watch(life); return nil })
 	back.Go(func() error { v.members.reap(life); return nil })
 	back.Go(func() error { v.keepRoom(life); return nil })
+	if v.registry != nil {
+		back.Go(func() error { v.following.Run(life); return nil })
+		back.Go(func() error { v.tickRoster(life); return nil })
+	}
 	if v.keep != nil {
 		go v.keep.run(life) // a disk that hangs must not keep the rest from ending
 	}
--- a/internal/driver/listing.go
+++ b/internal/driver/listing.go
@@ -41,6 +41,15 @@
 	v.give(v.roster.Tick(v.decide.clock.now()), logic.ListChanges)
 }
 
+// tick lets another source take the lead when it is time.
+func (v *Service) tick() {
+	v.listing.Lock()
+	defer v.listing.Unlock()
+	if out := v.roster.Tick(v.decide.clock.now()); len(out.Changes)+len(out.Notes) > 0 {
+		v.give(out, logic.ListChanges)
+	}
+}
+
 // give hands changes out: addresses first, so that sends find them. The caller holds the lock.
 func (v *Service) give(out roster.Outcome, kind logic.ListKind) {
 	for _, text := range out.Notes {
--- /dev/null
+++ b/internal/driver/registry.go
@@ -0,0 +1,77 @@
+package driver
+
+// This file owns the registry beside the platform's discovery: the watcher that tells the roster, and the passing of
+// time before it. It must never choose between sources, and never keep an op waiting for a registry.
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"weirwind/internal/operator"
+	"weirwind/internal/registry"
+	"weirwind/internal/roster"
+)
+
+const rosterTick = 250 * time.Millisecond // between looks at who leads
+
+// RegistryOptions are an operators' block as its client takes it.
+func RegistryOptions(g *operator.Registry) registry.Options {
+	return registry.Options{Dialect: g.Dialect, Endpoints: g.Endpoints, Prefix: g.Prefix, Service: g.Service,
+		CredentialsFile: g.CredentialsFile, CAFile: g.CAFile, Silence: g.Silence}
+}
+
+// openRegistry makes the watcher of members.
+func (v *Service) openRegistry(drivers int, seed uint64) error {
+	c, err := registry.New(RegistryOptions(v.registry))
+	if err != nil {
+		return fmt.Errorf("registry: %v", err)
+	}
+	v.following = &registry.Watcher{Client: c, Now: v.decide.clock.now,
+		Course: roster.NewCourse(roster.CourseRules{Endpoints: len(v.registry.Endpoints), Fellows: drivers, Seed: seed}),
+		Position: func() (int64, bool) {
+			v.listing.Lock()
+			defer v.listing.Unlock()
+			_, revision, told := v.roster.Revision(roster.Registry)
+			return revision, told
+		},
+		Told: func(u roster.Update) (roster.Verdict, float64) {
+			v.count.Registries.Add(1)
+			verdict := v.told(u)
+			if verdict == roster.Gap || verdict == roster.Held {
+				v.log.Warn("registry_"+verdict.String(), "revision", u.Revision)
+			}
+			return verdict, milliseconds(v.registry.Confirm)
+		},
+		Lost: func(err error) {
+			v.count.RegistriesFailed.Add(1)
+			v.log.Warn("registry_failed", "error", err)
+			v.lost(roster.Registry)
+		},
+		Alive: func() {
+			v.listing.Lock()
+			defer v.listing.Unlock()
+			v.roster.Alive(v.decide.clock.now(), roster.Registry)
+		}}
+	return nil
+}
+
+// tickRoster lets time pass for the roster until the context ends.
+func (v *Service) tickRoster(ctx context.Context) {
+	tick := time.NewTicker(rosterTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			v.tick()
+		}
+	}
+}
+
+func seedOf(text string) uint64 {
+	seed, _ := strconv.ParseUint(text, 16, 64) // it was read before
+	return seed
+}
