--- /dev/null
+++ b/cmd/weirwind/registry_test.go
@@ -0,0 +1,184 @@
+package main
+
+// The program with a registry beside discovery: what it does at the members' sockets.
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirwind/internal/standin/kv"
+)
+
+const membersAt = "weirwind/members/"
+
+// registered starts a registry that holds the site's members, and names it in the operators' file.
+func (s *site) registered(t *testing.T, dialect, more string) (*kv.Store, *kv.Server) {
+	t.Helper()
+	store := kv.NewStore("c1")
+	v := kv.Serve(store)
+	t.Cleanup(func() { v.Cut(); v.Close() })
+	for i, m := range s.members {
+		store.Put(membersAt+m.id, s.entry(i, "up"))
+	}
+	s.operator += fmt.Sprintf("registry %q {\n  endpoints = [%q]\n  silence = \"1s\"\n  %s\n}\n", dialect, v.URL, more)
+	return store, v
+}
+
+func (s *site) entry(i int, phase string) string {
+	return fmt.Sprintf(`{"host_port":%q,"locality":"a","cell":3,"phase":%q,"access":%q}`, s.members[i].ln.Addr(), phase,
+		[]string{"writer", "reader"}[min(i, 1)])
+}
+
+// A drain announced while the registry can't be reached binds from when it is learned, at the member's socket: nothing
+// comes there later than the grace.
+func TestDrainDuringABreakOfTheRegistry(t *testing.T) {
+	for _, dialect := range []string{"etcd", "consul"} {
+		t.Run(dialect, func(t *testing.T) {
+			t.Parallel()
+			var last atomic.Int64
+			a := newMember(t, "a", takes)
+			b := newMember(t, "b", func(q string) []byte { last.Store(time.Now().UnixNano()); return refuses(q) })
+			s := newSite(t, a, b)
+			store, v := s.registered(t, dialect, "")
+			p := s.start(t)
+			c := p.connect()
+			reads := func(n int) {
+				t.Helper()
+				for range n {
+					kinds, said := c.ask(read(1000))
+					want(t, kinds, said, acked, "v:SELECT")
+				}
+			}
+			reads(20)
+			if last.Load() == 0 {
+				t.Fatal("b is not used")
+			}
+			v.Down.Store(true)
+			v.Cut()
+			p.await("event=registry_failed")
+			store.Put(membersAt+"b", s.entry(1, "draining"))
+			reads(20)
+			v.Down.Store(false)
+			for learned := false; !learned; {
+				reads(1)
+				select {
+				case line := <-p.lines:
+					learned = strings.Contains(line, "b=draining")
+				default:
+				}
+			}
+			learned := time.Now()
+			reads(200)
+			if late := time.Unix(0, last.Load()).Sub(learned); late > 0 {
+				t.Errorf("an op came to the member %v after its drain was learned", late)
+			}
+			store.Put(membersAt+"b", s.entry(1, "up"))
+			p.await("b=up")
+			before := last.Load()
+			if reads(50); last.Load() == before {
+				t.Error("b is not used again")
+			}
+		})
+	}
+}
+
+// Discovery says what it always said; the registry leads, and discovery takes over when it is gone for long.
+func TestDiscoveryTakesOver(t *testing.T) {
+	a, b, c := newMember(t, "a", takes), newMember(t, "b", refuses), newMember(t, "c", refuses)
+	s := newSite(t, a, b)
+	s.members = append(s.members, c)
+	store, v := s.registered(t, "etcd", `take_over = "300ms"`)
+	s.members = s.members[:2]
+	p := s.start(t)
+	s.changes <- s.list(50, true, "")
+	if line := p.said("c=up"); field(line, "source") != "registry" {
+		t.Error(line)
+	}
+	store.Put(membersAt+"b", s.entry(1, "draining"))
+	p.await("b=draining")
+	v.Down.Store(true)
+	v.Cut()
+	p.await("discovery leads instead of registry")
+	if line := p.await("event=list "); !strings.Contains(line, "c=removed") || strings.Contains(line, "b=up") {
+		t.Errorf("what the registry told of b is undone: %s", line)
+	}
+	v.Down.Store(false)
+	p.await("registry leads instead of discovery")
+}
+
+// A registry that is there, lost for good, or never there: the driver serves.
+func TestServesWithoutItsRegistry(t *testing.T) {
+	m := newMember(t, "m", takes)
+	s := newSite(t, m)
+	s.operator = "registry \"etcd\" {\n  endpoints = [\"http://127.0.0.1:1\"]\n}"
+	p := s.start(t)
+	p.said("event=registry_failed")
+	kinds, said := p.connect().ask(write(1000))
+	want(t, kinds, said, acked, "v:INSERT")
+	p.ends(syscall.SIGTERM)
+}
+
+func TestRegistryCommands(t *testing.T) {
+	t.Setenv("PROXY_CONFIG", "")
+	s := newSite(t, newMember(t, "a", takes), newMember(t, "b", refuses))
+	store, _ := s.registered(t, "etcd", "")
+	file := filepath.Join(t.TempDir(), "operator.hcl")
+	os.WriteFile(file, []byte(s.operator), 0o600)
+	run := func(code int, want string, args ...string) {
+		t.Helper()
+		var out, problems bytes.Buffer
+		if got := command(args, &out, &problems); got != code || !strings.Contains(out.String()+problems.String(), want) {
+			t.Errorf("%q: exit code %d, want %d with %q\n%s%s", args, got, code, want, &out, &problems)
+		}
+	}
+	run(0, "2 good entries", "registry", "check", "--operator", file)
+	run(0, "member=b phase=up cell=3", "registry", "watch", "--for", "300ms", "--operator", file)
+	store.Put(membersAt+"b", `{"host_port":"nowhere"}`)
+	run(1, `entry b: unknown phase ""`, "registry", "check", "--operator", file)
+	run(1, "no block registry", "registry", "check", "--operator", "")
+}
+
+// TestMeasureRegistry takes the time from a write in the registry to the driver's list, steady and right after a
+// break, as its log tells; and what it takes at rest with a registry.
+func TestMeasureRegistry(t *testing.T) {
+	for _, dialect := range []string{"etcd", "consul"} {
+		s := newSite(t, newMember(t, "a", takes), newMember(t, "b", refuses))
+		store, v := s.registered(t, dialect, "")
+		p := s.start(t)
+		p.said("registry leads")
+		rest := resident(t, p.cmd.Process.Pid)
+		var steady, broken []time.Duration
+		for i := range max(20, 10**restarts) {
+			phase := []string{"draining", "up"}[i%2]
+			began := time.Now()
+			store.Put(membersAt+"b", s.entry(1, phase))
+			p.await("b=" + phase)
+			steady = append(steady, time.Since(began))
+		}
+		for i := range max(2, *restarts) {
+			v.Down.Store(true)
+			v.Cut()
+			p.await("registry_failed")
+			phase := []string{"draining", "up"}[i%2]
+			store.Put(membersAt+"b", s.entry(1, phase))
+			v.Down.Store(false)
+			began := time.Now()
+			p.await("b=" + phase)
+			broken = append(broken, time.Since(began))
+		}
+		slices.Sort(steady)
+		slices.Sort(broken)
+		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+		t.Logf("%s: from write to list, ms: steady median %.2f, p99 %.2f (%d); from the end of a break median %.1f, worst %.1f (%d); at rest %v KiB, anonymous included",
+			dialect, ms(steady[len(steady)/2]), ms(steady[len(steady)*99/100]), len(steady), ms(broken[len(broken)/2]), ms(broken[len(broken)-1]), len(broken), rest)
+		p.ends(syscall.SIGKILL)
+	}
+}
--- a/internal/driver/listing.go
+++ b/internal/driver/listing.go
@@ -4,12 +4,16 @@
 // roster shows goes to those who go by it. It must never choose between sources, or let two of them be told at once.
 
 import (
+	"strings"
+
 	"weirwind/internal/discovery"
 	"weirwind/internal/operator"
 	"weirwind/internal/roster"
 	"weirwind/logic"
 )
 
+const mostNamed = 8 // members in a line of the log
+
 // start gives the list that a start begins with. It is one that discovery told, which goes on from there; where there
 // is a registry beside it, nobody knows who told it.
 func (v *Service) start(known discovery.Answer) {
@@ -56,8 +60,15 @@
 		v.log.Warn("roster", "text", text)
 	}
 	changes := make([]discovery.Entry, 0, len(out.Changes))
-	for _, e := range out.Changes {
-		changes = append(changes, fromRoster(e))
+	var named []string
+	for i, e := range out.Changes {
+		if changes = append(changes, fromRoster(e)); i < mostNamed {
+			named = append(named, e.ID+"="+changes[i].Phase)
+		}
+	}
+	if len(changes) > 0 {
+		lead, revision, _, _ := v.roster.Standing(v.decide.clock.now())
+		v.log.Info("list", "source", lead.String(), "revision", revision, "changed", len(changes), "members", strings.Join(named, ","))
 	}
 	v.members.list(changes, false)
 	v.decide.list(kind, changes) // also with nothing new: a list has come
