Drivers announce themselves in the registry and count their fellows

Need: the number of drivers was a figure of the settings; words, shares and spreading are to follow who is there.

--- /dev/null
+++ b/cmd/weirwind/presence_test.go
@@ -0,0 +1,77 @@
+package main
+
+// Drivers that find each other in a registry.
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// fellow starts another driver of the same site under a name of its own.
+func (s *site) fellow(t *testing.T, name string) *program {
+	t.Helper()
+	s.config["name"], s.config["peer_listen"] = name, "127.0.0.1:0"
+	s.settings["policy_limits"].(map[string]any)["peers"] = true
+	return s.start(t)
+}
+
+// Drivers come, talk, go in order, are lost, and lose their leases: each of the others counts them.
+func TestDriversFindEachOther(t *testing.T) {
+	for _, dialect := range []string{"etcd", "consul"} {
+		t.Run(dialect, func(t *testing.T) {
+			t.Parallel()
+			a, b := newMember(t, "a", takes), newMember(t, "b", refuses)
+			s := newSite(t, a, b)
+			store, v := s.registered(t, dialect, "drivers_prefix = \"weirwind/drivers/\"\n  lease = \""+map[string]string{"etcd": "1s", "consul": "10s"}[dialect]+"\"")
+			p := s.fellow(t, "n0")
+			p.said("event=presence announced=true")
+			q := s.fellow(t, "n1")
+			p.said("event=drivers count=2")
+			q.said("event=drivers count=2")
+			c := q.connect()
+			for range 50 {
+				c.ask(read(1000))
+			}
+			waitCounter(t, p, "messagesin")
+			store.LoseLeases() // as behind a pause, or a registry that forgot
+			p.await("event=presence announced=false")
+			p.await("event=presence announced=true")
+			v.Down.Store(true) // a silent registry makes nobody think to be alone
+			v.Cut()
+			p.await("event=registry_failed")
+			v.Down.Store(false)
+			r := s.fellow(t, "n2")
+			line := p.said("event=drivers count=3")
+			if strings.Contains(strings.Join(p.before, "\n"), "count=1") {
+				t.Errorf("thought to be alone before %s", line)
+			}
+			r.ends(syscall.SIGTERM) // it gives its lease back
+
+		})
+	}
+}
+
+func waitCounter(t *testing.T, p *program, name string) {
+	t.Helper()
+	for range 1000 {
+		if n := field(p.counters(), name); n != "0" {
+			return
+		}
+	}
+	t.Fatalf("%s stays 0", name)
+}
+
+// Two drivers of one name: the second one says so and serves.
+func TestTwoDriversOfOneName(t *testing.T) {
+	m := newMember(t, "m", takes)
+	s := newSite(t, m)
+	s.registered(t, "etcd", "drivers_prefix = \"weirwind/drivers/\"\n  lease = \"5s\"")
+	s.fellow(t, "n0").said("event=presence announced=true")
+	q := s.fellow(t, "n0")
+	if line := q.said("another driver has the name"); !strings.Contains(line, "announced=false") {
+		t.Error(line)
+	}
+	kinds, said := q.connect().ask(write(1000))
+	want(t, kinds, said, acked, "v:INSERT")
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -95,6 +95,7 @@
 
 	registry  *operator.Registry // nil where members come from discovery alone
 	following *registry.Watcher
+	present   *presence // among fellow drivers; nil where they are not in the registry
 
 	moving  sync.Mutex // guards what follows
 	movedTo string     // where discovery is now, until the watch has moved there
@@ -162,7 +163,8 @@
 	if told.Opening.ReportsByProbe {
 		v.members.probeQuery = "SHOW usage"
 	}
-	if v.peers, err = newPeers(&a.Assignment, told.Index, &v.count); err != nil {
+	if v.peers, err = newPeers(&a.Assignment, told.Index,
+		o.Registry != nil && o.Registry.DriversPrefix != "", &v.count); err != nil {
 		return nil, fmt.Errorf("configuration: peers: %v", err)
 	}
 	v.decide = newDecider(newClock(time.Now), told, v)
@@ -177,6 +179,20 @@
 		if err := v.openRegistry(told.Opening.Drivers, seedOf(a.Seed)); err != nil {
 			return nil, err
 		}
+		if v.registry.DriversPrefix != "" {
+			address, talks := a.PeerListen, told.Opening.MayMessage && v.peers.conn != nil
+			if v.peers.conn != nil {
+				address = v.peers.conn.LocalAddr().String()
+			} else if address == "" {
+				address = a.Listen
+			}
+			if err := v.openPresence(address, told.Opening.Drivers, seedOf(a.Seed), talks); err != nil {
+				return nil, err
+			}
+			if talks {
+				v.peers.heard = v.present.heard
+			}
+		}
 	}
 	address, err := net.ResolveTCPAddr("tcp", a.Listen)
 	if err == nil {
@@ -205,6 +221,10 @@
 	if v.registry != nil {
 		back.Go(func() error { v.following.Run(life); return nil })
 		back.Go(func() error { v.tickRoster(life); return nil })
+		if v.present != nil {
+			back.Go(func() error { v.present.run(life); return nil })
+			back.Go(func() error { v.present.follower.Run(life); return nil })
+		}
 	}
 	if v.keep != nil {
 		go v.keep.run(life) // a disk that hangs must not keep the rest from ending
--- a/internal/driver/peers.go
+++ b/internal/driver/peers.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"weirwind/internal/opening"
@@ -15,24 +16,28 @@
 
 type peers struct {
 	conn  *net.UDPConn
-	known map[netip.AddrPort]bool // the other drivers
+	known map[netip.AddrPort]bool                   // the other drivers
+	met   atomic.Pointer[map[netip.AddrPort]string] // those a registry names instead, sent to one by one
+	heard func(netip.AddrPort)                      // of those; nil where nobody wants to know
 	all   netip.AddrPort
 	out   chan []byte
 	count *counters
 }
 
 // newPeers opens the socket; without an address to listen at there are no peers.
-func newPeers(a *Assignment, own int, count *counters) (*peers, error) {
+func newPeers(a *Assignment, own int, registered bool, count *counters) (*peers, error) {
 	p := &peers{known: map[netip.AddrPort]bool{}, out: make(chan []byte, 64), count: count}
-	if a.PeerListen == "" || a.PeersAll == "" {
+	if a.PeerListen == "" || a.PeersAll == "" && !registered {
 		return p, nil
 	}
 	listen, err := netip.ParseAddrPort(a.PeerListen)
 	if err != nil {
 		return nil, err
 	}
-	if p.all, err = netip.ParseAddrPort(a.PeersAll); err != nil {
-		return nil, err
+	if a.PeersAll != "" {
+		if p.all, err = netip.ParseAddrPort(a.PeersAll); err != nil {
+			return nil, err
+		}
 	}
 	for i, text := range a.Peers {
 		peer, err := netip.ParseAddrPort(text)
@@ -66,15 +71,36 @@
 		case <-ctx.Done():
 			return
 		case data := <-p.out:
-			if _, err := p.conn.WriteToUDPAddrPort(data, p.all); err != nil {
-				p.count.MessagesLost.Add(1)
-			} else {
-				p.count.MessagesOut.Add(1)
+			if met := p.met.Load(); met != nil {
+				for to := range *met {
+					p.send(data, to)
+				}
+			} else if p.all.IsValid() {
+				p.send(data, p.all)
 			}
 		}
 	}
 }
 
+func (p *peers) send(data []byte, to netip.AddrPort) {
+	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil {
+		p.count.MessagesLost.Add(1)
+	} else {
+		p.count.MessagesOut.Add(1)
+	}
+}
+
+// meet takes the fellows that a registry names.
+func (p *peers) meet(names map[netip.AddrPort]string) { p.met.Store(&names) }
+
+// knows says whether an address is a fellow's.
+func (p *peers) knows(from netip.AddrPort) bool {
+	if met := p.met.Load(); met != nil {
+		return (*met)[from] != ""
+	}
+	return p.known[from]
+}
+
 func (p *peers) read(ctx context.Context, d *decider) {
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
@@ -87,9 +113,12 @@
 			case <-ctx.Done():
 			case <-time.After(time.Millisecond):
 			}
-		case n > opening.MaxMessage || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]:
+		case n > opening.MaxMessage || !p.knows(netip.AddrPortFrom(from.Addr().Unmap(), from.Port())):
 			p.count.MessagesBad.Add(1)
 		default:
+			if p.heard != nil {
+				p.heard(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+			}
 			p.count.MessagesIn.Add(1)
 			d.step(logic.Event{Kind: logic.EvMessage, Data: append([]byte(nil), buf[:n]...)})
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,7 +36,10 @@
 	CAFile          string        // certificates that sign the endpoints'; empty for the system's
 	TakeOver        time.Duration // so long after the registry fell silent discovery leads
 	Confirm         time.Duration // a list that lost most members must say so again after so long
-	Silence         time.Duration // a watch that gives no sign for so long is left and resumed
+	// DriversPrefix is where drivers announce themselves and find their fellows; empty: they don't.
+	DriversPrefix string
+	Lease         time.Duration // of an announcement
+	Silence       time.Duration // a watch that gives no sign for so long is left and resumed
 }
 
 // Log is the block "log".
@@ -218,7 +221,8 @@
 }
 
 func (r *reader) registry(b *hcl.Block) *Registry {
-	attrs := r.block(b, "endpoints", "prefix", "service", "credentials_file", "ca_file", "take_over", "confirm", "silence")
+	attrs := r.block(b, "endpoints", "prefix", "service", "credentials_file", "ca_file", "take_over", "confirm", "silence",
+		"drivers_prefix", "lease")
 	g := &Registry{Dialect: b.Labels[0]}
 	if g.Dialect != "etcd" && g.Dialect != "consul" {
 		r.problem(b.LabelRanges[0], "registry is %q; it may be etcd, consul.", g.Dialect)
@@ -247,6 +251,12 @@
 	g.CAFile, _ = r.text(attrs, "ca_file", "")
 	g.TakeOver = r.duration(attrs, "take_over", 30*time.Second, 0, 24*time.Hour)
 	g.Confirm = r.duration(attrs, "confirm", 3*time.Second, 0, 10*time.Minute)
+	g.DriversPrefix, _ = r.text(attrs, "drivers_prefix", "")
+	least := time.Second
+	if g.Dialect == "consul" {
+		least = 10 * time.Second // it grants no less
+	}
+	g.Lease = r.duration(attrs, "lease", 10*time.Second, least, 10*time.Minute)
 	g.Silence = r.duration(attrs, "silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute)
 	return g
 }
@@ -266,9 +276,9 @@
 			ends[i] = quoted(e)
 		}
 		fmt.Fprintf(&b, "registry %q {\n  endpoints        = [%s]\n  prefix           = %s\n  service          = %s\n  credentials_file = %s\n"+
-			"  ca_file          = %s\n  take_over        = %q\n  confirm          = %q\n  silence          = %q\n}\n", g.Dialect,
+			"  ca_file          = %s\n  take_over        = %q\n  confirm          = %q\n  silence          = %q\n  drivers_prefix   = %s\n  lease            = %q\n}\n", g.Dialect,
 			strings.Join(ends, ", "), quoted(g.Prefix), quoted(g.Service), quoted(g.CredentialsFile), quoted(g.CAFile), g.TakeOver,
-			g.Confirm, g.Silence)
+			g.Confirm, g.Silence, quoted(g.DriversPrefix), g.Lease)
 	}
 	return b.String()
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -31,7 +32,11 @@
 		*f.State != (State{"s", 250 * time.Millisecond, 2, 3 * time.Second}) {
 		t.Fatal(f, err)
 	}
+	f.Registry = &Registry{"consul", []string{"https://a:1", "http://b:2"}, "p/", "db", "secret", "ca", time.Minute, time.Second, "d/", 20 * time.Second, 5 * time.Second}
 	again, err := Parse("again", []byte(f.String()))
+	if err == nil && !reflect.DeepEqual(again.Registry, f.Registry) {
+		t.Errorf("%+v", again.Registry)
+	}
 	if err != nil || again.Log != f.Log || *again.State != *f.State {
 		t.Fatalf("does not read its own form: %v\n%s", err, f)
 	}
@@ -47,13 +52,19 @@
 		"log {\n  level = [1]\n}":      "x.hcl:2,11: Bad value: level wants a string.",
 		"log {\n}\nlog {\n}":           `x.hcl:3,1: Bad value: The block "log" stands twice; it stands already at line 1.`,
 		"state {\n}":                   "x.hcl:1,1: Bad value: state wants a folder.",
-		"state {\n  folder = \"a\"\n  save_every = \"soon\"\n}": `x.hcl:3,16: Bad value: save_every is "soon"; it wants a time such as "1s".`,
-		"state {\n  folder = \"a\"\n  save_every = \"1ms\"\n}":  "x.hcl:3,16: Bad value: save_every is 1ms; it may be 50ms to 1m0s.",
-		"state {\n  folder = \"a\"\n  limit_mb = 1.5\n}":        "x.hcl:3,14: Bad value: limit_mb is 1.5; it may be a whole number, 1 to 1024.",
-		"state {\n  folder = null\n}":                           "x.hcl:2,12: Bad value: folder wants a string.",
-		"state {\n  folder = who\n}":                            "x.hcl:2,12: ",
-		"state {":                                               "x.hcl:1,7: ",
-		"state {\n  folder = \"a\"\n  limit_mb = 0\n  x = 1\n}": "x.hcl:4,3: Unsupported argument",
+		"state {\n  folder = \"a\"\n  save_every = \"soon\"\n}":                      `x.hcl:3,16: Bad value: save_every is "soon"; it wants a time such as "1s".`,
+		"state {\n  folder = \"a\"\n  save_every = \"1ms\"\n}":                       "x.hcl:3,16: Bad value: save_every is 1ms; it may be 50ms to 1m0s.",
+		"state {\n  folder = \"a\"\n  limit_mb = 1.5\n}":                             "x.hcl:3,14: Bad value: limit_mb is 1.5; it may be a whole number, 1 to 1024.",
+		"state {\n  folder = null\n}":                                                "x.hcl:2,12: Bad value: folder wants a string.",
+		"state {\n  folder = who\n}":                                                 "x.hcl:2,12: ",
+		"state {":                                                                    "x.hcl:1,7: ",
+		"registry \"zk\" {\n  endpoints = [\"http://a:1\"]\n}":                       `x.hcl:1,10: Bad value: registry is "zk"; it may be etcd, consul.`,
+		"registry \"etcd\" {\n}":                                                     "x.hcl:1,1: Bad value: registry wants endpoints.",
+		"registry \"etcd\" {\n  endpoints = [\"a:1\"]\n}":                            `x.hcl:2,15: Bad value: "a:1" is no URL`,
+		"registry \"etcd\" {\n  endpoints = [\"http://a:1\"]\n  service = \"db\"\n}": "x.hcl:3,13: Bad value: service is consul's alone.",
+		"registry \"consul\" {\n  endpoints = [\"http://a:1\"]\n  lease = \"5s\"\n}": "x.hcl:3,11: Bad value: lease is 5s; it may be 10s to 10m0s.",
+		"registry {\n  endpoints = [\"http://a:1\"]\n}":                              "x.hcl:1,10: ",
+		"state {\n  folder = \"a\"\n  limit_mb = 0\n  x = 1\n}":                      "x.hcl:4,3: Unsupported argument",
 	} {
 		f, err := Parse("x.hcl", []byte(text))
 		if err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/roster/course.go
+++ b/internal/roster/course.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 
 	"weirwind/internal/limits"
 )
@@ -65,7 +66,7 @@
 	whole    bool      // the next call is a read
 	exact    bool
 	after    float64
-	calls    int
+	fellows  atomic.Int64
 }
 
 // NewCourse begins at an endpoint drawn by the seed.
@@ -78,11 +79,12 @@
 		c.failedAt[i] = -restTime
 	}
 	c.endpoint = c.draw.IntN(r.Endpoints)
+	c.fellows.Store(int64(r.Fellows))
 	return c
 }
 
-// Fellows notes how many drivers there are now.
-func (c *Course) Fellows(n int) { c.rules.Fellows = max(n, 1) }
+// Fellows notes how many drivers there are now; it may be called while the course is in use.
+func (c *Course) Fellows(n int) { c.fellows.Store(int64(max(n, 1))) }
 
 // Next gives the next call; revision is up to where the list is known, told false where none is.
 func (c *Course) Next(revision int64, told bool) Call {
@@ -90,14 +92,13 @@
 	if c.whole || !told {
 		call.Kind = Read
 	}
-	c.calls++
 	c.after = 0
 	return call
 }
 
 // spread is a pause that keeps all fellows' whole reads under what a registry bears, if all of them want one now.
 func (c *Course) spread() float64 {
-	return c.draw.Float64() * float64(c.rules.Fellows) / readsASecond * 1000
+	return c.draw.Float64() * float64(c.fellows.Load()) / readsASecond * 1000
 }
 
 // Ended takes the end of a call. began says whether the call had got any answer before; now is in milliseconds.
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -37,6 +37,8 @@
 	keys      map[string]Item
 	events    []Item // ordered by revision
 	changed   chan struct{}
+	leases    map[string]*lease
+	serial    int
 }
 
 // NewStore is an empty store.
@@ -132,6 +134,7 @@
 	m.HandleFunc("POST /v3/auth/authenticate", v.fault(v.etcdToken))
 	m.HandleFunc("GET /v1/kv/{prefix...}", v.fault(v.consulKeys))
 	m.HandleFunc("GET /v1/health/service/{name}", v.fault(v.consulService))
+	v.leases(m)
 	v.Server = httptest.NewServer(m)
 	return v
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -103,6 +103,7 @@
 	EvMessage  // Data
 	EvRecall   // Memory: what an earlier run knew, behind the first list and before the first op
 	EvRemember // Memory, which the module fills for a run to come
+	EvDrivers  // Drivers: how many there are by now, where they may send each other messages
 )
 
 // ListKind says how Members relates to the list known so far.
@@ -185,6 +186,7 @@
 	Report   Sight
 	Data     []byte
 	Memory   *Memory
+	Drivers  int
 }
 
 // Memory is what one run of a driver leaves to the next. Times are clock times in milliseconds. Who hands one to
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -170,6 +170,8 @@
 			d.recall(ev.Memory)
 		case EvRemember:
 			d.remember(ev.Memory)
+		case EvDrivers:
+			d.fleet(float64(ev.Drivers))
 		}
 	}
 	if due { // after the answers that came with the timer
@@ -206,10 +208,8 @@
 	if p.Positions && !d.carried {
 		d.ceiling = d.now - d.zero // an earlier run may have acknowledged writes up to now
 	}
-	if d.crowd = 1; p.MayMessage && p.Drivers > 1 && d.tellMost > 0 {
-		d.crowd = max(1, float64(p.Drivers)/3)
-		d.tellLeast = min(max(d.bound/4, 10*p.Tick), probeEvery) * min(d.crowd/3, 1)
-		d.tellGap = d.tellLeast
+	if d.crowd = 1; p.MayMessage && d.tellMost > 0 {
+		d.fleet(float64(p.Drivers))
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
@@ -217,6 +217,14 @@
 	d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
 }
 
+// fleet follows how many drivers there are: words, shares and what is spread out over them go by it.
+func (d *Driver) fleet(drivers float64) {
+	if d.crowd, d.tellGap = max(1, drivers/3), 0; drivers > 1 {
+		d.tellLeast = min(max(d.bound/4, 5*(d.margin-d.sweepGap)), probeEvery) * min(d.crowd/3, 1)
+		d.tellGap = d.tellLeast
+	}
+}
+
 // chance draws from a permuted congruential generator (PCG-XSH-RR), in [0, 1).
 func (d *Driver) chance() float64 {
 	s := d.state
@@ -291,9 +299,8 @@
 	}
 }
 
-// recall takes what an earlier run knew as what it is, dated evidence. Of a primary, what is younger than any
-// switch can be fills the slot; what is older only orders the search, as do slots that were empty. Only where
-// the list follows the roles does an older word yield to the list's.
+// recall takes what an earlier run knew as dated evidence: a primary seen within the time of a switch fills
+// the slot; one seen before only orders the search, and yields to a list that follows roles.
 func (d *Driver) recall(k *Memory) {
 	d.ceiling = max(d.ceiling, k.Ceiling)
 	for _, g := range d.groups {
@@ -304,8 +311,7 @@
 			d.types[i].took, d.types[i].best = t.Took, min(t.Best, t.Took)
 		}
 	}
-	for i := range k.Members {
-		r := &k.Members[i]
+	for _, r := range k.Members {
 		m := d.members[r.Member]
 		if m == nil || m.group.id != r.Group {
 			continue
@@ -328,19 +334,15 @@
 	}
 	for _, r := range k.Groups {
 		g, m := d.groupOf[r.Group], d.members[r.Slot]
-		if g == nil {
-			continue
-		}
-		if r.Rate > 0 {
+		if g != nil && r.Rate > 0 {
 			g.rate, g.blur = r.Rate, min(d.crowd-1, 1) // alike in all drivers that start at once: chance decides
 		}
-		listed := g.slot // by a list that may be as old
-		if m == nil || m.group != g || r.Seen <= g.seen || m.started > r.Seen {
+		if g == nil || m == nil || m.group != g || r.Seen <= g.seen || m.started > r.Seen {
 			continue
 		}
 		if age := d.now - r.Seen; r.Held && age >= 0 && age < k.Trust && !m.draining && !m.aside {
 			d.fill(m, r.Seen, "recalled")
-		} else if listed == nil || !d.roleLate {
+		} else if g.slot == nil || !d.roleLate {
 			g.slot, g.last, g.seen, g.emptied, g.probeAt, m.doubted = nil, m, r.Seen, r.Seen, d.now, true
 			if d.log("group %d: %s was primary, to be asked", g.id, m.id); d.reports && !m.draining {
 				d.act(Action{Kind: ActProbe, Member: m.id})
--- a/logic/recall_test.go
+++ b/logic/recall_test.go
@@ -225,3 +225,34 @@
 		Members: []MemberMemory{{Member: "nobody"}}}})
 	again.want(!math.IsNaN(again.d.types[0].took) && again.d.types[0].took > 0, "nothing taken from what fits nothing")
 }
+
+// Drivers come and go: what is spread out over them follows, and a driver that is alone tells nobody.
+func TestNumberOfDriversChanges(t *testing.T) {
+	o := opening()
+	o.MayMessage, o.Drivers = true, 1
+	words := func(r *rig) (n int) {
+		r.all = nil
+		for i := range 20 {
+			id := string(rune('a' + i))
+			r.op(id, anyRead, 1000)
+			r.answer(id, to(r.all, id), OK, Replica, r.now-10)
+			r.wait(50)
+		}
+		return count(r.all, ActMessage, "")
+	}
+	r := start(t, o)
+	r.want(words(r) == 0, "no words from a driver that is alone")
+	r.step(Event{Kind: EvDrivers, Drivers: 3})
+	r.want(words(r) > 0, "words when there are three")
+	pause := func() (sum float64) {
+		for range 200 {
+			sum += r.d.after(100) - r.now
+		}
+		return sum / 200
+	}
+	few := pause()
+	r.step(Event{Kind: EvDrivers, Drivers: 300})
+	r.want(pause() > 20*few, "what all do to be spread out over 300")
+	r.step(Event{Kind: EvDrivers, Drivers: 1})
+	r.want(words(r) == 0 && pause() <= few, "all as before when it is alone again")
+}
