--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -14,3 +14,18 @@
   limit_mb     = 16                  # of all files together, 1 to 1024
   switch_least = "0s"                # no primary is replaced in less; 0s: the platform's time to stop sending
 }
+
+# Members in a key-value registry beside discovery. Off on the platform, which has none; so here it is a comment.
+#
+# registry "etcd" {                           # or "consul"
+#   endpoints        = ["https://10.0.0.5:2379", "https://10.0.0.6:2379"]
+#   prefix           = "weirwind/members/"
+#   service          = ""                     # consul: a service's instances instead of keys
+#   credentials_file = ""                     # name:password, or consul's token
+#   ca_file          = ""
+#   take_over        = "30s"                  # silent for so long, discovery leads
+#   confirm          = "3s"                   # a list that lost most members must say so again
+#   silence          = "10s"                  # a watch without a sign is left
+#   drivers_prefix   = ""                     # "weirwind/drivers/": drivers find each other
+#   lease            = "10s"
+# }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -560,3 +561,33 @@
 		})
 	}
 }
+
+// TLS: an endpoint whose certificate the named file signs is followed, any other is not.
+func TestTLS(t *testing.T) {
+	s := kv.NewStore("c1")
+	s.Put(prefix+"a", entry(1, "up"))
+	v := kv.ServeTLS(s)
+	t.Cleanup(func() { v.Cut(); v.Close() })
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: v.Certificate().Raw}), 0o600)
+	o := Options{Dialect: "etcd", Prefix: prefix, Endpoints: []string{v.URL}, Silence: time.Second, CAFile: file}
+	followWith(t, o, roster.Rules{}, 0).shows("a")
+	o.CAFile = ""
+	c, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Read(context.Background(), 0, true, func(roster.Update) {}); err == nil || EndOf(err) != roster.Broken {
+		t.Errorf("a certificate that nobody signs: %v", err)
+	}
+	o.CAFile = filepath.Join(t.TempDir(), "none")
+	if _, err := New(o); err == nil {
+		t.Error("no file of certificates")
+	}
+	os.WriteFile(file, []byte("none"), 0o600)
+	if o.CAFile = file; err == nil {
+		if _, err := New(o); err == nil {
+			t.Error("a file without a certificate")
+		}
+	}
+}
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -126,8 +126,20 @@
 	tokens   atomic.Int64
 }
 
-// Serve starts a server on a free loopback port.
+// Serve starts a server on a free loopback port; ServeTLS one that wants TLS, under httptest's certificate.
 func Serve(s *Store) *Server {
+	v := prepare(s)
+	v.Start()
+	return v
+}
+
+func ServeTLS(s *Store) *Server {
+	v := prepare(s)
+	v.StartTLS()
+	return v
+}
+
+func prepare(s *Store) *Server {
 	v := &Server{store: s}
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v3/kv/range", v.fault(v.etcdRange))
@@ -136,7 +148,7 @@
 	m.HandleFunc("GET /v1/kv/{prefix...}", v.fault(v.consulKeys))
 	m.HandleFunc("GET /v1/health/service/{name}", v.fault(v.consulService))
 	v.leases(m)
-	v.Server = httptest.NewServer(m)
+	v.Server = httptest.NewUnstartedServer(m)
 	return v
 }
 
