weirlab: a stand-in cluster, an open-loop load and a demonstration with an audit

Need: nobody could try the driver without writing members first. Change: internal/lab has members with roles, lag, elections and faults, a list over HTTP, arrivals that wait for nobody with HdrHistogram from the intended start, and an audit that takes only the members' word; cmd/weirlab is demo, serve and load.

--- /dev/null
+++ b/cmd/weirlab/main.go
@@ -0,0 +1,236 @@
+// Command weirlab is the laboratory on sockets: a stand-in cluster, an open-loop load, and a demonstration of both with
+// two drivers. It owns the command line and what is printed. It must never judge by anything but the audit.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"weirwind/internal/lab"
+)
+
+type commands struct {
+	Demo  demoCommand  `cmd:"" help:"Start a cluster, two drivers and a load, kill the primary, drain a replica, show what happens, and end with an audit."`
+	Serve serveCommand `cmd:"" help:"Start a cluster and its list of members; faults come as lines on standard input, such as 'kill g1m1'."`
+	Load  loadCommand  `cmd:"" help:"Ask drivers at a rate that does not wait for them."`
+}
+
+func main() { os.Exit(command(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+// command carries a call out and gives the exit code: 0 good, 1 a broken rule or bad input, 2 a call that is wrong.
+func command(args []string, in io.Reader, out, problems io.Writer) int {
+	var c commands
+	left := -1
+	parser, err := kong.New(&c, kong.Name("weirlab"), kong.Description("The laboratory of weirwind."), kong.Writers(out, problems),
+		kong.Exit(func(code int) { left = max(left, code) }), kong.BindTo(out, (*io.Writer)(nil)), kong.BindTo(in, (*io.Reader)(nil)))
+	if err != nil {
+		panic(err)
+	}
+	call, err := parser.Parse(args)
+	if left >= 0 {
+		return left
+	}
+	if err != nil {
+		fmt.Fprintf(problems, "weirlab: %v\n", err)
+		return 2
+	}
+	if err := call.Run(); err != nil {
+		fmt.Fprintln(problems, "weirlab:", err)
+		return 1
+	}
+	return 0
+}
+
+type demoCommand struct {
+	For     time.Duration `help:"How long the load lasts." default:"12s"`
+	Rate    float64       `help:"Ops a second." default:"300"`
+	Drivers int           `help:"Drivers." default:"2"`
+	Log     string        `help:"A file for the drivers' logs." placeholder:"FILE"`
+	Seed    uint64        `help:"Of the load." default:"1"`
+	Slack   time.Duration `help:"Beyond an op's time its answer still counts." default:"50ms"`
+}
+
+// Run plays the demonstration: a third of the time in, the primary is killed; two thirds in, it is back and a replica
+// drains.
+func (c *demoCommand) Run(out io.Writer) error {
+	if c.For < time.Second || c.Rate <= 0 || c.Rate > 20000 || c.Drivers < 1 || c.Drivers > 50 {
+		return fmt.Errorf("a demonstration lasts 1s at least, at up to 20000 ops a second, with up to 50 drivers")
+	}
+	cluster, err := lab.Start(lab.Options{Seed: c.Seed, Elect: min(2*time.Second, c.For/6)})
+	if err != nil {
+		return err
+	}
+	defer cluster.Stop()
+	var log io.Writer = io.Discard
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		log = f
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	serving, end := context.WithCancel(context.Background())
+	targets, wait, err := cluster.Drivers(serving, c.Drivers, log)
+	if err != nil {
+		end()
+		return err
+	}
+	fmt.Fprintf(out, "a cluster of 5 members, %s is primary; %d drivers at %s; %g ops a second for %s\n", cluster.Primary(1), c.Drivers,
+		strings.Join(targets, ", "), c.Rate, c.For)
+	first := cluster.Primary(1)
+	events := []*time.Timer{
+		time.AfterFunc(c.For/3, func() {
+			fmt.Fprintf(out, "      -- %s, the primary, is killed\n", first)
+			cluster.Do("kill", first)
+		}),
+		time.AfterFunc(2*c.For/3, func() {
+			replica := cluster.Replica(1)
+			fmt.Fprintf(out, "      -- %s is primary; %s is back; %s is told to drain\n", cluster.Primary(1), first, replica)
+			cluster.Do("heal", first)
+			cluster.Do("drain", replica)
+		})}
+	fmt.Fprintln(out, "second  acked refused failed  lost   median      p99")
+	result := lab.Load{Targets: targets, Rate: c.Rate, For: c.For, Mix: lab.Mix, Groups: 1, Seed: c.Seed, Slack: c.Slack}.Run(ctx, func(second int, f *lab.Figures) {
+		fmt.Fprintf(out, "%6d %6d %7d %6d %5d %8s %8s\n", second, f.Ends[lab.Acked], f.Ends[lab.Refused], f.Ends[lab.Failed], f.Ends[lab.Lost],
+			f.Quantile(50).Round(100*time.Microsecond), f.Quantile(99).Round(100*time.Microsecond))
+	})
+	for _, e := range events {
+		e.Stop()
+	}
+	end()
+	if err := wait(); err != nil {
+		return err
+	}
+	summary(out, result)
+	return verdict(out, cluster.Audit(result))
+}
+
+func summary(out io.Writer, r lab.Result) {
+	fmt.Fprintln(out, "op type     acked refused failed  lost   median      p99      worst")
+	var names []string
+	for name := range r.Kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		f := r.Kinds[name]
+		fmt.Fprintf(out, "%-10s %6d %7d %6d %5d %8s %8s %10s\n", name, f.Ends[lab.Acked], f.Ends[lab.Refused], f.Ends[lab.Failed], f.Ends[lab.Lost],
+			f.Quantile(50).Round(100*time.Microsecond), f.Quantile(99).Round(100*time.Microsecond), f.Quantile(100).Round(100*time.Microsecond))
+	}
+}
+
+func verdict(out io.Writer, broken []string) error {
+	if len(broken) == 0 {
+		fmt.Fprintln(out, "audit: every op got one whole answer, no write ran twice, nothing came to a drained member")
+		return nil
+	}
+	for _, b := range broken[:min(len(broken), 20)] {
+		fmt.Fprintln(out, "audit:", b)
+	}
+	return fmt.Errorf("%d broken rules", len(broken))
+}
+
+type serveCommand struct {
+	Groups  int           `help:"Groups." default:"1"`
+	Members int           `help:"Members a group." default:"5"`
+	Work    time.Duration `help:"Mean time of an op." default:"3ms"`
+	Lag     time.Duration `help:"Of replicas." default:"20ms"`
+	Elect   time.Duration `help:"From a primary's end to the next one." default:"2s"`
+	Config  string        `help:"Write a driver's configuration to this file." placeholder:"FILE"`
+	Listen  string        `help:"The address in that configuration." default:"127.0.0.1:6432"`
+}
+
+// Run serves until its input ends or it is interrupted.
+func (c *serveCommand) Run(in io.Reader, out io.Writer) error {
+	if c.Groups < 1 || c.Members < 1 || c.Groups*c.Members > 500 {
+		return fmt.Errorf("a cluster has up to 500 members")
+	}
+	cluster, err := lab.Start(lab.Options{Groups: c.Groups, Members: c.Members, Work: c.Work, Lag: c.Lag, Elect: c.Elect})
+	if err != nil {
+		return err
+	}
+	defer cluster.Stop()
+	if c.Config != "" {
+		if err := os.WriteFile(c.Config, cluster.Configuration("n0", c.Listen, 1, 0), 0o600); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "discovery at %s; kill, heal, hang, free, slow, drain or undrain a member\n", cluster.Discovery())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	lines := make(chan string)
+	go func() {
+		defer close(lines)
+		for s := bufio.NewScanner(in); s.Scan(); {
+			lines <- s.Text()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case text, ok := <-lines:
+			if !ok {
+				return nil
+			}
+			what, id, _ := strings.Cut(strings.TrimSpace(text), " ")
+			fmt.Fprintf(out, "%s %s: %v\n", what, id, map[bool]string{true: "done", false: "not known"}[cluster.Do(what, id)])
+		}
+	}
+}
+
+type loadCommand struct {
+	Target []string      `help:"A driver's address; may stand several times." required:"" placeholder:"ADDRESS"`
+	Rate   float64       `help:"Ops a second, all targets together." default:"100"`
+	For    time.Duration `help:"How long." default:"10s"`
+	Groups int           `help:"Groups, numbered from 1." default:"1"`
+	Mix    string        `help:"A file: a JSON array of name, share, write, timeout (nanoseconds)." placeholder:"FILE"`
+	Seed   uint64        `help:"Of arrivals." default:"1"`
+}
+
+// Run plays the load and prints what came of it. Latency counts from the moment at which an op was due.
+func (c *loadCommand) Run(out io.Writer) error {
+	mix := lab.Mix
+	if c.Mix != "" {
+		text, err := os.ReadFile(c.Mix)
+		if err != nil {
+			return err
+		}
+		mix = nil
+		if err := json.Unmarshal(text, &mix); err != nil || len(mix) == 0 {
+			return fmt.Errorf("%s: no mix: %v", c.Mix, err)
+		}
+		for _, k := range mix {
+			if k.Name == "" || k.Share <= 0 || k.Timeout < time.Millisecond {
+				return fmt.Errorf("%s: op type %q wants a name, a share and a timeout of 1 ms at least", c.Mix, k.Name)
+			}
+		}
+	}
+	if c.Rate <= 0 || c.For <= 0 {
+		return fmt.Errorf("a load wants a rate and a time")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result := lab.Load{Targets: c.Target, Rate: c.Rate, For: c.For, Mix: mix, Groups: c.Groups, Seed: c.Seed}.Run(ctx, nil)
+	summary(out, result)
+	for name, f := range result.Kinds {
+		if f.Skipped > 0 {
+			fmt.Fprintf(out, "%s: %d ops were not asked, too many were open\n", name, f.Skipped)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/weirlab/main_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCommands(t *testing.T) {
+	run := func(code int, want string, in io.Reader, args ...string) {
+		t.Helper()
+		var out bytes.Buffer
+		if got := command(args, in, &out, &out); got != code || !strings.Contains(out.String(), want) {
+			t.Errorf("%q: exit code %d, want %d with %q\n%s", args, got, code, want, &out)
+		}
+	}
+	dir := t.TempDir()
+	config, mix := filepath.Join(dir, "c.json"), filepath.Join(dir, "m.json")
+	run(0, "audit: every op got one whole answer", nil, "demo", "--for", "2s", "--rate", "100", "--slack", "2s")
+	run(0, "kill g1m1: done\nkill nobody: not known", strings.NewReader("kill g1m1\nkill nobody\n"), "serve", "--config", config)
+	if text, err := os.ReadFile(config); err != nil || !bytes.Contains(text, []byte(`"stop_sending_within"`)) {
+		t.Error(err)
+	}
+	os.WriteFile(mix, []byte(`[{"name":""}]`), 0o600)
+	run(1, "wants a name", nil, "load", "--target", "127.0.0.1:1", "--mix", mix)
+	run(0, "any", nil, "load", "--target", "127.0.0.1:1", "--for", "200ms")
+	run(1, "at least", nil, "demo", "--for", "1ms")
+	run(2, "", nil, "load")
+	run(2, "", nil, "dance")
+	run(0, "demo", nil, "--help")
+}
--- /dev/null
+++ b/internal/lab/audit.go
@@ -0,0 +1,36 @@
+package lab
+
+// This file owns the audit: what members ran beside what clients were told. It must never take the driver's word.
+
+import "fmt"
+
+// Audit tells every broken rule that can be seen from outside, a line each; none is the good case.
+func (c *Cluster) Audit(r Result) (broken []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, n := range c.applied {
+		if n > 1 {
+			broken = append(broken, fmt.Sprintf("rule 2: write %s ran %d times", id, n))
+		}
+		if end, asked := r.Writes[id]; asked && end == Refused {
+			broken = append(broken, fmt.Sprintf("rule 2: write %s ran and its client was told that it did not", id))
+		}
+	}
+	for id, end := range r.Writes {
+		if end == Acked && c.applied[id] == 0 {
+			broken = append(broken, fmt.Sprintf("rule 1: write %s was acked and never ran", id))
+		}
+	}
+	for _, id := range r.Wrong {
+		broken = append(broken, fmt.Sprintf("rule 1: op %s got another's answer", id))
+	}
+	for _, f := range r.Kinds {
+		if f.Ends[Lost] > 0 {
+			broken = append(broken, fmt.Sprintf("rule 1: %d ops without a whole answer in their time", f.Ends[Lost]))
+		}
+	}
+	for _, id := range c.late {
+		broken = append(broken, fmt.Sprintf("rule 3: op %s came to a member later than the grace after its drain was told", id))
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/lab/cluster.go
@@ -0,0 +1,434 @@
+// Package lab is the project's laboratory on sockets: a stand-in cluster with faults on command, an open-loop load, and
+// an audit of what came of every op. It owns no part of the driver and shares no decision with it.
+//
+// This file owns the cluster: members that speak PostgreSQL's protocol, their roles and lag, elections, and the list
+// of members over HTTP. It must never be kinder than a cluster: what it was sent may run although nobody waits.
+package lab
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"weirwind/internal/discovery"
+	"weirwind/internal/pgwire"
+)
+
+// Options describe a cluster. Zero values give one group of five members of four cores.
+type Options struct {
+	Groups  int
+	Members int           // a group
+	Cores   int           // a member: so many ops at a time, others wait
+	Work    time.Duration // mean time of an op, drawn exponentially
+	Lag     time.Duration // replicas are behind by so much
+	Elect   time.Duration // from a primary's end to the next one
+	Seed    uint64
+}
+
+func (o Options) filled() Options {
+	set := func(x *int, least int) { *x = max(*x, least) }
+	if o.Members == 0 {
+		o.Members = 5
+	}
+	if o.Cores == 0 {
+		o.Cores = 4
+	}
+	if o.Work == 0 {
+		o.Work = 3 * time.Millisecond
+	}
+	if o.Lag == 0 {
+		o.Lag = 20 * time.Millisecond
+	}
+	if o.Elect == 0 {
+		o.Elect = 2 * time.Second
+	}
+	set(&o.Groups, 1)
+	return o
+}
+
+// Grace is the time after a drain was told in which sends to the member still count as in order.
+const Grace = 500 * time.Millisecond
+
+// Cluster is one that runs.
+type Cluster struct {
+	o       Options
+	members []*Member
+	lists   *httptest.Server
+
+	mu       sync.Mutex
+	revision int64
+	changed  chan struct{}
+	entries  map[string]discovery.Entry
+	told     map[string]time.Time // by member: when a drain was answered to a watch first
+	applied  map[string]int       // by op: how often a write ran
+	late     []string             // ops that came to a member after it was told to drain, by more than the grace
+	primary  map[int64]*Member
+	draw     *rand.Rand
+	ended    bool
+	votes    sync.WaitGroup
+}
+
+// Member is one server of a cluster.
+type Member struct {
+	ID      string
+	c       *Cluster
+	group   int64
+	address string
+	cores   chan struct{}
+	slow    atomic.Int64 // times the usual work, 0 for once
+	hangs   atomic.Bool
+
+	mu    sync.Mutex
+	ln    net.Listener
+	conns map[net.Conn]bool
+}
+
+// Start makes a cluster on free loopback ports.
+func Start(o Options) (*Cluster, error) {
+	c := &Cluster{o: o.filled(), revision: 1, changed: make(chan struct{}), entries: map[string]discovery.Entry{}, told: map[string]time.Time{},
+		applied: map[string]int{}, primary: map[int64]*Member{}, draw: rand.New(rand.NewPCG(o.Seed, 3))}
+	for g := range c.o.Groups {
+		for i := range c.o.Members {
+			m := &Member{ID: fmt.Sprintf("g%dm%d", g+1, i+1), c: c, group: int64(g + 1), address: "127.0.0.1:0",
+				cores: make(chan struct{}, c.o.Cores), conns: map[net.Conn]bool{}}
+			if err := m.up(); err != nil {
+				c.Stop()
+				return nil, err
+			}
+			c.members = append(c.members, m)
+			c.entries[m.ID] = discovery.Entry{ID: m.ID, HostPort: m.address, Locality: "a", Cell: m.group, Phase: discovery.PhaseUp}
+			if i == 0 {
+				c.primary[m.group] = m
+			}
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /discovery/hosts", c.hosts)
+	c.lists = httptest.NewServer(mux)
+	return c, nil
+}
+
+// Stop ends it.
+func (c *Cluster) Stop() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.votes.Wait()
+	for _, m := range c.members {
+		m.down()
+	}
+	if c.lists != nil {
+		c.lists.CloseClientConnections()
+		c.lists.Close()
+	}
+}
+
+// Discovery is the address of the list of members.
+func (c *Cluster) Discovery() string { return c.lists.Listener.Addr().String() }
+
+// Groups is how many there are.
+func (c *Cluster) Groups() int { return c.o.Groups }
+
+// Primary is a group's, "" while there is none; Replica is one of its others that is up in the list.
+func (c *Cluster) Primary(group int64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.primary[group]; p != nil {
+		return p.ID
+	}
+	return ""
+}
+
+func (c *Cluster) Replica(group int64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		if m.group == group && m != c.primary[group] && c.entries[m.ID].Phase == discovery.PhaseUp && m.listens() {
+			return m.ID
+		}
+	}
+	return ""
+}
+
+func (c *Cluster) member(id string) *Member {
+	if i := slices.IndexFunc(c.members, func(m *Member) bool { return m.ID == id }); i >= 0 {
+		return c.members[i]
+	}
+	return nil
+}
+
+// Do carries out a fault: kill, heal, hang, free, slow (four times), drain, undrain. It says whether it knows both words.
+func (c *Cluster) Do(what, id string) bool {
+	m := c.member(id)
+	if m == nil {
+		return false
+	}
+	switch what {
+	case "kill":
+		m.down()
+		c.elect(m)
+	case "heal":
+		m.hangs.Store(false)
+		m.slow.Store(0)
+		if !m.listens() {
+			m.up()
+		}
+	case "hang":
+		m.hangs.Store(true)
+		c.elect(m)
+	case "free":
+		m.hangs.Store(false)
+	case "slow":
+		m.slow.Store(4)
+	case "drain":
+		c.mark(id, discovery.PhaseDraining)
+		c.elect(m)
+	case "undrain":
+		c.mark(id, discovery.PhaseUp)
+	default:
+		return false
+	}
+	return true
+}
+
+// elect takes the role from a primary and gives it to another one some time later.
+func (c *Cluster) elect(old *Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.primary[old.group] != old || c.ended {
+		return
+	}
+	c.primary[old.group] = nil
+	c.votes.Add(1)
+	time.AfterFunc(c.o.Elect, func() {
+		defer c.votes.Done()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		var can []*Member
+		for _, m := range c.members {
+			if m.group == old.group && m != old && m.listens() && !m.hangs.Load() && c.entries[m.ID].Phase == discovery.PhaseUp {
+				can = append(can, m)
+			}
+		}
+		if len(can) > 0 {
+			c.primary[old.group] = can[c.draw.IntN(len(can))]
+		}
+	})
+}
+
+func (c *Cluster) mark(id, phase string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entries[id]
+	e.Phase = phase
+	c.entries[id] = e
+	c.revision++
+	if phase != discovery.PhaseDraining {
+		delete(c.told, id)
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// hosts answers with the whole list, also to watches.
+func (c *Cluster) hosts(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.FormValue("since"), 10, 64)
+	ms, _ := strconv.Atoi(r.FormValue("timeout_ms"))
+	c.mu.Lock()
+	for over := time.After(time.Duration(ms) * time.Millisecond); since > 0 && c.revision <= since; {
+		changed := c.changed
+		c.mu.Unlock()
+		select {
+		case <-changed:
+		case <-over:
+			since = 0
+		case <-r.Context().Done():
+			return
+		}
+		c.mu.Lock()
+	}
+	text := c.list()
+	for id, e := range c.entries {
+		if _, known := c.told[id]; e.Phase == discovery.PhaseDraining && !known {
+			c.told[id] = time.Now()
+		}
+	}
+	c.mu.Unlock()
+	w.Write(text)
+}
+
+func (c *Cluster) list() []byte {
+	type entry struct {
+		ID       string `json:"id"`
+		HostPort string `json:"host_port"`
+		Locality string `json:"locality"`
+		Cell     int64  `json:"cell"`
+		Phase    string `json:"phase"`
+	}
+	var all []entry
+	for _, m := range c.members {
+		e := c.entries[m.ID]
+		all = append(all, entry{e.ID, e.HostPort, e.Locality, e.Cell, e.Phase})
+	}
+	text, err := json.Marshal(map[string]any{"revision": c.revision, "complete": true, "members": all})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// Known is the list as a driver's configuration holds it.
+func (c *Cluster) Known() json.RawMessage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list()
+}
+
+func (m *Member) listens() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ln != nil
+}
+
+func (m *Member) up() error {
+	ln, err := net.Listen("tcp", m.address)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.ln, m.address = ln, ln.Addr().String()
+	m.mu.Unlock()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			m.mu.Lock()
+			m.conns[conn] = true
+			m.mu.Unlock()
+			go m.serve(conn)
+		}
+	}()
+	return nil
+}
+
+func (m *Member) down() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ln != nil {
+		m.ln.Close()
+		m.ln = nil
+	}
+	for conn := range m.conns {
+		conn.Close()
+	}
+}
+
+func (m *Member) serve(conn net.Conn) {
+	defer func() {
+		conn.Close()
+		m.mu.Lock()
+		delete(m.conns, conn)
+		m.mu.Unlock()
+	}()
+	r := bufio.NewReader(conn)
+	if _, _, err := pgwire.ReadStartup(r); err != nil || m.hung() {
+		return
+	}
+	conn.Write(pgwire.AppendWelcome(nil, 0))
+	var buf []byte
+	for {
+		var err error
+		if _, buf, err = pgwire.Read(r, buf[:0]); err != nil || m.hung() {
+			return
+		}
+		text, _ := pgwire.QueryText(pgwire.Body(buf))
+		if _, err := conn.Write(m.answer(text)); err != nil {
+			return
+		}
+	}
+}
+
+// hung waits while the member hangs; true when it was taken down meanwhile.
+func (m *Member) hung() bool {
+	for m.hangs.Load() {
+		if time.Sleep(5 * time.Millisecond); !m.listens() {
+			return true
+		}
+	}
+	return false
+}
+
+// answer runs a query.
+func (m *Member) answer(text []byte) []byte {
+	if string(text) == "SHOW usage" {
+		role, position := m.stands()
+		return pgwire.AppendReady(row(fmt.Sprintf("x0=%.6f,x1=%d", position/1000, map[bool]int{true: 1}[role == "writer"])))
+	}
+	st, err := pgwire.ParseStatement(text)
+	if err != nil {
+		return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, err.Error(), ""))
+	}
+	id := string(st.ID)
+	m.c.arrives(m, id)
+	m.cores <- struct{}{}
+	m.c.mu.Lock()
+	work := time.Duration(m.c.draw.ExpFloat64() * float64(m.c.o.Work) * float64(max(m.slow.Load(), 1)))
+	m.c.mu.Unlock()
+	time.Sleep(work)
+	<-m.cores
+	role, position := m.stands()
+	note := func(b []byte) []byte {
+		b = append(b, message('S', "server_role\x00"+role+"\x00")...)
+		return pgwire.AppendReady(append(b, message('S', fmt.Sprintf("commit_clock\x00%.0f\x00", position))...))
+	}
+	if st.Write {
+		if role != "writer" {
+			return note(pgwire.AppendError(nil, "ERROR", pgwire.CodeReadOnly, "this is no primary", ""))
+		}
+		m.c.mu.Lock()
+		m.c.applied[id]++
+		m.c.mu.Unlock()
+	}
+	return note(row("v:" + id))
+}
+
+// stands gives a member's role and up to where it has applied the log, in Unix milliseconds.
+func (m *Member) stands() (role string, position float64) {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	now := float64(time.Now().UnixMicro()) / 1000
+	if m.c.primary[m.group] == m {
+		return "writer", now
+	}
+	return "reader", now - float64(m.c.o.Lag.Microseconds())/1000
+}
+
+func (c *Cluster) arrives(m *Member, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at, told := c.told[m.ID]; told && time.Since(at) > Grace {
+		c.late = append(c.late, id)
+	}
+}
+
+func message(kind byte, body string) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+4)), body...)
+}
+
+func row(value string) []byte {
+	b := message('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+	b = append(b, message('D', "\x00\x01"+string(binary.BigEndian.AppendUint32(nil, uint32(len(value))))+value)...)
+	return append(b, message('C', "SELECT 1\x00")...)
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,91 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The audit finds each kind of broken rule, and none where there is none.
+func TestAuditFinds(t *testing.T) {
+	good := func() (*Cluster, Result) {
+		return &Cluster{applied: map[string]int{"a": 1, "f": 1}}, Result{Writes: map[string]End{"a": Acked, "f": Failed, "r": Refused, "l": Failed},
+			Kinds: map[string]*Figures{"w": newFigures()}}
+	}
+	if c, r := good(); len(c.Audit(r)) > 0 {
+		t.Error(c.Audit(r))
+	}
+	for want, spoil := range map[string]func(*Cluster, *Result){
+		"a ran 2 times":                func(c *Cluster, r *Result) { c.applied["a"] = 2 },
+		"was told that it did not":     func(c *Cluster, r *Result) { c.applied["r"] = 1 },
+		"a was acked and never ran":    func(c *Cluster, r *Result) { delete(c.applied, "a") },
+		"got another's answer":         func(c *Cluster, r *Result) { r.Wrong = []string{"x"} },
+		"1 ops without a whole answer": func(c *Cluster, r *Result) { r.Kinds["w"].Ends[Lost] = 1 },
+		"later than the grace":         func(c *Cluster, r *Result) { c.late = []string{"x"} },
+	} {
+		c, r := good()
+		spoil(c, &r)
+		if broken := c.Audit(r); len(broken) != 1 || !strings.Contains(broken[0], want) {
+			t.Errorf("%q, want %q", broken, want)
+		}
+	}
+}
+
+// Two drivers before a cluster whose primary is killed, hangs, and whose replicas drain and slow down: ops go on and no
+// rule breaks.
+func TestFaults(t *testing.T) {
+	c, err := Start(Options{Elect: 200 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	ctx, end := context.WithCancel(context.Background())
+	targets, wait, err := c.Drivers(ctx, 2, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := c.Primary(1)
+	steps := []func(){func() { c.Do("kill", first) }, func() { c.Do("heal", first); c.Do("slow", c.Replica(1)) },
+		func() { c.Do("hang", c.Primary(1)) }, func() { c.Do("drain", c.Replica(1)) }}
+	r := Load{Targets: targets, Rate: 150, For: 5 * time.Second, Mix: Mix, Groups: 1, Seed: 2, Slack: 2 * time.Second}.Run(ctx, func(second int, f *Figures) {
+		if second < len(steps) {
+			steps[second]()
+		}
+	})
+	for _, m := range c.members {
+		c.Do("free", m.ID)
+	}
+	end()
+	if err := wait(); err != nil {
+		t.Fatal(err)
+	}
+	if broken := c.Audit(r); len(broken) > 0 {
+		t.Errorf("%d broken rules, such as %q", len(broken), broken[0])
+	}
+	if f := r.Kinds["write"]; f.Ends[Acked] < 20 {
+		t.Errorf("only %d writes acked", f.Ends[Acked])
+	}
+	if c.Do("kill", "nobody") || c.Do("dance", first) {
+		t.Error("a word that nobody knows is carried out")
+	}
+}
+
+// Latency counts from the intended start: a target that stands still for a while is seen in the ops that came meanwhile.
+func TestStallsAreNotHidden(t *testing.T) {
+	c, err := Start(Options{Members: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	m := c.members[0]
+	time.AfterFunc(500*time.Millisecond, func() { m.hangs.Store(true) })
+	time.AfterFunc(900*time.Millisecond, func() { m.hangs.Store(false) })
+	r := Load{Targets: []string{m.address}, Rate: 200, For: 1500 * time.Millisecond, Groups: 1,
+		Mix: []Kind{{Name: "any", Share: 1, Timeout: 5 * time.Second}}}.Run(context.Background(), nil)
+	f := r.Kinds["any"]
+	if n := f.Latency.TotalCount(); n < 200 || f.Quantile(90) < 100*time.Millisecond || f.Quantile(50) > 100*time.Millisecond {
+		t.Errorf("%d ops, median %v, p90 %v: the stall is hidden", n, f.Quantile(50), f.Quantile(90))
+	}
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,241 @@
+package lab
+
+// This file owns the load: ops that come when they are due, whatever became of those before, and what came of each. It
+// must never wait with an op for another's answer, count from any moment but the intended one, or ask twice.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"weirwind/internal/pgwire"
+)
+
+// Kind is one op type of a mix.
+type Kind struct {
+	Name    string        `json:"name"`
+	Share   float64       `json:"share"` // of all ops, in parts of the sum
+	Write   bool          `json:"write"`
+	Timeout time.Duration `json:"timeout"`
+}
+
+// Load is what is to be asked.
+type Load struct {
+	Targets []string // drivers
+	Rate    float64  // ops a second, all targets together
+	For     time.Duration
+	Mix     []Kind
+	Groups  int
+	Seed    uint64
+	Slack   time.Duration // beyond an op's time its answer still counts: machines stand still now and then. 0 for 50 ms
+	Most    int           // ops open at a time; those beyond are not asked and counted as Skipped
+}
+
+// End is what came of an op.
+type End uint8
+
+const (
+	Acked End = iota
+	Refused
+	Failed
+	Lost // no whole answer in its time
+	ends
+)
+
+func (e End) String() string { return [...]string{"acked", "refused", "failed", "lost"}[e] }
+
+// Figures are of one kind of op, or of one second.
+type Figures struct {
+	Ends    [ends]int
+	Skipped int
+	Latency *hdrhistogram.Histogram // of acked ops, microseconds from the intended start
+}
+
+func newFigures() *Figures { return &Figures{Latency: hdrhistogram.New(1, 60e6, 3)} }
+
+// Quantile is of the latency of acked ops.
+func (f *Figures) Quantile(q float64) time.Duration {
+	return time.Duration(f.Latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Result is what came of a load.
+type Result struct {
+	Kinds  map[string]*Figures
+	Writes map[string]End // by op
+	Wrong  []string       // ops that were answered by another's value
+}
+
+// Run plays a load. each is called about once a second with what ended since; it may be nil.
+func (l Load) Run(ctx context.Context, each func(second int, f *Figures)) Result {
+	if l.Most == 0 {
+		l.Most = 2000
+	}
+	if l.Slack == 0 {
+		l.Slack = 50 * time.Millisecond
+	}
+	r := Result{Kinds: map[string]*Figures{}, Writes: map[string]End{}}
+	sum := 0.0
+	for _, k := range l.Mix {
+		r.Kinds[k.Name] = newFigures()
+		sum += k.Share
+	}
+	var mu sync.Mutex
+	second := newFigures()
+	draw := rand.New(rand.NewPCG(l.Seed, 9))
+	pools := make([]pool, len(l.Targets))
+	for i, t := range l.Targets {
+		pools[i].address = t
+	}
+	var open sync.WaitGroup
+	places := make(chan struct{}, l.Most)
+	begin, due := time.Now(), time.Duration(0)
+	shown := 0
+	for serial := 0; due < l.For; serial++ {
+		due += time.Duration(draw.ExpFloat64() / l.Rate * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			due = l.For
+			continue
+		case <-time.After(time.Until(begin.Add(due))):
+		}
+		kind, x := l.Mix[len(l.Mix)-1], draw.Float64()*sum
+		for _, k := range l.Mix {
+			if x -= k.Share; x < 0 {
+				kind = k
+				break
+			}
+		}
+		p, group := &pools[draw.IntN(len(pools))], draw.IntN(max(l.Groups, 1))+1
+		id := fmt.Sprintf("%08x%08x", l.Seed&0xffffffff, serial)
+		if s := int(due / time.Second); s > shown && each != nil {
+			mu.Lock()
+			done := second
+			second = newFigures()
+			mu.Unlock()
+			each(shown, done)
+			shown = s
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			mu.Lock()
+			r.Kinds[kind.Name].Skipped++
+			mu.Unlock()
+			continue
+		}
+		intended := begin.Add(due)
+		open.Go(func() {
+			defer func() { <-places }()
+			end, value := p.ask(kind, id, group, intended, l.Slack)
+			took := time.Since(intended)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, f := range []*Figures{r.Kinds[kind.Name], second} {
+				if f.Ends[end]++; end == Acked {
+					f.Latency.RecordValue(max(took.Microseconds(), 1))
+				}
+			}
+			if kind.Write {
+				r.Writes[id] = end
+			}
+			if end == Acked && value != "v:"+id {
+				r.Wrong = append(r.Wrong, id)
+			}
+		})
+	}
+	open.Wait()
+	for i := range pools {
+		pools[i].close()
+	}
+	return r
+}
+
+// pool keeps connections to one driver.
+type pool struct {
+	address string
+	mu      sync.Mutex
+	idle    []*line
+}
+
+type line struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (p *pool) close() {
+	for _, l := range p.idle {
+		l.Close()
+	}
+}
+
+// ask puts one op and waits for its answer for as long as its time lasts from the intended start.
+func (p *pool) ask(k Kind, id string, group int, intended time.Time, slack time.Duration) (End, string) {
+	due := intended.Add(k.Timeout)
+	limit := due.Add(slack)
+	p.mu.Lock()
+	var l *line
+	if n := len(p.idle); n > 0 {
+		l, p.idle = p.idle[n-1], slices.Delete(p.idle, n-1, n)
+	}
+	p.mu.Unlock()
+	if l == nil {
+		conn, err := net.DialTimeout("tcp", p.address, time.Until(limit))
+		if err != nil {
+			return Lost, ""
+		}
+		l = &line{conn, bufio.NewReader(conn)}
+		conn.SetDeadline(limit)
+		conn.Write(pgwire.AppendStartup(nil, "svc", "main"))
+		if _, _, ok := l.hear(); !ok {
+			conn.Close()
+			return Lost, ""
+		}
+	}
+	l.SetDeadline(limit)
+	form := "SELECT v FROM records WHERE k = 'a1'"
+	if k.Write {
+		form = `INSERT INTO records (k, v) VALUES ('a1', '\x9f03') RETURNING v`
+	}
+	l.Write(pgwire.AppendQuery(nil, fmt.Sprintf("%s /* id=%s,c=%s,d=%d,cluster=%d */", form, id, k.Name, max(time.Until(due).Milliseconds(), 1), group)))
+	value, code, ok := l.hear()
+	if !ok {
+		l.Close()
+		return Lost, ""
+	}
+	p.mu.Lock()
+	p.idle = append(p.idle, l)
+	p.mu.Unlock()
+	switch code {
+	case "":
+		return Acked, value
+	case pgwire.CodeBusy, "57P03":
+		return Refused, ""
+	}
+	return Failed, ""
+}
+
+// hear reads one whole answer.
+func (l *line) hear() (value, code string, ok bool) {
+	for {
+		kind, m, err := pgwire.Read(l.r, nil)
+		if err != nil {
+			return "", "", false
+		}
+		switch kind {
+		case 'D':
+			b, _ := pgwire.DataRow(pgwire.Body(m))
+			value = string(b)
+		case 'E':
+			code = pgwire.ErrorCode(pgwire.Body(m))
+		case 'Z':
+			return value, code, true
+		}
+	}
+}
