weirlab storm: a registry's restart under a thousand clients

Need: what a restart does to a registry is to be seen by an operator, not in a test's log alone. Change: the measurement moved from a test into internal/lab/storm.go and a command.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,6 @@
 measure: build
 	go test -count=1 -run TestMeasure -v ./cmd/weirwind -args -restarts 50 -binary $(CURDIR)/bin/weirwind -before "$(BEFORE)"
 	go test -run TestSteadyDay -v -bench . -benchtime 2s ./internal/learned
-	go test -count=1 -run Storm -v ./internal/registry -args -clients 1000
+	bin/weirlab storm
 	go test -run '^$$' -bench Read -benchtime 20x ./internal/registry
 	go test -run '^$$' -bench Op -benchtime 20000x -count 5 ./internal/driver
--- a/cmd/weirlab/main.go
+++ b/cmd/weirlab/main.go
@@ -23,6 +23,7 @@
 type commands struct {
 	Demo  demoCommand  `cmd:"" help:"Start a cluster, two drivers and a load, kill the primary, drain a replica, show what happens, and end with an audit."`
 	Serve serveCommand `cmd:"" help:"Start a cluster and its list of members; faults come as lines on standard input, such as 'kill g1m1'."`
+	Storm stormCommand `cmd:"" help:"Restart a stand-in registry under many clients that follow it, ours and naive ones."`
 	Load  loadCommand  `cmd:"" help:"Ask drivers at a rate that does not wait for them."`
 }
 
@@ -234,3 +235,26 @@
 	}
 	return nil
 }
+
+type stormCommand struct {
+	Clients int           `help:"Clients." default:"1000"`
+	Members int           `help:"In the registry." default:"200"`
+	Away    time.Duration `help:"The registry's absence." default:"1s"`
+}
+
+// Run plays the storm twice and prints what the registry had to bear.
+func (c *stormCommand) Run(out io.Writer) error {
+	if c.Clients < 1 || c.Clients > 5000 || c.Members < 1 || c.Members > 50000 {
+		return fmt.Errorf("a storm is of up to 5000 clients and 50000 members")
+	}
+	fmt.Fprintf(out, "%d clients, %d members; the registry is away for %s and loses its history\n", c.Clients, c.Members, c.Away)
+	for _, naive := range []bool{false, true} {
+		r, err := lab.Storm{Clients: c.Clients, Members: c.Members, Away: c.Away, Naive: naive, Most: 3 * time.Minute}.Run()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%-6s %5d whole lists a second at the peak, %5d in all, all current after %s\n", map[bool]string{false: "ours", true: "naive"}[naive],
+			r.Peak, r.Reads, r.Until.Round(time.Millisecond))
+	}
+	return nil
+}
--- a/cmd/weirlab/main_test.go
+++ b/cmd/weirlab/main_test.go
@@ -27,6 +27,7 @@
 	os.WriteFile(mix, []byte(`[{"name":""}]`), 0o600)
 	run(1, "wants a name", nil, "load", "--target", "127.0.0.1:1", "--mix", mix)
 	run(0, "any", nil, "load", "--target", "127.0.0.1:1", "--for", "200ms")
+	run(0, "naive", nil, "storm", "--clients", "20", "--members", "10", "--away", "200ms")
 	run(1, "at least", nil, "demo", "--for", "1ms")
 	run(2, "", nil, "load")
 	run(2, "", nil, "dance")
--- /dev/null
+++ b/internal/lab/storm.go
@@ -0,0 +1,165 @@
+package lab
+
+// This file owns the storm: many clients at one registry that was away and has lost its history. It must never
+// help a client that the courses would not help.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"weirwind/internal/registry"
+	"weirwind/internal/roster"
+	"weirwind/internal/standin/kv"
+)
+
+// Storm is what is to be seen: a registry's restart under clients that follow it.
+type Storm struct {
+	Clients int
+	Members int
+	Away    time.Duration
+	Naive   bool // clients that ask for the whole list again and again without a pause, instead of a course
+	Most    time.Duration
+}
+
+// StormResult is what the registry had to bear.
+type StormResult struct {
+	Peak  int           // whole lists given in the second that had the most
+	Reads int           // in all, until all were current
+	Until time.Duration // all were current, from when the registry was back
+}
+
+const stormPrefix = "weirwind/members/"
+
+// stormClient is one that follows, and says when it has caught up: first with the list, then with what came behind the
+// restart.
+type stormClient struct {
+	client  registry.Client
+	current chan<- struct{}
+	members int
+
+	mu     sync.Mutex
+	roster *roster.Roster
+	caught int
+}
+
+func stormNow() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+func (x *stormClient) told(u roster.Update) (roster.Verdict, float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := x.roster.Told(stormNow(), u)
+	if n := len(x.roster.List()); out.Verdict == roster.Applied && (x.caught == 0 && n == x.members || x.caught == 1 && n == x.members+1) {
+		x.caught++
+		x.current <- struct{}{}
+	}
+	return out.Verdict, 0
+}
+
+func (x *stormClient) position() (int64, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_, revision, told := x.roster.Revision(roster.Registry)
+	return revision, told
+}
+
+func (x *stormClient) run(ctx context.Context, s Storm, n int) {
+	if !s.Naive {
+		w := registry.Watcher{Client: x.client, Told: x.told, Position: x.position, Now: stormNow, Alive: func() {},
+			Course: roster.NewCourse(roster.CourseRules{Endpoints: 1, Fellows: s.Clients, Seed: uint64(n)}),
+			Lost: func(error) {
+				x.mu.Lock()
+				x.roster.Broke(roster.Registry)
+				x.mu.Unlock()
+			}}
+		w.Run(ctx)
+		return
+	}
+	tell := func(u roster.Update) { x.told(u) }
+	for ctx.Err() == nil {
+		if x.client.Read(ctx, 0, true, tell) == nil {
+			revision, _ := x.position()
+			x.client.Follow(ctx, 0, revision+1, func() {}, tell)
+		}
+	}
+}
+
+// Run plays the storm on loopback. An error: not all clients were current in time.
+func (s Storm) Run() (r StormResult, err error) {
+	store := kv.NewStore("c1")
+	var pairs []any
+	for i := range s.Members {
+		pairs = append(pairs, fmt.Sprintf("%sm%05d", stormPrefix, i), fmt.Sprintf(`{"host_port":"127.0.0.1:%d","cell":1,"phase":"up"}`, i%60000+1))
+	}
+	store.Put(pairs...)
+	server := kv.Serve(store)
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer func() {
+		stop()
+		all.Wait()
+		server.Cut()
+		server.Close()
+	}()
+	current := make(chan struct{}, 2*s.Clients)
+	for n := range s.Clients {
+		c, err := registry.New(registry.Options{Dialect: "etcd", Prefix: stormPrefix, Endpoints: []string{server.URL}, Silence: 10 * time.Second})
+		if err != nil {
+			return r, err
+		}
+		x := &stormClient{client: c, current: current, members: s.Members, roster: roster.New(roster.Rules{Lead: roster.Registry})}
+		all.Go(func() { x.run(ctx, s, n) })
+	}
+	await := func() error {
+		limit := time.After(s.Most)
+		for range s.Clients {
+			select {
+			case <-current:
+			case <-limit:
+				return errors.New("not all clients were current in time")
+			}
+		}
+		return nil
+	}
+	if err := await(); err != nil {
+		return r, err
+	}
+	server.Down.Store(true)
+	server.Cut()
+	time.Sleep(s.Away)
+	store.Put(stormPrefix+"new", `{"host_port":"127.0.0.1:1","cell":1,"phase":"up"}`)
+	store.Compact(store.Revision())
+	store.Put("elsewhere", "x") // so that what is compacted lies behind the newest revision
+	server.Cut()
+	before, began := server.Reads.Load(), time.Now()
+	server.Down.Store(false)
+	sampled, ended := make(chan []int64, 1), make(chan struct{})
+	go func() { // reads by tenths of a second
+		var tenths []int64
+		for last := before; ; {
+			select {
+			case <-ended:
+				n := server.Reads.Load()
+				sampled <- append(tenths, n-last)
+				return
+			case <-time.After(100 * time.Millisecond):
+				n := server.Reads.Load()
+				tenths, last = append(tenths, n-last), n
+			}
+		}
+	}()
+	err = await()
+	r.Until, r.Reads = time.Since(began), int(server.Reads.Load()-before)
+	close(ended)
+	tenths := <-sampled
+	for i := range tenths {
+		sum := 0
+		for _, n := range tenths[i:min(i+10, len(tenths))] {
+			sum += int(n)
+		}
+		r.Peak = max(r.Peak, sum)
+	}
+	return r, err
+}
