--- /dev/null
+++ b/cmd/weirlab/emulate.go
@@ -0,0 +1,83 @@
+package main
+
+// This file owns the command that plays drivers in virtual time, policies side by side. It must never print a figure
+// that the play did not give.
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"weirwind/internal/lab/emulator"
+)
+
+type emulateCommand struct {
+	Drivers int           `help:"Drivers, each with an own module." default:"3"`
+	Groups  int           `help:"Groups." default:"1"`
+	Members int           `help:"Members a group." default:"5"`
+	Cores   int           `help:"Cores a member." default:"4"`
+	Work    time.Duration `help:"Mean time of an op on one core." default:"40ms"`
+	Load    float64       `help:"Share of all cores that the ops would take." default:"0.4"`
+	Lag     time.Duration `help:"Of replicas." default:"20ms"`
+	For     time.Duration `help:"Virtual time in which clients come." default:"30s"`
+	Retries int           `help:"Further tries of a client whose op was refused." default:"2"`
+	Seed    uint64        `help:"Of the play; the same seed gives the same play." default:"1"`
+	Policy  []string      `help:"module, primary, random, round-robin or least; may stand several times." default:"module"`
+	Fault   []string      `help:"Such as kill@10s:g1m1; also heal, hang, vanish, slow, lag, drain. May stand several times." placeholder:"WHAT@WHEN:MEMBER"`
+}
+
+// Run plays each policy, side by side, and prints what came of it. Broken rules of the module are an error; the
+// baselines break some by their nature.
+func (c *emulateCommand) Run(out io.Writer) error {
+	s := emulator.Setup{Drivers: c.Drivers, Groups: c.Groups, Members: c.Members, Cores: c.Cores, Work: ms(c.Work), Load: c.Load, Lag: ms(c.Lag),
+		For: ms(c.For), Retries: c.Retries, Seed: c.Seed}
+	for _, text := range c.Fault {
+		what, rest, ok := strings.Cut(text, "@")
+		when, member, ok2 := strings.Cut(rest, ":")
+		at, err := time.ParseDuration(when)
+		if !ok || !ok2 || err != nil || at < 0 {
+			return fmt.Errorf("fault %q is not of the form kill@10s:g1m1", text)
+		}
+		s.Faults = append(s.Faults, emulator.Fault{At: ms(at), What: what, Member: member})
+	}
+	results, errs := make([]*emulator.Result, len(c.Policy)), make([]error, len(c.Policy))
+	var all sync.WaitGroup
+	for i, p := range c.Policy {
+		s := s
+		s.Policy = p
+		all.Go(func() { results[i], errs[i] = emulator.Play(s) })
+	}
+	all.Wait()
+	broken := 0
+	for i, r := range results {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		fmt.Fprintf(out, "%s: %d ops, %.3f of their worth served in time\n", c.Policy[i], r.Asked, r.Worth)
+		for k := range r.Types {
+			t := &r.Types[k]
+			q := func(x float64) string { return fmt.Sprintf("%.1f", float64(t.Latency.ValueAtQuantile(x))/1000) }
+			fmt.Fprintf(out, "  %-8s acked %d (in time %d), refused tries %d, failed %d; ms: median %s, p99 %s, worst %s\n", emulator.Names[k],
+				t.Ends[emulator.Acked], t.InTime, t.Ends[emulator.Refused], t.Ends[emulator.Failed], q(50), q(99), q(100))
+		}
+		for _, rule := range slices.Sorted(maps.Keys(r.Broken)) {
+			fmt.Fprintf(out, "  broken: %s, %d times\n", rule, r.Broken[rule])
+			if c.Policy[i] == "module" {
+				broken += r.Broken[rule]
+			}
+		}
+		for _, text := range r.First[:min(len(r.First), 3)] {
+			fmt.Fprintf(out, "    %s\n", text)
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("the module broke rules %d times", broken)
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/cmd/weirlab/main_test.go
+++ b/cmd/weirlab/main_test.go
@@ -28,6 +28,8 @@
 	run(1, "wants a name", nil, "load", "--target", "127.0.0.1:1", "--mix", mix)
 	run(0, "any", nil, "load", "--target", "127.0.0.1:1", "--for", "200ms")
 	run(0, "naive", nil, "storm", "--clients", "20", "--members", "10", "--away", "200ms")
+	run(0, "module: ", nil, "emulate", "--for", "3s", "--fault", "kill@1s:g1m1", "--policy", "module", "--policy", "random")
+	run(1, "is not of the form", nil, "emulate", "--fault", "kill")
 	run(1, "at least", nil, "demo", "--for", "1ms")
 	run(2, "", nil, "load")
 	run(2, "", nil, "dance")
