Both dialects against the store by a property test that watches each word told

Need: at no moment may a member that was told draining or gone be shown usable by something older, in either dialect.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"encoding/pem"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,6 +13,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"weirwind/internal/roster"
 	"weirwind/internal/standin/kv"
 )
@@ -36,6 +37,9 @@
 	losses []error
 	never  map[string]bool // members that must not be seen usable from now on
 	broke  string
+	ups    map[string]int64 // by member: the newest revision told that has it up
+	downs  map[string]int64 // and draining or gone
+	stop   func()
 	reread float64
 	news   chan struct{}
 }
@@ -59,7 +63,7 @@
 		t.Fatal(err)
 	}
 	rules.Lead = roster.Registry
-	r := &reader{t: t, reread: reread, roster: roster.New(rules), never: map[string]bool{}, news: make(chan struct{}, 1)}
+	r := &reader{t: t, reread: reread, ups: map[string]int64{}, downs: map[string]int64{}, roster: roster.New(rules), never: map[string]bool{}, news: make(chan struct{}, 1)}
 	w := &Watcher{Client: c, Course: roster.NewCourse(roster.CourseRules{Endpoints: len(o.Endpoints), Fellows: 1, Seed: 1, Reread: r.reread}), Now: now,
 		Alive: func() {}}
 	w.Position = func() (int64, bool) {
@@ -71,10 +75,11 @@
 	w.Told = func(u roster.Update) (roster.Verdict, float64) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.note(u)
 		out := r.roster.Told(now(), u)
 		r.notes = append(r.notes, out.Notes...)
 		for _, e := range out.Changes {
-			if e.Phase == roster.Up && r.never[e.ID] {
+			if e.Phase == roster.Up && (r.never[e.ID] || r.ups[e.ID] < r.downs[e.ID]) {
 				r.broke = e.ID
 			}
 		}
@@ -93,10 +98,31 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { w.Run(ctx); close(done) }()
-	t.Cleanup(func() { stop(); <-done })
+	r.stop = func() { stop(); <-done }
+	t.Cleanup(r.stop)
 	return r
 }
 
+// note remembers what was told, as it was told.
+func (r *reader) note(u roster.Update) {
+	named := map[string]bool{}
+	for _, e := range u.Entries {
+		named[e.ID] = true
+		if e.Phase == roster.Up {
+			r.ups[e.ID] = max(r.ups[e.ID], e.Mod)
+		} else {
+			r.downs[e.ID] = max(r.downs[e.ID], e.Mod)
+		}
+	}
+	if _, known, _ := r.roster.Revision(roster.Registry); u.Whole && !u.More && u.Revision >= known {
+		for id := range r.ups {
+			if !named[id] {
+				r.downs[id] = max(r.downs[id], u.Revision)
+			}
+		}
+	}
+}
+
 func (r *reader) list() string {
 	var s []string
 	for _, e := range r.roster.List() {
@@ -494,45 +520,56 @@
 }
 
 // Both dialects against the store itself, with random writes, breaks, lags and compactions: once quiet all are
-// equal, and a member told draining is never shown usable by something older.
+// equal, and a member told draining or gone is never shown usable by something older.
 func TestAgainstTheStore(t *testing.T) {
-	both(t, func(t *testing.T, dialect string) {
-		draw := rand.New(rand.NewPCG(5, 7))
-		s := kv.NewStore("c1")
-		v, w := serve(t, s), serve(t, s)
-		r := follow(t, dialect, roster.Rules{}, v, w)
-		ids := []string{"a", "b", "c", "d", "e", "f"}
-		phases := map[string]string{}
-		for range 300 {
-			id := ids[draw.IntN(len(ids))]
-			switch draw.IntN(12) {
-			case 0:
-				v.Cut()
-				w.Cut()
-			case 1:
-				v.Down.Store(!v.Down.Load())
-			case 2:
-				s.Compact(s.Revision() - 1)
-			case 3:
-				w.LateMs.Store(int64(draw.IntN(20)))
-			case 4:
-				s.Put(prefix+id, nil)
-				delete(phases, id)
-			case 5:
-				time.Sleep(time.Duration(draw.IntN(20)) * time.Millisecond)
-			default:
-				phases[id] = []string{"up", "draining"}[draw.IntN(2)]
-				s.Put(prefix+id, entry(draw.IntN(9)+1, phases[id]))
+	for _, dialect := range []string{"etcd", "consul"} {
+		rapid.Check(t, func(rt *rapid.T) {
+			s := kv.NewStore("c1")
+			v, w := kv.Serve(s), kv.Serve(s)
+			r := follow(t, dialect, roster.Rules{}, v, w)
+			defer func() { r.stop(); v.Cut(); v.Close(); w.Cut(); w.Close() }()
+			ids := []string{"a", "b", "c", "d", "e", "f"}
+			phases := map[string]string{}
+			for range rapid.IntRange(50, 150).Draw(rt, "steps") {
+				id := rapid.SampledFrom(ids).Draw(rt, "id")
+				switch rapid.IntRange(0, 11).Draw(rt, "what") {
+				case 0:
+					v.Cut()
+					w.Cut()
+				case 1:
+					v.Down.Store(!v.Down.Load())
+				case 2:
+					s.Compact(s.Revision() - 1)
+				case 3:
+					w.LateMs.Store(int64(rapid.IntRange(0, 20).Draw(rt, "late")))
+				case 4:
+					s.Put(prefix+id, nil)
+					delete(phases, id)
+				case 5:
+					time.Sleep(time.Duration(rapid.IntRange(0, 20).Draw(rt, "pause")) * time.Millisecond)
+				case 6: // both keep behind for a while
+					if v.Behind.Load() == nil {
+						v.Behind.Store(s.Snapshot())
+					} else {
+						v.Behind.Store(nil)
+					}
+					v.Cut()
+				default:
+					phases[id] = rapid.SampledFrom([]string{"up", "draining"}).Draw(rt, "phase")
+					s.Put(prefix+id, entry(rapid.IntRange(1, 9).Draw(rt, "port"), phases[id]))
+				}
 			}
-		}
-		v.Down.Store(false)
-		var want []string
-		for id, p := range phases {
-			want = append(want, id+map[string]string{"draining": "-"}[p])
-		}
-		slices.Sort(want)
-		r.shows(strings.Join(want, " "))
-	})
+			v.Behind.Store(nil)
+			v.Down.Store(false)
+			v.Cut()
+			var want []string
+			for id, p := range phases {
+				want = append(want, id+map[string]string{"draining": "-"}[p])
+			}
+			slices.Sort(want)
+			r.shows(strings.Join(want, " "))
+		})
+	}
 }
 
 // BenchmarkRead: a full read of 10,000 members into a roster: go test -run '^$' -bench Read ./internal/registry
