--- a/cmd/weirlab/emulate.go
+++ b/cmd/weirlab/emulate.go
@@ -27,7 +27,7 @@
 	Retries int           `help:"Further tries of a client whose op was refused." default:"2"`
 	Seed    uint64        `help:"Of the play; the same seed gives the same play." default:"1"`
 	Policy  []string      `help:"module, primary, random, round-robin or least; may stand several times." default:"module"`
-	Fault   []string      `help:"Such as kill@10s:g1m1; also heal, hang, vanish, slow, lag, drain. May stand several times." placeholder:"WHAT@WHEN:MEMBER"`
+	Fault   []string      `help:"Such as kill@10s:g1m1; also heal, hang, vanish, slow, lag, drain; restart or lose of a driver (n0) or all, with its learned state or without. May stand several times." placeholder:"WHAT@WHEN:MEMBER"`
 }
 
 // Run plays each policy, side by side, and prints what came of it. Broken rules of the module are an error; the
--- a/internal/lab/emulator/audit.go
+++ b/internal/lab/emulator/audit.go
@@ -143,6 +143,10 @@
 	}
 }
 
+// lost takes an op out that its driver's restart ended: its client saw the connection break, which is no answer, and no
+// silence either.
+func (a *auditor) lost(o *op) { a.ops[o].answers++ }
+
 // due is called when an op's client has given up.
 func (a *auditor) due(o *op) {
 	if a.ops[o].answers == 0 {
--- a/internal/lab/emulator/emulator.go
+++ b/internal/lab/emulator/emulator.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -46,6 +47,7 @@
 	Setup  Setup
 	Types  []Figures
 	Asked  int     // ops, without further tries
+	Lost   int     // tries whose driver was restarted under them
 	Worth  float64 // value served in time, as a share of all that was asked
 	Broken map[string]int
 	First  []string // the first of what broke a rule
@@ -111,24 +113,27 @@
 			h.policy = newBaseline(s.Policy, Types, seed)
 		}
 		w.hosts = append(w.hosts, h)
-		h.step(logic.Event{Kind: logic.EvOpen, Opening: &logic.Opening{Seed: seed, Drivers: s.Drivers, Zone: h.zone, OpTypes: Types, Tick: 5,
+		h.opening = logic.Opening{Seed: seed, Drivers: s.Drivers, Zone: h.zone, OpTypes: Types, Tick: 5,
 			ListRole: logic.RoleAtStart, SessionCarried: true, Positions: true, ReportsByProbe: true, MayProbe: true, MayCancel: true,
 			MayMessage: true, MayOverlap: true, MaxRetryAfter: 1000, SendCap: 6, ColdFrom: coldFrom, ColdFor: coldFor, FallMultiple: tipLeast,
-			FallSpan: tipSpan, MaxMessageBytes: 256}}, logic.Event{Kind: logic.EvMembers, List: logic.ListCached, Members: list})
+			FallSpan: tipSpan, MaxMessageBytes: 256}
+		h.first = list
+		h.step(logic.Event{Kind: logic.EvOpen, Opening: &h.opening}, logic.Event{Kind: logic.EvMembers, List: logic.ListCached, Members: list})
 		h.arrivals(capacity * s.Load / float64(s.Drivers))
 	}
 	for _, f := range s.Faults {
-		if w.byID[f.Member] == nil {
-			return nil, fmt.Errorf("no member %q", f.Member)
+		restarts := f.What == "restart" || f.What == "lose"
+		if w.byID[f.Member] == nil && !restarts || restarts && f.Member != "all" && !w.named(f.Member) {
+			return nil, fmt.Errorf("no member or driver %q", f.Member)
 		}
 		known := true
 		switch f.What {
-		case "kill", "heal", "hang", "vanish", "slow", "lag", "drain":
+		case "kill", "heal", "hang", "vanish", "slow", "lag", "drain", "restart", "lose":
 		default:
 			known = false
 		}
 		if !known {
-			return nil, fmt.Errorf("fault %q; it may be kill, heal, hang, vanish, slow, lag, drain", f.What)
+			return nil, fmt.Errorf("fault %q; it may be kill, heal, hang, vanish, slow, lag, drain, restart, lose", f.What)
 		}
 		w.after(f.At, func() { w.strike(f) })
 	}
@@ -138,3 +143,8 @@
 	r.Broken, r.First = w.audit.Broken, w.audit.First
 	return r, nil
 }
+
+// named says whether a driver has the name.
+func (w *world) named(name string) bool {
+	return slices.ContainsFunc(w.hosts, func(h *host) bool { return h.name() == name })
+}
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -47,13 +47,26 @@
 	}
 }
 
+// All of many drivers restart at once behind a change of the primary, and near a cold member: no rule breaks, with learned
+// state or without.
+func TestRestartOfAll(t *testing.T) {
+	for _, what := range []string{"restart", "lose"} {
+		s := setup("module", 60, Fault{2000, "kill", "g1m4"}, Fault{3000, "drain", "g1m1"}, Fault{5900, "heal", "g1m4"}, Fault{6000, what, "all"},
+			Fault{9000, what, "all"}, Fault{12000, what, "n7"})
+		r, err := Play(s)
+		if err != nil || len(r.Broken) > 0 || r.Lost == 0 || r.Worth < 0.8 {
+			t.Errorf("%s: %v, broken %v %q, %d lost, worth %.3f", what, err, r.Broken, r.First, r.Lost, r.Worth)
+		}
+	}
+}
+
 func TestSetupsThatMakeNoSense(t *testing.T) {
 	for want, change := range map[string]func(*Setup){
-		"policy":      func(s *Setup) { s.Policy = "hope" },
-		"drivers":     func(s *Setup) { s.Drivers = 0 },
-		"cores":       func(s *Setup) { s.Cores = 0 },
-		"no member":   func(s *Setup) { s.Faults = []Fault{{1, "kill", "x"}} },
-		"fault \"eat": func(s *Setup) { s.Faults = []Fault{{1, "eat", "g1m1"}} },
+		"policy":              func(s *Setup) { s.Policy = "hope" },
+		"drivers":             func(s *Setup) { s.Drivers = 0 },
+		"cores":               func(s *Setup) { s.Cores = 0 },
+		"no member or driver": func(s *Setup) { s.Faults = []Fault{{1, "kill", "x"}} },
+		"fault \"eat":         func(s *Setup) { s.Faults = []Fault{{1, "eat", "g1m1"}} },
 	} {
 		s := setup("module", 1)
 		change(&s)
--- a/internal/lab/emulator/host.go
+++ b/internal/lab/emulator/host.go
@@ -34,9 +34,17 @@
 	policy policy
 	ops    map[string]*op
 	serial int
+	life   int  // counts restarts: what an earlier life asked for meets nobody
+	down   bool // between two lives
+
+	opening logic.Opening
+	first   []logic.ListEntry // the list of the day's start, with its roles
 }
 
 func (h *host) step(events ...logic.Event) {
+	if h.down {
+		return
+	}
 	for _, a := range h.policy.Step(h.w.now, events) { // actions are valid until the next step: all is copied here
 		h.carry(a)
 	}
@@ -85,8 +93,11 @@
 		h.final(a.Op, Failed, 0)
 	case logic.ActProbe:
 		if m := w.byID[a.Member]; m != nil {
-			asked := w.now
+			asked, life := w.now, h.life
 			w.after(2*w.hop(h.zone, m.zone), func() {
+				if h.life != life {
+					return
+				}
 				if m.dead || m.silent || m.hangs {
 					h.step(logic.Event{Kind: logic.EvProbed, Member: m.id, Outcome: logic.ConnectFailed, Took: w.now - asked})
 					return
@@ -95,7 +106,12 @@
 			})
 		}
 	case logic.ActTimer:
-		w.after(a.Wait, func() { h.step(logic.Event{Kind: logic.EvTimer}) })
+		life := h.life
+		w.after(a.Wait, func() {
+			if h.life == life {
+				h.step(logic.Event{Kind: logic.EvTimer})
+			}
+		})
 	case logic.ActMessage:
 		data := append([]byte(nil), a.Data...)
 		for _, other := range w.hosts {
@@ -152,8 +168,16 @@
 	h.forget(o)
 }
 
-// ask puts an op before the driver.
+// ask puts an op before the driver; one that is down refuses the connection, and the client comes again.
 func (h *host) ask(o *op) {
+	if h.down {
+		h.w.after(50*(0.5+h.w.draw.Float64()), func() {
+			if h.w.now < o.due {
+				h.ask(o)
+			}
+		})
+		return
+	}
 	h.serial++
 	o.id = strconv.Itoa(h.index) + "." + strconv.Itoa(h.serial)
 	o.arrived = h.w.now
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -275,6 +275,14 @@
 
 // strike carries a fault out; false where the words are not known.
 func (w *world) strike(f Fault) bool {
+	if keep := f.What == "restart"; keep || f.What == "lose" {
+		for _, h := range w.hosts {
+			if f.Member == "all" || f.Member == h.name() {
+				h.restart(keep)
+			}
+		}
+		return true
+	}
 	m := w.byID[f.Member]
 	if m == nil {
 		return false
