One row for all stand-ins: two copies were malformed, and a test and a measurement hid it

Cause: the row of a good answer stood by hand in four stand-ins. In TestSessionReadsItsWriteAfterAKill and in the restart measurement it was one and two bytes too long, so the driver took every such answer for spoilt: the test could not have failed on a stale answer, and the bounded reads of docs/state.md were those of garbled replicas.

--- a/cmd/weirwind/measure_test.go
+++ b/cmd/weirwind/measure_test.go
@@ -31,10 +31,7 @@
 	if strings.HasPrefix(q, "INSERT") {
 		return fault("25006", "reader")
 	}
-	m := msg('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
-	m = append(append(m, msg('D', "\x00\x01\x00\x00\x00\x01v")...), msg('C', "SELECT 1\x00")...)
-	m = append(append(m, msg('S', "server_role\x00reader\x00")...), msg('S', fmt.Sprintf("commit_clock\x00%d\x00", time.Now().UnixMilli()-20))...)
-	return pgwire.AppendReady(m)
+	return append(pgwire.AppendRow(nil, "v"), noteAt("reader", time.Now().Add(-20*time.Millisecond))...)
 }
 
 // first is how long it took from the start of the program to the first acked op of a type, and how many tries were
--- a/cmd/weirwind/standin_test.go
+++ b/cmd/weirwind/standin_test.go
@@ -115,16 +115,14 @@
 }
 
 // row is a good answer with a note.
-func row(value, role string) []byte {
-	b := msg('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
-	b = append(b, msg('D', "\x00\x01"+string(binary.BigEndian.AppendUint32(nil, uint32(len(value))))+value)...)
-	b = append(b, msg('C', "SELECT 1\x00")...)
-	return append(b, note(role)...)
-}
+func row(value, role string) []byte { return append(pgwire.AppendRow(nil, value), note(role)...) }
+
+func note(role string) []byte { return noteAt(role, time.Now()) }
 
-func note(role string) []byte {
-	b := append(msg('S', "server_role\x00"+role+"\x00"), msg('S', fmt.Sprintf("commit_clock\x00%d\x00", time.Now().UnixMilli()))...)
-	return pgwire.AppendReady(b)
+// noteAt tells a role, and a position.
+func noteAt(role string, at time.Time) []byte {
+	b := pgwire.AppendParameter(nil, "server_role", role)
+	return pgwire.AppendReady(pgwire.AppendParameter(b, "commit_clock", strconv.FormatInt(at.UnixMilli(), 10)))
 }
 
 func fault(code, role string) []byte {
--- a/cmd/weirwind/state_test.go
+++ b/cmd/weirwind/state_test.go
@@ -162,10 +162,7 @@
 // without: no replica counts as fresh for it by what it said before.
 func TestSessionReadsItsWriteAfterAKill(t *testing.T) {
 	for _, keeps := range []bool{true, false} {
-		behind := func(q string) []byte { // a replica that has applied all up to the kill, and not the write
-			return refuses(q)
-		}
-		a, b := newMember(t, "a", takes), newMember(t, "b", behind)
+		a, b := newMember(t, "a", takes), newMember(t, "b", refuses)
 		s := newSite(t, a, b)
 		s.settings["family_info"].(map[string]any)["needs_by_class"] = []string{"causal", "mutate", "eventual"}
 		s.settings["family_info"].(map[string]any)["write_marks"] = "kept"
@@ -180,10 +177,7 @@
 		p.ends(syscall.SIGKILL)
 		old := time.Now()
 		b.says(func(q string) []byte { // its position stands still from before the kill
-			m := msg('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
-			m = append(append(m, msg('D', "\x00\x01\x00\x00\x00\x01s")...), msg('C', "SELECT 1\x00")...)
-			m = append(append(m, msg('S', "server_role\x00reader\x00")...), msg('S', fmt.Sprintf("commit_clock\x00%d\x00", old.UnixMilli()-1))...)
-			return pgwire.AppendReady(m)
+			return append(pgwire.AppendRow(nil, "s"), noteAt("reader", old.Add(-time.Millisecond))...)
 		})
 		c = s.start(t).connect()
 		c.ask(statement("recent", 1000)) // of any age: it may tell the replica's position
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -7,7 +7,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -374,7 +373,7 @@
 func (m *Member) answer(text []byte) []byte {
 	if string(text) == "SHOW usage" {
 		role, position := m.stands()
-		return pgwire.AppendReady(row(fmt.Sprintf("x0=%.6f,x1=%d", position/1000, map[bool]int{true: 1}[role == "writer"])))
+		return pgwire.AppendReady(pgwire.AppendRow(nil, fmt.Sprintf("x0=%.6f,x1=%d", position/1000, map[bool]int{true: 1}[role == "writer"])))
 	}
 	st, err := pgwire.ParseStatement(text)
 	if err != nil {
@@ -390,8 +389,8 @@
 	<-m.cores
 	role, position := m.stands()
 	note := func(b []byte) []byte {
-		b = append(b, message('S', "server_role\x00"+role+"\x00")...)
-		return pgwire.AppendReady(append(b, message('S', fmt.Sprintf("commit_clock\x00%.0f\x00", position))...))
+		b = pgwire.AppendParameter(b, "server_role", role)
+		return pgwire.AppendReady(pgwire.AppendParameter(b, "commit_clock", fmt.Sprintf("%.0f", position)))
 	}
 	if st.Write {
 		if role != "writer" {
@@ -401,7 +400,7 @@
 		m.c.applied[id]++
 		m.c.mu.Unlock()
 	}
-	return note(row("v:" + id))
+	return note(pgwire.AppendRow(nil, "v:"+id))
 }
 
 // stands gives a member's role and up to where it has applied the log, in Unix milliseconds.
@@ -422,13 +421,3 @@
 		c.late = append(c.late, id)
 	}
 }
-
-func message(kind byte, body string) []byte {
-	return append(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+4)), body...)
-}
-
-func row(value string) []byte {
-	b := message('T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
-	b = append(b, message('D', "\x00\x01"+string(binary.BigEndian.AppendUint32(nil, uint32(len(value))))+value)...)
-	return append(b, message('C', "SELECT 1\x00")...)
-}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -206,8 +206,7 @@
 	b = append(b, 'R', 0, 0, 0, 8, 0, 0, 0, 0)
 	for _, p := range [...][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}} {
-		b, at = begin(b, 'S')
-		b = end(appendText(appendText(b, p[0]), p[1]), at)
+		b = AppendParameter(b, p[0], p[1])
 	}
 	b = append(b, 'K', 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0)
 	return AppendReady(b)
@@ -227,6 +226,23 @@
 	return end(append(b, 0), at)
 }
 
+// AppendRow adds a good answer up to CommandComplete: one column, binary, with one value.
+func AppendRow(b []byte, value string) []byte {
+	b, at := begin(b, 'T')
+	b = end(append(b, "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"...), at)
+	b, at = begin(b, 'D')
+	b = binary.BigEndian.AppendUint32(append(b, 0, 1), uint32(len(value)))
+	b = end(append(b, value...), at)
+	b, at = begin(b, 'C')
+	return end(appendText(b, "SELECT 1"), at)
+}
+
+// AppendParameter adds a ParameterStatus.
+func AppendParameter(b []byte, name, value string) []byte {
+	b, at := begin(b, 'S')
+	return end(appendText(appendText(b, name), value), at)
+}
+
 // AppendStartup adds the message that opens a connection to a member.
 func AppendStartup(b []byte, user, database string) []byte {
 	at := len(b)
