--- a/cmd/weirlab/main.go
+++ b/cmd/weirlab/main.go
@@ -15,8 +15,7 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"weirwind/internal/cli"
 	"weirwind/internal/lab"
 )
 
@@ -30,28 +29,9 @@
 
 func main() { os.Exit(command(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
 
-// command carries a call out and gives the exit code: 0 good, 1 a broken rule or bad input, 2 a call that is wrong.
+// command carries a call out and gives the exit code; a broken rule is 1.
 func command(args []string, in io.Reader, out, problems io.Writer) int {
-	var c commands
-	left := -1
-	parser, err := kong.New(&c, kong.Name("weirlab"), kong.Description("The laboratory of weirwind."), kong.Writers(out, problems),
-		kong.Exit(func(code int) { left = max(left, code) }), kong.BindTo(out, (*io.Writer)(nil)), kong.BindTo(in, (*io.Reader)(nil)))
-	if err != nil {
-		panic(err)
-	}
-	call, err := parser.Parse(args)
-	if left >= 0 {
-		return left
-	}
-	if err != nil {
-		fmt.Fprintf(problems, "weirlab: %v\n", err)
-		return 2
-	}
-	if err := call.Run(); err != nil {
-		fmt.Fprintln(problems, "weirlab:", err)
-		return 1
-	}
-	return 0
+	return cli.Run("weirlab", "The laboratory of weirwind.", &commands{}, args, in, out, problems)
 }
 
 type demoCommand struct {
--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -1,6 +1,5 @@
 // Command weirwind is the driver on sockets, and the tool for what it keeps. This file owns the command line: what
-// can be asked, and the exit codes: 0 for good, 1 for bad input or damaged state, 2 for a call that is wrong. It must
-// never do the work itself.
+// can be asked, and which files it goes by. It must never do the work itself.
 package main
 
 import (
@@ -10,8 +9,7 @@
 	"os"
 	"runtime/debug"
 
-	"github.com/alecthomas/kong"
-
+	"weirwind/internal/cli"
 	"weirwind/internal/driver"
 	"weirwind/internal/operator"
 )
@@ -44,26 +42,7 @@
 
 // command carries a call out and gives the exit code.
 func command(args []string, out, problems io.Writer) int {
-	var c commands
-	left := -1 // the code with which the help leaves
-	parser, err := kong.New(&c, kong.Name("weirwind"), kong.Description(examples), kong.UsageOnError(),
-		kong.Writers(out, problems), kong.Exit(func(code int) { left = max(left, code) }), kong.BindTo(out, (*io.Writer)(nil)))
-	if err != nil {
-		panic(err) // the commands are constants
-	}
-	call, err := parser.Parse(args)
-	if left >= 0 {
-		return left
-	}
-	if err != nil {
-		fmt.Fprintf(problems, "weirwind: %v\n", err)
-		return 2
-	}
-	if err := call.Run(); err != nil {
-		fmt.Fprintln(problems, "weirwind:", err)
-		return 1
-	}
-	return 0
+	return cli.Run("weirwind", examples, &commands{}, args, os.Stdin, out, problems)
 }
 
 // read gives the text of the platform's configuration, and the operators' file, which need not be.
--- a/internal/driver/clients.go
+++ b/internal/driver/clients.go
@@ -129,17 +129,10 @@
 // done with, or never does, is short of them long before the budget here is used up.
 func (v *Service) keepRoom(ctx context.Context) {
 	enough := int64(float64(v.clientBudget.left.Load()) * roomShare)
-	tick := time.NewTicker(roomEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	every(ctx, roomEvery, func() {
 		for n := enough - v.clientBudget.left.Load(); n > 0 && v.makeRoom(false); n-- {
 		}
-	}
+	})
 }
 
 // limit is how long a client may stay as it is before it has to make room; 0 for as long as it likes.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -176,7 +176,7 @@
 		v.start(known)
 	}
 	if v.registry != nil {
-		if err := v.openRegistry(told.Opening.Drivers, seedOf(a.Seed)); err != nil {
+		if err := v.openRegistry(told.Opening.Drivers, told.Opening.Seed); err != nil {
 			return nil, err
 		}
 		if v.registry.DriversPrefix != "" {
@@ -186,7 +186,7 @@
 			} else if address == "" {
 				address = a.Listen
 			}
-			if err := v.openPresence(address, told.Opening.Drivers, seedOf(a.Seed), talks); err != nil {
+			if err := v.openPresence(address, told.Opening.Drivers, told.Opening.Seed, talks); err != nil {
 				return nil, err
 			}
 			if talks {
@@ -220,7 +220,7 @@
 	back.Go(func() error { v.keepRoom(life); return nil })
 	if v.registry != nil {
 		back.Go(func() error { v.following.Run(life); return nil })
-		back.Go(func() error { v.tickRoster(life); return nil })
+		back.Go(func() error { every(life, rosterTick, v.tick); return nil })
 		if v.present != nil {
 			back.Go(func() error { v.present.run(life); return nil })
 			back.Go(func() error { v.present.follower.Run(life); return nil })
@@ -405,6 +405,20 @@
 	}
 }
 
+// every does something again and again, with a pause before each time, until the context ends.
+func every(ctx context.Context, pause time.Duration, do func()) {
+	tick := time.NewTicker(pause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			do()
+		}
+	}
+}
+
 // Check says what is wrong with a configuration.
 func Check(text []byte) error {
 	_, err := parse(text)
--- a/internal/driver/listing.go
+++ b/internal/driver/listing.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"weirwind/internal/discovery"
+	"weirwind/internal/learned"
 	"weirwind/internal/operator"
 	"weirwind/internal/roster"
 	"weirwind/logic"
@@ -73,11 +74,7 @@
 	v.members.list(changes, false)
 	v.decide.list(kind, changes) // also with nothing new: a list has come
 	if v.keep != nil {
-		_, revision, _ := v.roster.Revision(roster.Discovery)
-		if _, known, _ := v.roster.Revision(roster.Known); revision == 0 {
-			revision = known // a registry counts in revisions of its own
-		}
-		v.keep.list(revision, changes)
+		v.keep.list(v.held(), len(changes) > 0)
 	}
 }
 
@@ -85,6 +82,22 @@
 func (v *Service) revision() int64 {
 	v.listing.Lock()
 	defer v.listing.Unlock()
+	return v.held()
+}
+
+// listed is the list that is shown, and up to where discovery's is held.
+func (v *Service) listed() (revision int64, entries []learned.Entry) {
+	v.listing.Lock()
+	defer v.listing.Unlock()
+	for _, e := range v.roster.List() {
+		entries = append(entries, toLearned(fromRoster(e)))
+	}
+	return v.held(), entries
+}
+
+// held is up to where discovery's list is held, or what the start was given; a registry counts in revisions of its own.
+// The caller holds the lock.
+func (v *Service) held() int64 {
 	if _, revision, told := v.roster.Revision(roster.Discovery); told {
 		return revision
 	}
--- a/internal/driver/presence.go
+++ b/internal/driver/presence.go
@@ -50,12 +50,8 @@
 	if err != nil {
 		return fmt.Errorf("registry: %v", err)
 	}
-	announcer, err := registry.NewAnnouncer(o)
-	if err != nil {
-		return fmt.Errorf("registry: %v", err)
-	}
 	ttl := milliseconds(v.registry.Lease)
-	p := &presence{v: v, announcer: announcer, key: o.Prefix + v.config.Name, own: roster.NewPresence(ttl, seed), talks: talks,
+	p := &presence{v: v, announcer: client, key: o.Prefix + v.config.Name, own: roster.NewPresence(ttl, seed), talks: talks,
 		drivers: roster.New(roster.Rules{Lead: roster.Registry, Confirm: milliseconds(v.registry.Confirm)}),
 		fellows: roster.Fellows{Self: v.config.Name, Hold: ttl, Quiet: quietLeases * ttl}, count: max(drivers, 1)}
 	p.value, err = json.Marshal(map[string]any{"host_port": address, "cell": 0, "phase": "up", "locality": v.config.told.Opening.Zone,
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -4,9 +4,7 @@
 // time before it. It must never choose between sources, and never keep an op waiting for a registry.
 
 import (
-	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"weirwind/internal/operator"
@@ -56,22 +54,3 @@
 		}}
 	return nil
 }
-
-// tickRoster lets time pass for the roster until the context ends.
-func (v *Service) tickRoster(ctx context.Context) {
-	tick := time.NewTicker(rosterTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			v.tick()
-		}
-	}
-}
-
-func seedOf(text string) uint64 {
-	seed, _ := strconv.ParseUint(text, 16, 64) // it was read before
-	return seed
-}
--- a/internal/driver/state.go
+++ b/internal/driver/state.go
@@ -36,9 +36,8 @@
 
 	mu       sync.Mutex // guards what follows
 	o        operator.State
-	entries  map[string]learned.Entry
-	revision int64
-	news     bool // the list is not saved yet
+	revision int64 // of the list when it was last told
+	news     bool  // it is not saved yet
 
 	saving sync.Mutex // guards what follows; held through a save
 	store  *durable.Store
@@ -49,16 +48,20 @@
 	ended  bool
 }
 
+// bootID names the machine's start; empty where it does not tell.
+var bootID = sync.OnceValue(func() string {
+	id, _ := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	return strings.TrimSpace(string(id))
+})
+
 // moment reads both clocks: the driver's own, which is not stepped while it runs, and the machine's time since its
 // start, which survives the driver. Where the machine does not tell, Boot is empty.
 func (d *decider) moment() learned.Moment {
 	m := learned.Moment{Wall: d.clock.now()}
-	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	up, err2 := os.ReadFile("/proc/uptime")
-	if err == nil && err2 == nil {
+	if up, err := os.ReadFile("/proc/uptime"); err == nil {
 		first, _, _ := strings.Cut(string(up), " ")
 		if s, err := strconv.ParseFloat(first, 64); err == nil {
-			m.Up, m.Boot = s*1000, strings.TrimSpace(string(id))
+			m.Up, m.Boot = s*1000, bootID()
 		}
 	}
 	if m.Boot == "" {
@@ -113,7 +116,7 @@
 
 // begin recovers what an earlier run has left, tells the module of it, and gives out the list that holds.
 func (v *Service) begin(o operator.State, told opening.Told, known discovery.Answer) {
-	k := &keeper{v: v, files: durable.OS{}, kick: make(chan struct{}, 1), o: o, entries: map[string]learned.Entry{}}
+	k := &keeper{v: v, files: durable.OS{}, kick: make(chan struct{}, 1), o: o}
 	began := time.Now()
 	came := make(chan opened, 1)
 	go func() { came <- k.open() }()
@@ -131,7 +134,7 @@
 	now, rules := v.decide.moment(), rulesOf(v.config.Name, told, o)
 	given := learned.List{Revision: known.Revision}
 	for _, e := range known.Members {
-		given.Entries = append(given.Entries, learned.Entry(toLearned(e)))
+		given.Entries = append(given.Entries, toLearned(e))
 	}
 	belief := learned.Believe(r.state, rules, now, given)
 	if belief.FromKept {
@@ -164,20 +167,13 @@
 		Started: e.Started}
 }
 
-// list takes changes of the list, and discovery's revision, and wakes the saver; it waits for nothing.
-func (k *keeper) list(revision int64, changes []discovery.Entry) {
+// list notes that the list has changed, or its revision, and wakes the saver; it waits for nothing.
+func (k *keeper) list(revision int64, changed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(changes) == 0 && revision == k.revision {
+	if !changed && revision == k.revision {
 		return
 	}
-	for _, e := range changes {
-		if e.Phase == discovery.PhaseRemoved {
-			delete(k.entries, e.ID)
-		} else {
-			k.entries[e.ID] = toLearned(e)
-		}
-	}
 	k.revision, k.news = revision, true
 	select {
 	case k.kick <- struct{}{}:
@@ -235,18 +231,15 @@
 	}
 	k.ended = last
 	now := k.v.decide.moment()
-	var records [][]byte
 	k.mu.Lock()
-	if k.news {
-		entries := make([]learned.Entry, 0, len(k.entries))
-		for _, e := range k.entries {
-			entries = append(entries, e)
-		}
-		records = k.book.List(now, k.revision, true, entries)
-		k.news = false
-	}
-	limit := int64(k.o.LimitMB) << 20
+	news, limit := k.news, int64(k.o.LimitMB)<<20
+	k.news = false
 	k.mu.Unlock()
+	var records [][]byte
+	if news { // what changes from here on is news again
+		revision, entries := k.v.listed()
+		records = k.book.List(now, revision, true, entries)
+	}
 	k.v.decide.step(logic.Event{Kind: logic.EvRemember, Memory: &k.memory})
 	records = append(records, k.book.Tick(now, &k.memory, last)...)
 	if !last && !k.retry.Due(now) {
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -4,6 +4,7 @@
 // never give out a record whose predecessors it does not have.
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -76,7 +77,7 @@
 	for n := range snapshots {
 		order = append(order, n)
 	}
-	slices.SortFunc(order, func(a, b uint64) int { return int(min(max(int64(b-a), -1), 1)) })
+	slices.SortFunc(order, func(a, b uint64) int { return cmp.Compare(b, a) })
 	for i, n := range order {
 		report := FileReport{Name: snapshotName(n), Generation: n, Snapshot: true}
 		text, err := files.ReadFile(filepath.Join(o.Folder, report.Name), o.Limit)
--- a/internal/lab/emulator/audit.go
+++ b/internal/lab/emulator/audit.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"weirwind/logic"
 )
@@ -39,21 +40,12 @@
 
 func (a *auditor) broken(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
-	rule, _, _ := cutRule(text)
+	rule, _, _ := strings.Cut(text, ":")
 	if a.Broken[rule]++; len(a.First) < mostBroken {
 		a.First = append(a.First, fmt.Sprintf("at %.1f ms: %s", a.w.now, text))
 	}
 }
 
-func cutRule(text string) (rule, rest string, ok bool) {
-	for i := range text {
-		if text[i] == ':' {
-			return text[:i], text[i+1:], true
-		}
-	}
-	return text, "", false
-}
-
 func (a *auditor) taken(o *op) { a.ops[o] = &seen{op: o} }
 
 // told notes what a driver's list says of a member from now on.
@@ -79,10 +71,8 @@
 	t := &a.w.types[x.op.kind]
 	if t.Effect == logic.NonRetryable {
 		for _, before := range x.op.attempts[:x.n] {
-			if before.started || !before.over {
-				if before.started && !a.denied(before) {
-					a.broken("rule 2: write %s was sent again, its send to %s may have run", x.op.id, before.to.id)
-				}
+			if before.started && !a.denied(before) {
+				a.broken("rule 2: write %s was sent again, its send to %s may have run", x.op.id, before.to.id)
 			}
 		}
 	}
--- a/internal/lab/emulator/emulator.go
+++ b/internal/lab/emulator/emulator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -27,7 +28,8 @@
 
 // The op types of a play and their shares of what clients ask.
 var (
-	Types = []logic.OpType{
+	faults = []string{"kill", "heal", "hang", "vanish", "slow", "lag", "drain", "restart", "lose"}
+	Types  = []logic.OpType{
 		{Need: logic.Bounded, MaxAge: 200, LatencyTarget: 250, OpTimeout: 1000, Value: 3},
 		{Need: logic.Any, LatencyTarget: 300, OpTimeout: 1200, Value: 1},
 		{Need: logic.Write, Effect: logic.NonRetryable, LatencyTarget: 500, OpTimeout: 2000, Value: 3}}
@@ -126,14 +128,8 @@
 		if w.byID[f.Member] == nil && !restarts || restarts && f.Member != "all" && !w.named(f.Member) {
 			return nil, fmt.Errorf("no member or driver %q", f.Member)
 		}
-		known := true
-		switch f.What {
-		case "kill", "heal", "hang", "vanish", "slow", "lag", "drain", "restart", "lose":
-		default:
-			known = false
-		}
-		if !known {
-			return nil, fmt.Errorf("fault %q; it may be kill, heal, hang, vanish, slow, lag, drain, restart, lose", f.What)
+		if !slices.Contains(faults, f.What) {
+			return nil, fmt.Errorf("fault %q; it may be %s", f.What, strings.Join(faults, ", "))
 		}
 		w.after(f.At, func() { w.strike(f) })
 	}
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -7,10 +7,12 @@
 package emulator
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"weirwind/logic"
 )
@@ -247,10 +249,7 @@
 
 // stop ends all that a member has: with its connections reset, or without a sign.
 func (m *server) stop(sign bool) {
-	lost := append([]*attempt(nil), m.waiting...)
-	for _, x := range m.w.attempts(m) {
-		lost = append(lost, x)
-	}
+	lost := append(m.waiting, m.w.attempts(m)...)
 	m.waiting, m.running, m.busy = nil, map[*attempt]bool{}, 0
 	if !sign {
 		return
@@ -265,28 +264,21 @@
 	for a := range m.running {
 		all = append(all, a)
 	}
-	for i := 1; i < len(all); i++ { // by when they were sent, and by op
-		for j := i; j > 0 && (all[j].sent < all[j-1].sent || all[j].sent == all[j-1].sent && all[j].op.id < all[j-1].op.id); j-- {
-			all[j], all[j-1] = all[j-1], all[j]
-		}
-	}
+	slices.SortFunc(all, func(a, b *attempt) int { return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.op.id, b.op.id)) })
 	return all
 }
 
-// strike carries a fault out; false where the words are not known.
-func (w *world) strike(f Fault) bool {
+// strike carries a fault out, whose words Play has checked.
+func (w *world) strike(f Fault) {
 	if keep := f.What == "restart"; keep || f.What == "lose" {
 		for _, h := range w.hosts {
 			if f.Member == "all" || f.Member == h.name() {
 				h.restart(keep)
 			}
 		}
-		return true
+		return
 	}
 	m := w.byID[f.Member]
-	if m == nil {
-		return false
-	}
 	switch f.What {
 	case "kill":
 		m.dead = true
@@ -315,10 +307,7 @@
 		m.phase = logic.Draining
 		w.announce(m)
 		w.change(m.group, m, handover)
-	default:
-		return false
 	}
-	return true
 }
 
 // change takes the role from a primary and gives it to another after a while; the logs of the others stand still.
--- a/internal/learned/believe.go
+++ b/internal/learned/believe.go
@@ -5,6 +5,7 @@
 // clocks, names or lists pass for certainty.
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -97,12 +98,7 @@
 	for _, e := range s.List {
 		b.List.Entries = append(b.List.Entries, e)
 	}
-	slices.SortFunc(b.List.Entries, func(x, y Entry) int {
-		if x.ID < y.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(b.List.Entries, func(x, y Entry) int { return cmp.Compare(x.ID, y.ID) })
 }
 
 // evidence gives the module what was seen, each with its date by this run's clock.
@@ -136,7 +132,7 @@
 				}
 			}
 		}
-		if aside := redate(m.Aside, s.Meta.At, now, p); m.Aside > 0 && !restarted && now.Wall-aside < r.asideFor() {
+		if aside := redate(m.Aside, s.Meta.At, now, p); m.Aside > 0 && !restarted && now.Wall-aside < r.warmUp() {
 			k.Aside, k.Cut = aside, m.Cut
 		}
 		if w := m.Window * r.fade(p.ms); w >= windowLeast {
@@ -151,7 +147,7 @@
 		}
 		b.Memory.Groups = append(b.Memory.Groups, k)
 	}
-	slices.SortFunc(b.Memory.Groups, func(x, y logic.GroupMemory) int { return int(min(max(x.Group-y.Group, -1), 1)) })
+	slices.SortFunc(b.Memory.Groups, func(x, y logic.GroupMemory) int { return cmp.Compare(x.Group, y.Group) })
 }
 
 // hints gives the usual times, drawn toward what a start without them assumes as they age: a third of the latency
--- a/internal/learned/book.go
+++ b/internal/learned/book.go
@@ -205,22 +205,15 @@
 func (b *Book) write(now Moment, meta Meta, r *record) (records [][]byte) {
 	meta.At = now
 	meta.Reserved = max(b.rules.reserve(now), b.held(now))
-	revision := meta.Revision
-	if parts := split(r); len(parts) > 1 {
-		meta.Revision = b.state.Meta.Revision // the new one only when all of it is there
-		for i, part := range parts {
-			if i == len(parts)-1 {
-				meta.Revision = revision
-			}
-			m := meta
-			part.Meta = &m
-			records = append(records, part.encode())
-			b.state.apply(part)
+	parts := split(r)
+	for i, part := range parts {
+		m := meta
+		if i < len(parts)-1 {
+			m.Revision = b.state.Meta.Revision // the new one only when all of it is there
 		}
-	} else {
-		r.Meta = &meta
-		records = append(records, r.encode())
-		b.state.apply(r)
+		part.Meta = &m
+		records = append(records, part.encode())
+		b.state.apply(part)
 	}
 	b.kept = now.Wall
 	return records
--- a/internal/learned/rules.go
+++ b/internal/learned/rules.go
@@ -43,19 +43,15 @@
 // fade is the weight of a hint so old. Its half-life is a cold member's warm-up: in that time a member can become
 // another as to speed, be it by starting or by its caches.
 func (r *Rules) fade(age float64) float64 {
-	half := r.ColdFor
-	if half <= 0 {
-		half = fadeDefault
-	}
-	if w := math.Exp2(-max(age, 0) / half); w >= hintLeast {
+	if w := math.Exp2(-max(age, 0) / r.warmUp()); w >= hintLeast {
 		return w
 	}
 	return 0
 }
 
-// asideFor is how long it is of use that a member was set aside: one that is back after longer is as warm as any,
-// and one that is not is found out by a single send.
-func (r *Rules) asideFor() float64 {
+// warmUp is how long a cold start lasts. For so long it is also of use that a member was set aside: one that is back
+// after longer is as warm as any, and one that is not is found out by a single send.
+func (r *Rules) warmUp() float64 {
 	if r.ColdFor > 0 {
 		return r.ColdFor
 	}
--- a/internal/registry/etcd.go
+++ b/internal/registry/etcd.go
@@ -36,7 +36,6 @@
 
 // codes of gRPC in an error's body.
 const (
-	codeOutOfRange       = 11
 	codeInvalidArgument  = 3
 	codePermissionDenied = 7
 	codeUnauthenticated  = 16
--- a/internal/registry/lease.go
+++ b/internal/registry/lease.go
@@ -44,15 +44,6 @@
 	return roster.Failed
 }
 
-// NewAnnouncer makes one of the same dialect as New.
-func NewAnnouncer(o Options) (Announcer, error) {
-	c, err := New(o)
-	if err != nil {
-		return nil, err
-	}
-	return c.(Announcer), nil
-}
-
 // ask makes a call of etcd's and reads its answer whole.
 func (x *etcd) ask(ctx context.Context, endpoint int, path string, body, answer any) error {
 	a, err := x.post(ctx, endpoint, path, body)
--- a/internal/registry/lease_test.go
+++ b/internal/registry/lease_test.go
@@ -15,7 +15,7 @@
 	both(t, func(t *testing.T, dialect string) {
 		s := kv.NewStore("c1")
 		v := serve(t, s)
-		a, err := NewAnnouncer(Options{Dialect: dialect, Prefix: "d/", Endpoints: []string{v.URL}, Silence: time.Second})
+		a, err := New(Options{Dialect: dialect, Prefix: "d/", Endpoints: []string{v.URL}, Silence: time.Second})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -43,6 +43,12 @@
 	Follow(ctx context.Context, endpoint int, from int64, sign func(), tell func(roster.Update)) error
 }
 
+// Dialect is all that one registry is asked.
+type Dialect interface {
+	Client
+	Announcer
+}
+
 const (
 	connectTime = 2 * time.Second
 	callTime    = 10 * time.Second // of a call that is to be answered at once
@@ -77,7 +83,7 @@
 }
 
 // New makes a client. An error: the certificates can't be read.
-func New(o Options) (Client, error) {
+func New(o Options) (Dialect, error) {
 	h := &caller{o: o}
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: connectTime}).DialContext, TLSHandshakeTimeout: connectTime,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true}
--- /dev/null
+++ b/internal/standin/draws/draws.go
@@ -0,0 +1,26 @@
+// Package draws makes property tests draw the same every time. It must never weaken a seed or a number of checks that
+// is named on the command line.
+package draws
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	_ "pgregory.net/rapid" // whose flags these are
+)
+
+// Main runs a package's tests with a fixed seed, and with so many checks a property; "" for the usual number.
+func Main(m *testing.M, checks string) {
+	flag.Parse()
+	set := func(name, unset, value string) {
+		if f := flag.Lookup(name); f.Value.String() == unset {
+			f.Value.Set(value)
+		}
+	}
+	set("rapid.seed", "0", "20261201")
+	if checks != "" {
+		set("rapid.checks", "100", checks)
+	}
+	os.Exit(m.Run())
+}
