A fleet that can't talk probes only for its own held ops, not by a share of the fleet

Ruled out: cold budgets and windows, which go by each driver's own flow. Lines at fault: search's chance probers/(3*crowd) with crowd 1. Now where many drivers can't tell each other what they find, each probes a group only while an op of its own is held there, all members at once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -121,7 +121,7 @@
 	groupOf                                   map[int64]*group
 	ops                                       map[string]*op
 
-	checks, roleLate, carried, reports, cancels, overlap, drainOnly bool
+	checks, roleLate, carried, reports, cancels, overlap, drainOnly, mute bool // mute: many that can't talk
 
 	spare, advise     float64 // spare: sends beside one that is out that may be made
 	sendCap, tellMost int
@@ -209,6 +209,8 @@
 	}
 	if d.crowd = 1; p.MayMessage && d.tellMost > 0 {
 		d.fleet(float64(p.Drivers))
+	} else {
+		d.mute = p.Drivers > 1
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
@@ -829,11 +831,19 @@
 	if !d.reports || d.now < g.probeAt {
 		return
 	}
+	share := probers / (3 * d.crowd) // what one finds, all are told
+	if d.mute {                      // many, and nobody to tell: each asks for itself, and only for what waits
+		if share = 0; g.slot == nil && slices.ContainsFunc(g.live, func(o *op) bool { return o.held }) {
+			share = 1
+		} else {
+			return
+		}
+	}
 	if g.probeAt = d.now + probeEvery; g.slot != nil {
 		g.probeAt = d.now + probeIdle
 	}
 	for _, m := range g.members {
-		if !m.draining && d.chance() < probers/(3*d.crowd) {
+		if !m.draining && d.chance() < share {
 			d.act(Action{Kind: ActProbe, Member: m.id})
 		}
 	}
