--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,14 +1,19 @@
-// Command benchlink hosts the decision module on the simulator's wire, on standard input and output.
 package main
 
 import (
 	"fmt"
 	"os"
+	"runtime/pprof"
 
 	"weirwind/internal/benchwire"
 )
 
 func main() {
+	if p := os.Getenv("BENCHLINK_CPUPROFILE"); p != "" {
+		f, _ := os.Create(fmt.Sprintf("%s.%d", p, os.Getpid()))
+		pprof.StartCPUProfile(f)
+		defer pprof.StopCPUProfile()
+	}
 	if err := benchwire.Serve(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "benchlink:", err)
 		os.Exit(1)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	slot, last  *member // the writer slot: the believed primary, nil while empty; who was there before
 
 	seen, emptied, filled, probeAt float64 // the newest evidence of the slot; when it was emptied and filled
+	swept, forgetAt                float64 // when it was last swept; when members long gone are let go
 
 	silent           bool      // emptied by silence or a dead connection, not by the member's own word
 	live             []*op     // unfinished ops in order of arrival
@@ -110,16 +111,16 @@
 }
 
 type Driver struct {
-	now, zero, bound, sweepGap, margin, swept float64 // bound: the tightest bound on the age of data
-	zone                                      string
-	out                                       []Action
-	state                                     uint64
-	types                                     []*opKind
-	members                                   map[string]*member
-	byHash                                    map[uint32]*member
-	groups                                    []*group
-	groupOf                                   map[int64]*group
-	ops                                       map[string]*op
+	now, zero, bound, sweepGap, margin float64 // bound: the tightest bound on the age of data
+	zone                               string
+	out                                []Action
+	state                              uint64
+	types                              []*opKind
+	members                            map[string]*member
+	byHash                             map[uint32]*member
+	groups                             []*group
+	groupOf                            map[int64]*group
+	ops                                map[string]*op
 
 	checks, roleLate, carried, reports, cancels, overlap, drainOnly, mute bool // mute: many that can't talk
 
@@ -188,7 +189,7 @@
 
 // open derives the figures that decisions use.
 func (d *Driver) open(p *Opening) {
-	*d = Driver{now: d.now, out: d.out, state: p.Seed, zone: p.Zone, zero: p.PositionZero, swept: d.now,
+	*d = Driver{now: d.now, out: d.out, state: p.Seed, zone: p.Zone, zero: p.PositionZero,
 		members: map[string]*member{}, byHash: map[uint32]*member{}, groupOf: map[int64]*group{},
 		ops: map[string]*op{}, sweepGap: max(p.Tick, 4), spare: copyMost / 2, checks: p.Checks != ChecksNone,
 		roleLate: p.ListRole == RoleLate, carried: p.SessionCarried, reports: p.ReportsByProbe && p.MayProbe,
@@ -236,7 +237,7 @@
 func (d *Driver) groupAt(id int64) *group {
 	g := d.groupOf[id]
 	if g == nil {
-		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), commit: d.ceiling,
+		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), commit: d.ceiling, swept: d.now,
 			strain: make([]float64, len(d.types))}
 		d.groupOf[id] = g
 		d.groups = append(d.groups, g)
@@ -931,10 +932,16 @@
 
 func (d *Driver) sweep() {
 	for _, g := range d.groups {
-		g.members = slices.DeleteFunc(g.members, d.forgets)
+		dt := d.now - g.swept
+		if len(g.live) == 0 && dt < probeEvery {
+			continue // nothing of its own is there: now and then is enough, however many groups there are
+		}
+		if g.swept = d.now; d.now >= g.forgetAt {
+			g.members, g.forgetAt = slices.DeleteFunc(g.members, d.forgets), d.now+trialMost
+		}
 		d.silence(g)
 		d.search(g)
-		if dt := d.now - d.swept; dt > 0 {
+		if dt > 0 {
 			g.flow += (g.work/dt - g.flow) * min(dt/max(d.coldSpan, 5*probeEvery)/min(d.crowd, 4), 1)
 			if g.work = 0; g.flow > g.rate || g.cold == 1 {
 				g.rate = g.flow // while members are cold, what they got before they were replaced holds
@@ -950,10 +957,9 @@
 		g.live = slices.DeleteFunc(g.live, func(o *op) bool { return o.done && o.out == 0 })
 		for i := range g.strain {
 			ease := max(1, min(d.crowd, 8)*(1-g.late)) // few answers each, but word of all that members are
-			g.strain[i] -= g.strain[i] * min(smooth*(d.now-d.swept)/probeEvery*ease, 1)
+			g.strain[i] -= g.strain[i] * min(smooth*dt/probeEvery*ease, 1)
 		}
 	}
-	d.swept = d.now
 	if d.watchAt > 0 && d.now >= d.watchAt {
 		d.watchAt = 0
 		d.act(Action{Kind: ActWatch})
