A drained member is not forgotten and met anew as gone where only draining binds

Lines at fault: forgets. Also: a fleet that can't talk counts its drivers (crowd) for shares, chance draws and paces, as each learns these from its own answers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -211,7 +211,7 @@
 	if d.crowd = 1; p.MayMessage && d.tellMost > 0 {
 		d.fleet(float64(p.Drivers))
 	} else {
-		d.mute = p.Drivers > 1
+		d.mute, d.crowd = p.Drivers > 1, max(1, float64(p.Drivers)/3)
 	}
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
@@ -395,8 +395,14 @@
 }
 
 // forgets lets go of a member that left the list so long ago that no late word of it comes, with nothing out.
+// Where only draining binds, a list may name a drained member as gone much later, and it must not come back
+// new: it is kept twenty times as long.
 func (d *Driver) forgets(m *member) bool {
-	old := m.left > 0 && d.now-m.left > max(d.coldFor, 5*trialMost)
+	keep := max(d.coldFor, 5*trialMost)
+	if m.draining && d.drainOnly {
+		keep *= 20
+	}
+	old := m.left > 0 && d.now-m.left > keep
 	if old = old && m.inFlight == 0 && (m.draining || m.aside) && m.group.slot != m; old {
 		delete(d.members, m.id)
 		delete(d.byHash, m.hash)
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -259,3 +259,20 @@
 	r.answer("w2", "p", OK, Primary, r.now)
 	r.want(r.op("b2", bounded, 1000) == "p", "reads again once it has spoken")
 }
+
+// Where only draining binds, a member that was told to drain, then called gone, and named so again long after,
+// gets nothing: its drain is not forgotten with it.
+func TestDrainedMemberNamedGoneLaterGetsNothing(t *testing.T) {
+	o := opening()
+	o.OnlyDrainBinds = true
+	r := start(t, o)
+	r.step(members(ListChanges, "s-"))
+	r.step(members(ListChanges, "sx"))
+	r.wait(30000)
+	r.step(members(ListChanges, "sx"))
+	for i := 0; i < 40; i++ {
+		id := fmt.Sprintf("a%d", i)
+		r.want(r.op(id, anyRead, 1000) != "s", "no read at the drained member")
+		r.answer(id, "r", OK, Replica, r.now)
+	}
+}
