--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -20,6 +20,7 @@
 	State    stateCommands    `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
 	Registry registryCommands `cmd:"" help:"Look at the members in a key-value registry."`
 	Switch   switchCommands   `cmd:"" help:"Words on planned changes of a primary, for hooks of the topology manager."`
+	Migrate  migrateCommand   `cmd:"" help:"Write an operators' file's counterpart for drivers that share nothing."`
 	Version  versionCommand   `cmd:"" help:"Print the version."`
 }
 
@@ -39,7 +40,8 @@
   weirwind state forget --member m7 /var/lib/weirwind
   weirwind registry watch --operator operator.hcl
   weirwind switch hold --group 3 --lease 10s
-  weirwind switch plan changes.hcl`
+  weirwind switch plan changes.hcl
+  weirwind migrate --dry-run operator.hcl`
 
 func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
 
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -21,6 +21,15 @@
   messages_per_second = 0 # 0 to 10000; that many each driver takes, about
 }
 
+# The deployment's shape where the platform's settings do not say it; docs/migration.md. Without the block, or
+# with a value left out, the settings' own hold.
+#
+# fleet {
+#   peers               = false             # drivers share nothing; true never lets them talk where the platform does not
+#   drivers             = 0                 # how many in all; 0: the settings' siblings
+#   only_draining_binds = false             # true: a member listed as gone without a drain may still be sent to
+# }
+
 # Hooks of the topology manager and fellow drivers; docs/switchover.md. Off on the platform, which has no hooks.
 #
 # control {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -170,6 +170,7 @@
 		return nil, fmt.Errorf("configuration: peers: %v", err)
 	}
 	told.Opening.MaxMessages = float64(o.Peers.Messages)
+	shape(told.Opening, o.Fleet)
 	v.decide = newDecider(newClock(time.Now), told, v)
 	v.registry = o.Registry
 	v.roster = roster.New(rosterRules(o.Registry))
@@ -447,3 +448,20 @@
 	_, err := parse(text)
 	return err
 }
+
+// shape lays the operators' word on the deployment's shape over the platform's settings. Drivers may be told to
+// keep silent where the platform would let them talk, never the other way round.
+func shape(o *logic.Opening, f *operator.Fleet) {
+	if f == nil {
+		return
+	}
+	if f.Peers != nil {
+		o.MayMessage = o.MayMessage && *f.Peers
+	}
+	if f.Drivers > 0 {
+		o.Drivers = f.Drivers
+	}
+	if f.DrainingBinds != nil {
+		o.OnlyDrainBinds = *f.DrainingBinds
+	}
+}
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -85,6 +85,7 @@
 		"cell": logic.ScopeGroup}
 	checks = map[string]logic.Checks{"": logic.ChecksNone, "silent": logic.ChecksNone,
 		"bounce": logic.ChecksRefuse, "await": logic.ChecksWait}
+	marks     = map[string]bool{"": false, "kept": false, "brought": true} // whether sessions carry their writes
 	listRoles = map[string]logic.ListRole{"": logic.RoleNone, "silent": logic.RoleNone,
 		"static": logic.RoleAtStart, "trailing": logic.RoleLate}
 )
@@ -110,8 +111,7 @@
 	}
 	o := &logic.Opening{
 		Seed: seed, Drivers: s.Siblings, Zone: s.Zone, Tick: ms(s.Tick),
-		SessionCarried: s.Family.WriteMarks == "brought",
-		PositionZero:   ms(s.Family.PositionZero), Positions: s.Family.Stamps, ListOnRequest: s.Registry == "on_request",
+		PositionZero: ms(s.Family.PositionZero), Positions: s.Family.Stamps, ListOnRequest: s.Registry == "on_request",
 		MayProbe: s.Limits.MayProbe, MayCancel: s.Limits.Cancel, MayMessage: s.Limits.Peers,
 		MayOverlap: s.Limits.ParallelTries,
 		SendCap:    s.Limits.SendCap,
@@ -132,6 +132,9 @@
 	if o.Checks, err = word(checks, s.Family.Checks, "checks"); err != nil {
 		return Told{}, err
 	}
+	if o.SessionCarried, err = word(marks, s.Family.WriteMarks, "write_marks"); err != nil {
+		return Told{}, err
+	}
 	if o.ListRole, err = word(listRoles, s.Family.ShowsRole, "shows_role"); err != nil {
 		return Told{}, err
 	}
--- /dev/null
+++ b/internal/opening/opening_test.go
@@ -0,0 +1,25 @@
+package opening
+
+import (
+	"strings"
+	"testing"
+)
+
+const settings = `{"siblings": 300, "profiles": [{"name": "r", "aim": 300000, "deadline": 1000000, "effect": "repeatable"}],
+ "family_info": {"needs_by_class": ["causal"], "write_marks": %q, "checks": "await", "holds_for": 20000},
+ "policy_limits": {"peers": false}, "rules": {"only_draining_binds": true}}`
+
+func TestShapeOfTheDeployment(t *testing.T) {
+	told, err := Parse([]byte(strings.Replace(settings, "%q", `"kept"`, 1)), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := told.Opening
+	if o.Drivers != 300 || o.MayMessage || o.SessionCarried || !o.OnlyDrainBinds || o.Checks != 2 {
+		t.Fatalf("%+v", o)
+	}
+	if _, err := Parse([]byte(strings.Replace(settings, "%q", `"remember"`, 1)), 1); err == nil ||
+		!strings.Contains(err.Error(), "write_marks") {
+		t.Fatal("an unknown word for write_marks passed:", err)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,6 +27,19 @@
 	Peers    Peers
 	Control  *Control // nil: no socket for hooks
 	Ledger   *Ledger  // nil: outcomes of ops are not kept
+	Fleet    *Fleet   // nil: the deployment's shape is as the platform's settings say
+}
+
+// Fleet is the block "fleet": the shape of a deployment where it is not what the platform's settings say. Each
+// field left out keeps the settings' own value, so a file without the block changes nothing.
+type Fleet struct {
+	// Peers false: drivers share nothing and send each other no word, even where the settings allow it.
+	Peers *bool
+	// Drivers is how many drivers there are in all (the settings' siblings); 0 keeps the settings' figure.
+	Drivers int
+	// DrainingBinds true: only a member listed as draining must get nothing new after the grace; one listed as
+	// gone, or left out of the list, without a drain before it may still be sent to. Nil: as the settings' rules.
+	DrainingBinds *bool
 }
 
 // Ledger is the block "ledger": outcomes of ops that name a key and must not run twice.
@@ -98,7 +111,7 @@
 	r := &reader{problems: problems}
 	if !problems.HasErrors() {
 		blocks := r.content(syntax.Body, &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "state"}, {Type: "peers"}, {Type: "control"}, {Type: "ledger"},
-			{Type: "registry", LabelNames: []string{"dialect"}}}})
+			{Type: "fleet"}, {Type: "registry", LabelNames: []string{"dialect"}}}})
 		seen := map[string]*hcl.Range{}
 		for _, b := range blocks.Blocks {
 			if before := seen[b.Type]; before != nil {
@@ -117,6 +130,8 @@
 				f.Ledger = r.ledger(b)
 			case "control":
 				f.Control = r.control(b)
+			case "fleet":
+				f.Fleet = r.fleet(b)
 			case "registry":
 				f.Registry = r.registry(b)
 			}
@@ -266,6 +281,22 @@
 	return l
 }
 
+func (r *reader) fleet(b *hcl.Block) *Fleet {
+	attrs := r.block(b, "peers", "drivers", "only_draining_binds")
+	return &Fleet{Peers: r.flag(attrs, "peers"), Drivers: r.whole(attrs, "drivers", 0, 0, 100000),
+		DrainingBinds: r.flag(attrs, "only_draining_binds")}
+}
+
+// flag gives a true or false that may be left out, as nil.
+func (r *reader) flag(attrs hcl.Attributes, name string) *bool {
+	v, _, ok := r.value(attrs, name, cty.Bool)
+	if !ok {
+		return nil
+	}
+	b := v.True()
+	return &b
+}
+
 func (r *reader) control(b *hcl.Block) *Control {
 	attrs := r.block(b, "socket", "listen", "fellows", "token_file", "lease", "most", "opening")
 	c := &Control{Lease: r.duration(attrs, "lease", 5*time.Second, 100*time.Millisecond, 10*time.Minute),
@@ -350,6 +381,19 @@
 		}
 		return ends
 	}
+	if l := f.Fleet; l != nil {
+		b.WriteString("fleet {\n")
+		if l.Peers != nil {
+			fmt.Fprintf(&b, "  peers               = %t\n", *l.Peers)
+		}
+		if l.Drivers > 0 {
+			fmt.Fprintf(&b, "  drivers             = %d\n", l.Drivers)
+		}
+		if l.DrainingBinds != nil {
+			fmt.Fprintf(&b, "  only_draining_binds = %t\n", *l.DrainingBinds)
+		}
+		b.WriteString("}\n")
+	}
 	if l := f.Ledger; l != nil {
 		fmt.Fprintf(&b, "ledger {\n  folder   = %s\n  keep     = %q\n  keys     = %d\n  limit_mb = %d\n}\n", quoted(l.Folder), l.Keep, l.Keys, l.LimitMB)
 	}
