--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,13 +4,12 @@
 // call Step with the clock (milliseconds) and what has happened since, in order, and carry out the actions it
 // returns, in order. The types at its door are in api.go; docs/design.md tells what comes from the design.
 //
-// The ordinary path of an op is route. Six mechanisms stand beside the design:
+// The ordinary path of an op is route. Five mechanisms stand beside the design:
 //  1. setting aside: a member that is silent, fails or cuts connections, until a trial, an answer or a word;
 //  2. further sends: where the op's effect allows, for sends that failed, and on a budget for stuck ones;
 //  3. pace: a window on own sends or a share of ops at each member, a budget for cold ones, timely ops first;
 //  4. turning away: under strain new reads are refused by chance, the cheaper for their work more often;
-//  5. keeping apart: long reads go to few replicas, lest they keep all of them from applying the log;
-//  6. word to peers: positions, the primary seen, who answers and how fast, who is silent.
+//  5. word to peers: positions, the primary seen, who answers and how fast, who is silent.
 
 import (
 	"cmp"
@@ -42,7 +41,7 @@
 	behindShare, behind     = 0.25, 1.2     // of the tightest bound: a replica is behind; times over easy for it
 	coldShare, strainSlope  = 0.8, 2.0      // of a cold member's budget; chance of refusal for strain
 	farPenalty, latePenalty = 0.3, 0.3      // in sends in flight: for another zone; times over the easy ones
-	apartShare, apartFresh  = 0.2, 1.0      // replicas that take long reads; sends more for a fresh one
+	apartFresh              = 1.0           // sends more for a fresh replica, for reads of any age
 	smooth, stuck           = 0.03, 6.0     // weight of an answer; usual times after which a send is lost
 )
 
@@ -455,7 +454,7 @@
 			to = d.farthest(o, false)
 		}
 		old := d.reports && o.kind.need == Bounded && g.seen > 0 && d.now-g.seen > o.kind.maxAge // may be deposed
-		if p := g.slot; to == nil && p != nil && !p.aside && !old && (!fresh || !d.long(o.kind) &&
+		if p := g.slot; to == nil && p != nil && !p.aside && !old && (!fresh ||
 			float64(p.inFlight) < p.window*headroom && (1-o.luck)*g.blur*g.blur*float64(g.serving) < headroom) {
 			to = p // all drivers together spill to it no more than half of a replica's reads
 		}
@@ -527,31 +526,14 @@
 	return l * math.Pow(-math.Log(1-d.chance()), m.group.blur)
 }
 
-// apart keeps reads that may block the log, as they take longer than the tightest bound on age, to a few
-// replicas, the same at every driver, and rather puts other reads of any age where data is not fresh anyway.
-// It could harm where long reads block nothing: their replicas are used more.
+// apart puts reads of any age rather where data is not fresh anyway, as fresh replicas are scarce for others.
 func (d *Driver) apart(o *op, m *member) float64 {
-	switch {
-	case o.kind.need != Any:
-	case d.long(o.kind):
-		before := 0.0
-		for _, other := range m.group.members {
-			if other != m.group.slot && !other.draining && !other.aside && other.hash < m.hash {
-				before++
-			}
-		}
-		if before >= max(1, float64(m.group.serving-1)*apartShare) {
-			return math.Inf(1)
-		}
-		return before
-	case d.within(m, d.bound):
+	if o.kind.need == Any && d.within(m, d.bound) {
 		return apartFresh
 	}
 	return 0
 }
 
-func (d *Driver) long(k *opKind) bool { return k.need == Any && k.best > d.bound }
-
 // farthest is the replica with the newest known position; as a last resort any member, even one set aside.
 func (d *Driver) farthest(o *op, last bool) *member {
 	var best *member
@@ -620,11 +602,8 @@
 	return m.credit >= k.took
 }
 
-// easy is the mean time of answers above which a member has too much work. Long reads are too rare to learn.
+// easy is the mean time of answers above which a member has too much work.
 func (d *Driver) easy(k *opKind) float64 {
-	if d.long(k) {
-		return easyMost * k.target
-	}
 	return max(easyShare*k.target, min(easyLeast*k.best, easyMost*k.target))
 }
 
@@ -760,7 +739,7 @@
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
 	x := took / d.easy(o.kind)
-	if m != o.group.slot && !d.within(m, d.bound*behindShare) && !slices.ContainsFunc(d.types, d.long) {
+	if m != o.group.slot && !d.within(m, d.bound*behindShare) {
 		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
 	}
 	d.pace(m, o.kind, x, false, true)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -158,19 +158,6 @@
 	r.want(count(r.acts, ActSend, "") < 20, "the rest paced, not let go at once")
 }
 
-// Reads longer than the tightest bound may block a replica: they keep to a part of them.
-func TestLongReadsKeepToFewReplicas(t *testing.T) {
-	r := start(t, opening())
-	r.step(members(ListChanges, "t", "u", "v", "x", "y", "z"))
-	r.d.types[anyRead].best = 400
-	used := map[string]bool{}
-	for i := range 12 {
-		used[r.op(fmt.Sprint("a", i), anyRead, 1200)] = true
-	}
-	delete(used, "")
-	r.want(len(used) > 0 && len(used) <= 2 && !used["p"], "at most two of eight replicas with long reads")
-}
-
 // When every member slows down alike, windows keep to what was out before and nobody is set aside.
 func TestSharedSlowdownKeepsWindowsOpen(t *testing.T) {
 	r := start(t, opening())
