--- a/internal/operator/migrate.go
+++ b/internal/operator/migrate.go
@@ -10,13 +10,11 @@
 // The file given is not changed. Migrating a file twice gives the same file and nothing dropped.
 func Migrate(old File) (File, []string) {
 	f, dropped := old, []string(nil)
-	no := false
-	f.Fleet = &Fleet{Peers: &no}
+	fleet, no := Fleet{}, false
 	if old.Fleet != nil {
-		fleet := *old.Fleet
-		fleet.Peers = &no
-		f.Fleet = &fleet
+		fleet = *old.Fleet
 	}
+	fleet.Peers, f.Fleet = &no, &fleet
 	if old.Peers.Messages > 0 {
 		dropped = append(dropped, fmt.Sprintf("peers.messages_per_second = %d: drivers send each other nothing",
 			old.Peers.Messages))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -207,20 +207,18 @@
 	if p.Positions && !d.carried {
 		d.ceiling = d.now - d.zero // an earlier run may have acknowledged writes up to now
 	}
-	if d.crowd = 1; p.MayMessage && d.tellMost > 0 {
-		d.fleet(float64(p.Drivers))
-	} else {
-		d.mute, d.crowd = p.Drivers > 1, max(1, float64(p.Drivers)/3)
-	}
+	d.mute = p.Drivers > 1 && !(p.MayMessage && d.tellMost > 0)
+	d.fleet(float64(p.Drivers))
 	if p.ListOnRequest {
 		d.act(Action{Kind: ActWatch})
 	}
 	d.act(Action{Kind: ActTimer, Wait: d.sweepGap})
 }
 
-// fleet follows how many drivers there are: words, shares and what is spread out over them go by it.
+// fleet follows how many drivers there are: words where they may talk, and shares and what is spread out
+// over them, where they may not as well.
 func (d *Driver) fleet(drivers float64) {
-	if d.crowd, d.tellGap = max(1, drivers/3), 0; drivers > 1 {
+	if d.crowd, d.tellGap = max(1, drivers/3), 0; drivers > 1 && !d.mute {
 		d.tellLeast = min(max(d.bound/4, 5*(d.margin-d.sweepGap)), probeEvery) * min(d.crowd/3, 1)
 		d.tellGap = d.tellLeast
 	}
@@ -819,11 +817,10 @@
 	}
 	share := probers / (3 * d.crowd) // what one finds, all are told
 	if d.mute {                      // many, and nobody to tell: each asks for itself, and only for what waits
-		if share = 0; g.slot == nil && slices.ContainsFunc(g.live, func(o *op) bool { return o.held }) {
-			share = 1
-		} else {
+		if g.slot != nil || !slices.ContainsFunc(g.live, func(o *op) bool { return o.held }) {
 			return
 		}
+		share = 1
 	}
 	if g.probeAt = d.now + probeEvery; g.slot != nil {
 		g.probeAt = d.now + probeIdle
