Drivers know each other: membership, its mesh of sockets, commands and wiring; off by default

Until now a driver learned from settings or a registry how many fellows there are, and of no failure among them. internal/membership decides (SWIM with Lifeguard's suspicion, a roster agreed on by Paxos, standings and what each allows), internal/mesh carries it by UDP and TCP, internal/driver wires words on changes, drains and the count of drivers to it.

--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -15,13 +15,14 @@
 )
 
 type commands struct {
-	Run      runCommand       `cmd:"" default:"1" help:"Serve until SIGTERM (the default). SIGHUP reads both files again, SIGUSR1 logs the counters."`
-	Check    checkCommand     `cmd:"" help:"Say what is wrong with the files, or what is in force."`
-	State    stateCommands    `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
-	Registry registryCommands `cmd:"" help:"Look at the members in a key-value registry."`
-	Switch   switchCommands   `cmd:"" help:"Words on planned changes of a primary, for hooks of the topology manager."`
-	Migrate  migrateCommand   `cmd:"" help:"Write an operators' file's counterpart for drivers that share nothing."`
-	Version  versionCommand   `cmd:"" help:"Print the version."`
+	Run        runCommand         `cmd:"" default:"1" help:"Serve until SIGTERM (the default). SIGHUP reads both files again, SIGUSR1 logs the counters."`
+	Check      checkCommand       `cmd:"" help:"Say what is wrong with the files, or what is in force."`
+	State      stateCommands      `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
+	Registry   registryCommands   `cmd:"" help:"Look at the members in a key-value registry."`
+	Switch     switchCommands     `cmd:"" help:"Words on planned changes of a primary, for hooks of the topology manager."`
+	Membership membershipCommands `cmd:"" help:"Fellow drivers: who is there, who has failed, who may do what."`
+	Migrate    migrateCommand     `cmd:"" help:"Write an operators' file's counterpart for drivers that share nothing."`
+	Version    versionCommand     `cmd:"" help:"Print the version."`
 }
 
 type files struct {
@@ -41,6 +42,8 @@
   weirwind registry watch --operator operator.hcl
   weirwind switch hold --group 3 --lease 10s
   weirwind switch plan changes.hcl
+  weirwind membership status --json
+  weirwind membership compare
   weirwind migrate --dry-run operator.hcl`
 
 func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"weirwind/internal/membership"
+	"weirwind/internal/mesh"
 	"weirwind/internal/switchover"
 )
 
@@ -29,10 +31,29 @@
 	Status() []switchover.Status
 }
 
+// Fellowship is a driver's view of its fellows. Its methods may be called from several goroutines.
+type Fellowship interface {
+	Status() membership.Status
+	Leave()
+	Forget(name string, certain bool) error
+	Compare(context.Context) []mesh.Compared
+}
+
+// joined is what a Switcher also is where drivers know each other; nil while they do not.
+type joined interface{ Fellowship() Fellowship }
+
+// ErrStanding is of a word that this driver may not take in its standing among its fellows.
+var ErrStanding = errors.New("this driver is not with the larger part of the fleet: ask another one")
+
+var errNoFellows = errors.New("membership is not switched on in the operators' file")
+
 const (
 	mostBody  = 64 << 10
 	mostWords = 256
 	callTime  = 2 * time.Second
+
+	compareTime = 20 * time.Second // for all fellows' answers
+	mostAnswer  = 64 << 20
 )
 
 // status gives an error's HTTP status.
@@ -40,8 +61,12 @@
 	switch {
 	case errors.Is(err, switchover.ErrOld), errors.Is(err, switchover.ErrOver), errors.Is(err, switchover.ErrLapsed):
 		return http.StatusConflict
-	case errors.Is(err, switchover.ErrNone):
+	case errors.Is(err, switchover.ErrNone), errors.Is(err, errNoFellows), errors.Is(err, membership.ErrUnknown):
 		return http.StatusNotFound
+	case errors.Is(err, ErrStanding), errors.Is(err, membership.ErrPart):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, membership.ErrLives):
+		return http.StatusConflict
 	case errors.Is(err, switchover.ErrFull):
 		return http.StatusTooManyRequests
 	}
@@ -83,6 +108,7 @@
 		}
 	})
 	if token == "" {
+		fellowship(mux, s, answer)
 		return mux
 	}
 	want := []byte("Bearer " + token)
@@ -95,6 +121,49 @@
 	})
 }
 
+// Forgotten names a driver that operators say is gone.
+type Forgotten struct {
+	Name    string `json:"name"`
+	Certain bool   `json:"certain"` // they made sure that it does not run
+}
+
+// fellowship answers calls on fellows; only who may open the Unix socket may make them.
+func fellowship(mux *http.ServeMux, s Switcher, answer func(http.ResponseWriter, any)) {
+	with := func(do func(http.ResponseWriter, *http.Request, Fellowship) error) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			err := errNoFellows
+			if j, ok := s.(joined); ok {
+				if f := j.Fellowship(); f != nil {
+					err = do(w, r, f)
+				}
+			}
+			if err != nil {
+				http.Error(w, err.Error(), status(err))
+			}
+		}
+	}
+	mux.HandleFunc("GET /membership", with(func(w http.ResponseWriter, r *http.Request, f Fellowship) error {
+		answer(w, f.Status())
+		return nil
+	}))
+	mux.HandleFunc("GET /membership/compare", with(func(w http.ResponseWriter, r *http.Request, f Fellowship) error {
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(compareTime))
+		answer(w, f.Compare(r.Context()))
+		return nil
+	}))
+	mux.HandleFunc("POST /membership/leave", with(func(w http.ResponseWriter, r *http.Request, f Fellowship) error {
+		f.Leave()
+		return nil
+	}))
+	mux.HandleFunc("POST /membership/forget", with(func(w http.ResponseWriter, r *http.Request, f Fellowship) error {
+		var who Forgotten
+		if err := read(w, r, &who); err != nil {
+			return err
+		}
+		return f.Forget(who.Name, who.Certain)
+	}))
+}
+
 func read(w http.ResponseWriter, r *http.Request, x any) error {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody))
 	d.DisallowUnknownFields()
@@ -177,6 +246,27 @@
 	return all, c.call(ctx, http.MethodGet, "/switch", nil, &all)
 }
 
+// Fellows asks for the driver's view of its fellows.
+func (c *Client) Fellows(ctx context.Context) (s membership.Status, err error) {
+	return s, c.call(ctx, http.MethodGet, "/membership", nil, &s)
+}
+
+// Compare asks for the views of all drivers that this one knows, its own first.
+func (c *Client) Compare(ctx context.Context) (all []mesh.Compared, err error) {
+	c.http.Timeout = compareTime
+	return all, c.call(ctx, http.MethodGet, "/membership/compare", nil, &all)
+}
+
+// Leave has the driver leave its fellows; it goes on serving.
+func (c *Client) Leave(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "/membership/leave", nil, nil)
+}
+
+// Forget has a failed driver taken off the roster.
+func (c *Client) Forget(ctx context.Context, who Forgotten) error {
+	return c.call(ctx, http.MethodPost, "/membership/forget", who, nil)
+}
+
 func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
 	var b bytes.Buffer
 	if body != nil {
@@ -196,7 +286,7 @@
 		return err
 	}
 	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, 1<<20))
+	text, err := io.ReadAll(io.LimitReader(answer.Body, mostAnswer))
 	switch {
 	case err != nil:
 		return err
--- a/internal/driver/decide.go
+++ b/internal/driver/decide.go
@@ -62,11 +62,19 @@
 	ids    map[string]bool // of open ops, as their clients wrote them
 	groups map[int64]bool
 	lines  map[string]logic.ListEntry // of the list, as it was told
-	marked map[string]bool            // members that count as draining whatever the list says: their role is on its way elsewhere
+	marked map[string]marks           // members that count as draining whatever the list says, and why
 	serial uint64
 	closed bool
 }
 
+// marks are reasons for which a member counts as draining whatever the list says.
+type marks uint8
+
+const (
+	markSwitch marks = 1 << iota // its role is on its way elsewhere
+	markFellow                   // a fellow was told so
+)
+
 // performer carries out what is not one op's business. None of it may block.
 type performer interface {
 	probe(member string)
@@ -78,7 +86,7 @@
 func newDecider(c clock, told opening.Told, do performer) *decider {
 	told.Opening.PositionZero = 0
 	d := &decider{clock: c, opTypes: told.OpTypes, do: do, ops: map[string]*op{}, ids: map[string]bool{},
-		groups: map[int64]bool{}, lines: map[string]logic.ListEntry{}, marked: map[string]bool{}}
+		groups: map[int64]bool{}, lines: map[string]logic.ListEntry{}, marked: map[string]marks{}}
 	for _, t := range told.Opening.OpTypes {
 		d.bounded = append(d.bounded, t.Need == logic.Bounded)
 	}
@@ -144,22 +152,27 @@
 		d.groups[e.Cell] = true
 		if l := &ev.Members[i]; l.Phase == logic.Gone {
 			delete(d.lines, l.Member)
-		} else if d.lines[l.Member] = *l; d.marked[l.Member] {
+		} else if d.lines[l.Member] = *l; d.marked[l.Member] != 0 {
 			l.Phase = logic.Draining
 		}
 	}
 	d.stepLocked(ev)
 }
 
-// mark lets a member count as draining, or as what the list says of it again.
-func (d *decider) mark(member string, draining bool) {
+// mark lets a member count as draining for a reason, or no longer for that one: without any it is as the list says again.
+func (d *decider) mark(member string, why marks, draining bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.marked[member] = true; !draining {
+	before := d.marked[member]
+	after := before | why
+	if !draining {
+		after = before &^ why
+	}
+	if d.marked[member] = after; after == 0 {
 		delete(d.marked, member)
 	}
-	if l, known := d.lines[member]; known && l.Phase == logic.Ready {
-		if draining {
+	if l, known := d.lines[member]; known && l.Phase == logic.Ready && (before != 0) != (after != 0) {
+		if after != 0 {
 			l.Phase = logic.Draining
 		}
 		d.stepLocked(logic.Event{Kind: logic.EvMembers, List: logic.ListChanges, Members: []logic.ListEntry{l}})
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -98,6 +98,7 @@
 	registry  *operator.Registry // nil where members come from discovery alone
 	following *registry.Watcher
 	present   *presence // among fellow drivers; nil where they are not in the registry
+	fellows   *fellows  // nil where drivers do not know each other
 
 	moving  sync.Mutex // guards what follows
 	movedTo string     // where discovery is now, until the watch has moved there
@@ -189,6 +190,11 @@
 			return nil, err
 		}
 	}
+	if o.Membership != nil {
+		if err := v.openFellows(*o.Membership, &a); err != nil {
+			return nil, err
+		}
+	}
 	if v.registry != nil {
 		if err := v.openRegistry(told.Opening.Drivers, told.Opening.Seed); err != nil {
 			return nil, err
@@ -243,6 +249,9 @@
 	if v.switches != nil {
 		back.Go(func() error { return v.switches.run(life) })
 	}
+	if v.fellows != nil {
+		back.Go(func() error { return v.fellows.mesh.Run(life) })
+	}
 	if v.keep != nil {
 		go v.keep.run(life) // a disk that hangs must not keep the rest from ending
 	}
@@ -306,6 +315,9 @@
 	if v.keep != nil && o.State != nil {
 		v.keep.change(*o.State)
 	}
+	if v.fellows != nil && o.Membership != nil {
+		v.fellows.change(*o.Membership)
+	}
 	v.moving.Lock()
 	from, kept := v.config.Discovery, v.config.differs(f)
 	if v.config.Discovery = f.Discovery; from != f.Discovery {
--- a/internal/driver/presence.go
+++ b/internal/driver/presence.go
@@ -8,14 +8,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"weirwind/internal/registry"
 	"weirwind/internal/roster"
-	"weirwind/logic"
 )
 
 const (
@@ -135,13 +136,12 @@
 		p.v.log.Warn("fellows", "silent", strings.Join(fell, ","), "back", strings.Join(back, ","))
 	}
 	if changed {
-		p.v.log.Info("drivers", "count", n)
-		if p.talks {
-			p.v.decide.step(logic.Event{Kind: logic.EvDrivers, Drivers: n})
-		}
-		p.v.following.Course.Fellows(n)
+		p.v.counted(n, false, p.talks)
 		p.follower.Course.Fellows(n)
 	}
+	if p.v.fellows != nil {
+		p.v.fellows.listed(slices.Collect(maps.Keys(names)))
+	}
 }
 
 // run keeps the lease and looks around until the context ends, then gives the lease up.
--- a/internal/driver/switches.go
+++ b/internal/driver/switches.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"weirwind/internal/control"
+	"weirwind/internal/membership"
 	"weirwind/internal/operator"
 	"weirwind/internal/switchover"
 	"weirwind/logic"
@@ -41,11 +42,8 @@
 	s := &switches{v: v, book: switchover.New(switchover.Rules{Lease: milliseconds(o.Lease), Most: milliseconds(o.Most),
 		Opening: milliseconds(o.Opening), Ask: milliseconds(switchAsk), Keep: 4 * milliseconds(o.Most), Groups: switchGroups, Origin: uint64(origin)})}
 	if o.TokenFile != "" {
-		text, err := os.ReadFile(o.TokenFile)
-		if s.token = strings.TrimSpace(string(text)); err == nil && s.token == "" {
-			err = fmt.Errorf("%s is empty", o.TokenFile)
-		}
-		if err != nil {
+		var err error
+		if s.token, err = secret(o.TokenFile); err != nil {
 			return fmt.Errorf("control: token: %v", err)
 		}
 	}
@@ -75,6 +73,16 @@
 	return nil
 }
 
+// secret reads the one that drivers show each other.
+func secret(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	s := strings.TrimSpace(string(text))
+	if err == nil && s == "" {
+		err = fmt.Errorf("%s is empty", file)
+	}
+	return s, err
+}
+
 func (s *switches) close() {
 	for _, ln := range s.listeners {
 		ln.Close()
@@ -170,6 +178,9 @@
 		return w, fmt.Errorf("group %d is not known here", w.Group)
 	}
 	primary := s.v.decide.primaries()[w.Group]
+	if err := s.allowed(w); err != nil {
+		return w, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, out, err := s.book.Hook(s.v.decide.clock.now(), w, primary)
@@ -179,13 +190,50 @@
 	return w, err
 }
 
+// allowed says whether a hook's word may be taken in this driver's standing among its fellows.
+func (s *switches) allowed(w switchover.Word) error {
+	if s.v.fellows == nil {
+		return nil
+	}
+	act := membership.EndHold
+	if w.Stage <= switchover.Held {
+		act = membership.BeginHold
+		for _, k := range s.Status() {
+			if k.Group == w.Group && k.Stage == switchover.Held && !k.Over && (w.Epoch == 0 || w.Epoch == k.Epoch) {
+				act = membership.RenewHold
+			}
+		}
+	}
+	standing, why := s.v.fellows.mesh.Standing()
+	allowed, reason := membership.Allowed(standing, act)
+	if allowed {
+		return nil
+	}
+	s.v.log.Warn("switch", "reason", reason, "group", w.Group, "standing", standing.String(), "why", why)
+	return fmt.Errorf("%w (it is %s %s)", control.ErrStanding, standing, why)
+}
+
+// Fellowship is the view of fellows, nil where they do not know each other.
+func (s *switches) Fellowship() control.Fellowship {
+	if s.v.fellows == nil {
+		return nil
+	}
+	return s.v.fellows.mesh
+}
+
 // Told takes a word of a fellow.
 func (s *switches) Told(w switchover.Word) error {
+	_, err := s.told(w)
+	return err
+}
+
+// told takes a word of a fellow, and says whether it was news.
+func (s *switches) told(w switchover.Word) (news bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out, err := s.book.Told(s.v.decide.clock.now(), w)
 	s.carry(out)
-	return err
+	return out.Note != "", err
 }
 
 // Status gives what is known of all changes.
@@ -226,7 +274,7 @@
 // carry does what was decided. The caller holds the lock.
 func (s *switches) carry(out switchover.Outcome) {
 	for _, m := range out.Marks {
-		s.v.decide.mark(m.Member, m.Draining)
+		s.v.decide.mark(m.Member, markSwitch, m.Draining)
 	}
 	for _, member := range out.Probe {
 		s.v.probe(member)
@@ -239,5 +287,8 @@
 			default:
 			}
 		}
+		if s.v.fellows != nil {
+			s.v.fellows.mesh.Spread()
+		}
 	}
 }
--- /dev/null
+++ b/internal/lab/flock/flock.go
@@ -0,0 +1,288 @@
+// Package flock plays many views of membership in virtual time over a network that cuts, loses, doubles and delays, with
+// drivers that stand still, are slow, end and start again.
+//
+// This file owns the network and the clock. It must never carry a message that the network of its day would not have.
+package flock
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"weirwind/internal/membership"
+)
+
+// Options describe a flock. Times are milliseconds.
+type Options struct {
+	Drivers int
+	Expect  int     // drivers that each is told to expect; 0: as many as there are
+	Period  float64 // 500 without
+	Latency float64 // mean one way, 1 without
+	Loss    float64 // share of datagrams
+	Double  float64 // share that comes twice
+	Seeds   int     // each knows the first so many
+	Yield   float64
+	Seed    uint64
+}
+
+// Driver is one.
+type Driver struct {
+	Name   string
+	View   *membership.Fleet // nil while it does not run
+	Frozen float64           // it stands still until then
+	Slow   float64           // share of time in which it stands still for a moment, of a throttled core
+	Bytes  float64           // that it sent, about
+	Sent   int
+
+	i       int
+	life    int
+	waiting []membership.Message // at a socket that nobody reads
+	run     uint64
+}
+
+// Flock is all of them.
+type Flock struct {
+	Now     float64
+	Drivers []*Driver
+	Notes   func(at float64, driver string, n membership.Note) // called for each; nil for none
+	Cut     func(from, to int) bool                            // nothing passes; nil for no cut
+	Loss    float64
+
+	o     Options
+	draw  *rand.Rand
+	queue events
+	turn  int
+}
+
+type event struct {
+	at   float64
+	turn int
+	do   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].turn < e[j].turn
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last].do = nil
+	*e = (*e)[:last]
+	return x
+}
+
+// New makes a flock of which nobody runs yet.
+func New(o Options) *Flock {
+	if o.Period == 0 {
+		o.Period = 500
+	}
+	if o.Latency == 0 {
+		o.Latency = 1
+	}
+	if o.Expect == 0 {
+		o.Expect = o.Drivers
+	}
+	if o.Seeds == 0 {
+		o.Seeds = min(3, o.Drivers)
+	}
+	if o.Yield == 0 {
+		o.Yield = 30 * o.Period
+	}
+	f := &Flock{Now: 1e6, Loss: o.Loss, o: o, draw: rand.New(rand.NewPCG(o.Seed, 11))}
+	for i := range o.Drivers {
+		f.Drivers = append(f.Drivers, &Driver{Name: fmt.Sprintf("n%d", i), i: i})
+	}
+	return f
+}
+
+// Add is a driver more, which the others do not expect.
+func (f *Flock) Add() *Driver {
+	d := &Driver{Name: fmt.Sprintf("n%d", len(f.Drivers)), i: len(f.Drivers)}
+	f.Drivers = append(f.Drivers, d)
+	return d
+}
+
+func (f *Flock) at(delay float64, do func()) {
+	f.turn++
+	heap.Push(&f.queue, event{f.Now + delay, f.turn, do})
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7400", i/250, i%250+1) }
+
+func (f *Flock) index(at string) int {
+	var a, b int
+	if n, _ := fmt.Sscanf(at, "10.0.%d.%d:7400", &a, &b); n != 2 {
+		return -1
+	}
+	if i := a*250 + b - 1; i < len(f.Drivers) {
+		return i
+	}
+	return -1
+}
+
+// Start begins a run of a driver, with no memory of an earlier one. clock is added to its machine's time.
+func (f *Flock) Start(i int, clock float64) {
+	d := f.Drivers[i]
+	d.life++
+	d.run, d.waiting, d.Frozen = uint64(f.Now+clock), nil, 0
+	var seeds []string
+	for s := range f.o.Seeds {
+		seeds = append(seeds, address(s))
+	}
+	d.View = membership.New(f.Now, membership.Rules{Period: f.o.Period, Expect: f.o.Expect, Keep: 600000, Most: 20000, Yield: f.o.Yield},
+		membership.Record{Name: d.Name, Run: d.run, Address: address(i), Zone: "a"}, seeds, f.draw.Uint64())
+	life := d.life
+	var tick func()
+	tick = func() {
+		if d.life != life || d.View == nil {
+			return
+		}
+		if f.Now < d.Frozen {
+			f.at(d.Frozen-f.Now, tick)
+			return
+		}
+		f.wake(d)
+		f.out(d, d.View.Tick(f.Now))
+		if d.Slow > 0 && f.draw.Float64() < d.Slow { // of a second it has had its share, and waits for the next
+			f.Freeze(i, f.o.Period*(0.2+0.6*f.draw.Float64()))
+		}
+		f.at(f.o.Period/10, tick)
+	}
+	f.at(f.o.Period/10*f.draw.Float64(), tick)
+}
+
+// wake gives a driver what came while it stood still, as far as a socket would hold it.
+func (f *Flock) wake(d *Driver) {
+	for _, m := range d.waiting {
+		f.out(d, d.View.Got(f.Now, m))
+	}
+	d.waiting = nil
+}
+
+// Kill ends a run without a word.
+func (f *Flock) Kill(i int) { f.Drivers[i].View = nil }
+
+// Freeze lets a driver stand still for a time.
+func (f *Flock) Freeze(i int, length float64) {
+	f.Drivers[i].Frozen = max(f.Drivers[i].Frozen, f.Now+length)
+}
+
+func (f *Flock) cut(from, to int) bool { return f.Cut != nil && f.Cut(from, to) }
+
+func (f *Flock) late() float64 { return f.o.Latency * (0.5 + f.draw.ExpFloat64()/2) }
+
+func (f *Flock) out(d *Driver, out membership.Out) {
+	if f.Notes != nil {
+		for _, n := range out.Notes {
+			f.Notes(f.Now, d.Name, n)
+		}
+	}
+	for _, s := range out.Sends {
+		to := f.index(s.Address)
+		d.Sent++
+		d.Bytes += 110
+		for range s.Message.Records {
+			d.Bytes += 60
+		}
+		if to < 0 || f.cut(d.i, to) || f.draw.Float64() < f.Loss {
+			continue
+		}
+		times := 1
+		if f.draw.Float64() < f.o.Double {
+			times = 2
+		}
+		for range times {
+			t, m := f.Drivers[to], s.Message
+			f.at(f.late(), func() {
+				switch {
+				case t.View == nil:
+				case f.Now < t.Frozen:
+					if len(t.waiting) < 200 {
+						t.waiting = append(t.waiting, m)
+					}
+				default:
+					f.out(t, t.View.Got(f.Now, m))
+				}
+			})
+		}
+	}
+	for _, at := range out.Exchanges {
+		to := f.index(at)
+		if to < 0 || f.cut(d.i, to) {
+			continue
+		}
+		t, ask, life := f.Drivers[to], d.View.Exchange(), d.life
+		d.Bytes += 60 * float64(len(ask.Records))
+		f.at(2*f.late(), func() {
+			if t.View == nil || f.Now < t.Frozen {
+				return
+			}
+			answer := t.View.Exchange()
+			f.out(t, t.View.Merge(f.Now, ask))
+			if f.cut(to, d.i) {
+				return
+			}
+			t.Bytes += 60 * float64(len(answer.Records))
+			f.at(f.late(), func() {
+				if d.View != nil && d.life == life && f.Now >= d.Frozen {
+					f.out(d, d.View.Merge(f.Now, answer))
+				}
+			})
+		})
+	}
+}
+
+// Do carries out what a driver decided outside messages and time, such as leaving.
+func (f *Flock) Do(i int, what func(*membership.Fleet) membership.Out) {
+	f.out(f.Drivers[i], what(f.Drivers[i].View))
+}
+
+// Run lets time pass.
+func (f *Flock) Run(length float64) {
+	end := f.Now + length
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		e := heap.Pop(&f.queue).(event)
+		f.Now = e.at
+		e.do()
+	}
+	f.Now = end
+}
+
+// Until lets time pass until something is so, and gives how long that took; false where it was not so in time.
+func (f *Flock) Until(most float64, so func() bool) (took float64, ok bool) {
+	began := f.Now
+	for f.Now-began < most {
+		if so() {
+			return f.Now - began, true
+		}
+		f.Run(f.o.Period / 20)
+	}
+	return f.Now - began, so()
+}
+
+// Running are the drivers that run and do not stand still.
+func (f *Flock) Running() (all []*Driver) {
+	for _, d := range f.Drivers {
+		if d.View != nil && f.Now >= d.Frozen {
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
+// Stand says that all of these drivers have a standing.
+func (f *Flock) Stand(want membership.Standing, of ...int) bool {
+	for _, i := range of {
+		if v := f.Drivers[i].View; v == nil {
+			return false
+		} else if s, _, _ := v.Standing(); s != want {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,303 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"weirwind/internal/lab/flock"
+	"weirwind/internal/membership"
+)
+
+var all = []int{0, 1, 2, 3, 4}
+
+// five is a fleet of five that has founded its roster.
+func five(t *testing.T, o flock.Options) *flock.Flock {
+	t.Helper()
+	if o.Drivers == 0 {
+		o.Drivers = 5
+	}
+	f := flock.New(o)
+	var log []string
+	f.Notes = func(at float64, d string, n membership.Note) {
+		log = append(log, fmt.Sprintf("%.0f %s: %s %s %s", at, d, n.Reason, n.Name, n.Text))
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, l := range log[max(0, len(log)-120):] {
+				t.Log(l)
+			}
+		}
+	})
+	var each []int
+	for i := range o.Drivers {
+		f.Start(i, 0)
+		each = append(each, i)
+	}
+	wait(t, f, "founding", func() bool { return f.Stand(membership.Whole, each...) })
+	return f
+}
+
+func wait(t *testing.T, f *flock.Flock, what string, so func() bool) {
+	t.Helper()
+	if _, ok := f.Until(60000, so); !ok {
+		for _, d := range f.Drivers {
+			if d.View != nil {
+				t.Logf("%s: %+v", d.Name, d.View.Status())
+			}
+		}
+		t.Fatalf("%s: not so after a minute", what)
+	}
+}
+
+// parts cuts drivers of different parts from each other.
+func parts(of ...int) func(a, b int) bool {
+	return func(a, b int) bool { return of[a] != of[b] }
+}
+
+func state(f *flock.Flock, at int, of string) membership.View {
+	for _, v := range f.Drivers[at].View.Status().Drivers {
+		if v.Name == of {
+			return v
+		}
+	}
+	return membership.View{Name: "unknown", State: membership.Left}
+}
+
+func TestStandingsOfParts(t *testing.T) {
+	for _, x := range []struct {
+		parts []int
+		want  [2]membership.Standing
+	}{
+		{[]int{0, 0, 1, 1, 1}, [2]membership.Standing{membership.Smaller, membership.Larger}},
+		{[]int{0, 1, 1, 1, 1}, [2]membership.Standing{membership.Alone, membership.Larger}},
+		{[]int{0, 0, 1, 1}, [2]membership.Standing{membership.Unsure, membership.Unsure}},
+	} {
+		f := five(t, flock.Options{Drivers: len(x.parts), Seed: 7})
+		f.Cut = parts(x.parts...)
+		for part, want := range x.want {
+			for i, p := range x.parts {
+				if p == part {
+					wait(t, f, fmt.Sprint(x.parts, want), func() bool { return f.Stand(want, i) })
+				}
+			}
+		}
+		f.Run(60000) // and it stays so
+		for i, p := range x.parts {
+			if !f.Stand(x.want[p], i) {
+				s, why, _ := f.Drivers[i].View.Standing()
+				t.Errorf("%v: n%d is %s (%s) after a minute", x.parts, i, s, why)
+			}
+		}
+		if r := f.Drivers[0].View.Status().Roster; len(r.Names) != len(x.parts) || r.Version != 1 {
+			t.Errorf("a loss changed the roster: %+v", r)
+		}
+		f.Cut = nil
+		wait(t, f, "heal", func() bool { return f.Stand(membership.Whole, all[:len(x.parts)]...) })
+	}
+}
+
+// Killed ones stay on the roster until they come again, leave, or operators forget them.
+func TestKilledForgottenAndBack(t *testing.T) {
+	f := five(t, flock.Options{Seed: 3})
+	f.Kill(4)
+	wait(t, f, "one lost", func() bool { return f.Stand(membership.Larger, 0, 1, 2, 3) })
+	f.Start(4, 0)
+	wait(t, f, "one back", func() bool { return f.Stand(membership.Whole, all...) })
+	for i := 1; i < 5; i++ {
+		f.Kill(i)
+	}
+	wait(t, f, "all but one lost", func() bool { return f.Stand(membership.Alone, 0) })
+	if n := f.Drivers[0].View.Count(); n != 10 {
+		t.Errorf("alone of five it counts %d drivers: it may be cut off, and takes half of its share", n)
+	}
+	_, err := f.Drivers[0].View.Forget(f.Now, "n4", false)
+	if err != membership.ErrPart {
+		t.Error(err)
+	}
+	for i := 1; i < 5; i++ {
+		f.Do(0, func(v *membership.Fleet) membership.Out {
+			out, err := v.Forget(f.Now, fmt.Sprintf("n%d", i), true)
+			if err != nil {
+				t.Error(err)
+			}
+			return out
+		})
+	}
+	if !f.Stand(membership.Whole, 0) || f.Drivers[0].View.Count() != 1 {
+		t.Errorf("all others forgotten: %+v", f.Drivers[0].View.Status())
+	}
+	f.Start(2, 0)
+	wait(t, f, "a forgotten one comes anew", func() bool {
+		return f.Stand(membership.Whole, 0, 2) && len(f.Drivers[0].View.Status().Roster.Names) == 2
+	})
+}
+
+// Leaving on purpose shrinks what majorities are counted in; starting more grows it.
+func TestShrinkAndGrowOnPurpose(t *testing.T) {
+	f := five(t, flock.Options{Seed: 5})
+	for i := 4; i > 1; i-- {
+		f.Do(i, func(v *membership.Fleet) membership.Out { return v.Leave(f.Now) })
+		f.Run(300)
+		f.Kill(i)
+		wait(t, f, "one left", func() bool {
+			return f.Stand(membership.Whole, all[:i]...) && len(f.Drivers[0].View.Status().Roster.Names) == i
+		})
+		if s := state(f, 0, fmt.Sprintf("n%d", i)).State; s != membership.Left {
+			t.Errorf("n%d left on purpose and is taken for %s", i, s)
+		}
+	}
+	f.Add()
+	f.Start(5, 0)
+	wait(t, f, "one more", func() bool {
+		return f.Stand(membership.Whole, 0, 1, 5) && len(f.Drivers[5].View.Status().Roster.Names) == 3
+	})
+	f.Do(1, func(v *membership.Fleet) membership.Out {
+		out, err := v.Forget(f.Now, "n0", false)
+		if err != membership.ErrLives {
+			t.Error(err)
+		}
+		return out
+	})
+}
+
+// A new driver that only the smaller part hears is not admitted: majorities are not made by who happens to be there.
+func TestNewcomersOfTheSmallerPart(t *testing.T) {
+	f := five(t, flock.Options{Seed: 9, Seeds: 5})
+	f.Cut = parts(0, 0, 1, 1, 1, 0, 0, 0, 0)
+	wait(t, f, "cut", func() bool { return f.Stand(membership.Smaller, 0, 1) && f.Stand(membership.Larger, 2, 3, 4) })
+	for i := 5; i < 9; i++ {
+		f.Add()
+		f.Start(i, 0)
+	}
+	wait(t, f, "newcomers", func() bool { return f.Stand(membership.Smaller, 0, 1, 5, 6, 7, 8) })
+	f.Run(60000)
+	if !f.Stand(membership.Smaller, 0, 1, 5, 6, 7, 8) || !f.Stand(membership.Larger, 2, 3, 4) {
+		t.Error("six of nine that are there, two of five that count")
+	}
+	f.Cut = nil
+	wait(t, f, "heal", func() bool {
+		return f.Stand(membership.Whole, 0, 1, 2, 3, 4, 5, 6, 7, 8) && len(f.Drivers[8].View.Status().Roster.Names) == 9
+	})
+}
+
+// One that stood still blames itself: it fails nobody, and is believed again once it says so.
+func TestStoodStill(t *testing.T) {
+	for _, length := range []float64{1000, 3000, 5000, 20000} {
+		f := five(t, flock.Options{Seed: uint64(length)})
+		failed := 0
+		notes := f.Notes
+		f.Notes = func(at float64, d string, n membership.Note) {
+			if notes(at, d, n); n.Reason == "fellow_failed" && (d == "n2" || n.Name != "n2") {
+				failed++
+			}
+		}
+		f.Freeze(2, length)
+		f.Run(length + 100)
+		if s, _, _ := f.Drivers[2].View.Standing(); s != membership.Unsure {
+			t.Errorf("thawed after %.0f ms it is %s", length, s)
+		}
+		wait(t, f, "thawed", func() bool { return f.Stand(membership.Whole, all...) })
+		f.Run(20000)
+		if failed > 0 || !f.Stand(membership.Whole, all...) {
+			t.Errorf("%.0f ms: %d failed wrongly", length, failed)
+		}
+	}
+}
+
+func TestOneDirectionOfOnePair(t *testing.T) {
+	f := five(t, flock.Options{Seed: 2})
+	f.Cut = func(a, b int) bool { return a == 0 && b == 1 }
+	wait(t, f, "told", func() bool { return !state(f, 1, "n0").Heard && slices.Contains(state(f, 3, "n1").Deaf, "n0") })
+	f.Run(60000)
+	if !state(f, 0, "n1").Heard || state(f, 1, "n0").State == membership.Failed || !f.Stand(membership.Whole, all...) {
+		t.Errorf("cut from one alone: %+v %+v", f.Drivers[0].View.Status(), f.Drivers[1].View.Status())
+	}
+	f.Cut = nil
+	wait(t, f, "heal", func() bool { return state(f, 1, "n0").Heard && len(state(f, 3, "n1").Deaf) == 0 })
+}
+
+// One that is heard and does not hear, or is not heard at all, fails nobody else and does not count itself in.
+func TestMuteAndDeaf(t *testing.T) {
+	for name, cut := range map[string]func(a, b int) bool{"mute": func(a, b int) bool { return a == 3 }, "deaf": func(a, b int) bool { return b == 3 }} {
+		f := five(t, flock.Options{Seed: 4})
+		f.Cut = cut
+		wait(t, f, name, func() bool {
+			s, _, _ := f.Drivers[3].View.Standing()
+			return s < membership.Larger && f.Stand(membership.Larger, 0, 1, 2, 4)
+		})
+		f.Run(30000)
+		if s, _, _ := f.Drivers[3].View.Standing(); s >= membership.Larger || !f.Stand(membership.Larger, 0, 1, 2, 4) {
+			t.Errorf("%s: it is %s", name, s)
+		}
+		f.Cut = nil
+		wait(t, f, "heal", func() bool { return f.Stand(membership.Whole, all...) })
+	}
+}
+
+func TestRing(t *testing.T) {
+	f := five(t, flock.Options{Seed: 6})
+	f.Cut = func(a, b int) bool { return (a+1)%5 != b && (b+1)%5 != a }
+	f.Run(30000)
+	for range 100 {
+		f.Run(300)
+		for i := range 5 {
+			for _, v := range f.Drivers[i].View.Status().Drivers {
+				if v.State == membership.Failed {
+					t.Fatalf("n%d takes %s for failed", i, v.Name)
+				}
+			}
+		}
+	}
+	if state(f, 0, "n2").Heard || !state(f, 0, "n1").Heard {
+		t.Error("who hears whom is not told")
+	}
+}
+
+// The first one under a name keeps it; the second gets it when the first has ended.
+func TestNameTwice(t *testing.T) {
+	f := five(t, flock.Options{Seed: 8})
+	f.Add().Name = "n4"
+	f.Start(5, 0)
+	wait(t, f, "told", func() bool {
+		s, why, _ := f.Drivers[5].View.Standing()
+		return s == membership.Unsure && why == "name_taken"
+	})
+	f.Run(30000)
+	if !f.Stand(membership.Whole, all...) || state(f, 0, "n4").Address != f.Drivers[4].View.Status().Address {
+		t.Error("the second one took the name")
+	}
+	f.Kill(4)
+	wait(t, f, "taken over", func() bool { return f.Stand(membership.Whole, 0, 1, 2, 3, 5) })
+	// a clock that went back, at the same address
+	f.Kill(0)
+	f.Start(0, -500000)
+	wait(t, f, "back in time", func() bool { return f.Stand(membership.Whole, 0, 1, 2, 3, 5) })
+}
+
+func TestAllRestarted(t *testing.T) {
+	f := five(t, flock.Options{Seed: 1})
+	for i := range 5 {
+		f.Kill(i)
+		f.Run(700)
+		f.Start(i, 0)
+		f.Run(700)
+	}
+	wait(t, f, "one by one", func() bool { return f.Stand(membership.Whole, all...) })
+	for i := range 5 {
+		f.Kill(i)
+	}
+	for i := range 5 {
+		f.Start(i, 0)
+	}
+	wait(t, f, "at once", func() bool { return f.Stand(membership.Whole, all...) })
+}
+
+// Datagrams lost, doubled and late fail nobody for good.
+func TestLossyNetwork(t *testing.T) {
+	f := five(t, flock.Options{Seed: 12, Double: 0.2, Latency: 40})
+	f.Loss = 0.3
+	f.Run(600000)
+	f.Loss = 0
+	wait(t, f, "calm again", func() bool { return f.Stand(membership.Whole, all...) })
+}
--- /dev/null
+++ b/internal/membership/records.go
@@ -0,0 +1,197 @@
+// Package membership decides who a driver's fellows are, who of them has failed, and what may be done while that can't be
+// known. It does no I/O and reads no clock: it takes messages and the passing of time, and gives messages to be sent.
+//
+// This file owns what is said of a driver, and which of two sayings holds. It must never let an older saying undo a
+// newer one, or take word of a process for word of another that has its name.
+//
+// Sources: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol"
+// (DSN 2002); Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (2017).
+// Times are milliseconds everywhere.
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+)
+
+// State is what a driver is taken for.
+type State uint8
+
+const (
+	Alive   State = iota
+	Suspect       // it did not answer, and may still say that it lives
+	Failed        // it said nothing for as long as it had to
+	Left          // it left on purpose, or operators said that it is gone
+)
+
+var stateNames = [...]string{"alive", "suspect", "failed", "left"}
+
+func (s State) String() string { return stateNames[min(int(s), len(stateNames)-1)] }
+
+// MarshalText gives a state its name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText takes a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("state %q is not known", text)
+	}
+	*s = State(i)
+	return nil
+}
+
+// Record is a saying of one driver.
+type Record struct {
+	Name    string `cbor:"1,keyasint"`
+	Run     uint64 `cbor:"2,keyasint"` // of the process; a later one under the name has a higher one
+	Inc     uint32 `cbor:"3,keyasint"` // raised by the process alone, to deny that it has failed
+	State   State  `cbor:"4,keyasint"`
+	Address string `cbor:"5,keyasint"` // host:port at which it is reached
+	Zone    string `cbor:"6,keyasint,omitempty"`
+	By      string `cbor:"7,keyasint,omitempty"` // who suspects it
+}
+
+const (
+	mostName = 64      // bytes
+	mostRun  = 1 << 62 // a higher one is spoilt
+)
+
+// sane says whether a record can be true at all.
+func (r *Record) sane() bool {
+	return r.Name != "" && len(r.Name) <= mostName && len(r.Zone) <= mostName && len(r.By) <= mostName && r.Address != "" &&
+		len(r.Address) <= mostName && r.State <= Left && r.Run > 0 && r.Run < mostRun
+}
+
+// size is about how many bytes it takes in a message.
+func (r *Record) size() int { return 28 + len(r.Name) + len(r.Address) + len(r.Zone) + len(r.By) }
+
+// ended says that nothing is expected of it.
+func (s State) ended() bool { return s >= Failed }
+
+// order compares two sayings of one process, or of processes that followed each other at one address.
+func order(a, b *Record) int {
+	last := func(r *Record) int {
+		if r.State == Left { // for good, whatever the incarnation
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Run, b.Run), cmp.Compare(last(a), last(b)), cmp.Compare(a.Inc, b.Inc), cmp.Compare(a.State, b.State))
+}
+
+// supersedes says whether r is to replace what is held. Two living processes at two addresses under one name: the one that
+// was there first keeps it, as its fellows know it; the other one waits until that has ended.
+func (r *Record) supersedes(held *Record) bool {
+	if r.Run == held.Run || r.Address == held.Address {
+		return order(r, held) > 0
+	}
+	switch {
+	case held.State.ended():
+		return r.Run > held.Run
+	case r.State.ended():
+		return false
+	}
+	return r.Run < held.Run
+}
+
+// contests says that both are of living processes with one name.
+func (r *Record) contests(held *Record) bool {
+	return r.Run != held.Run && r.Address != held.Address && !r.State.ended() && !held.State.ended()
+}
+
+// mark is a number that stands for a process that lives, to compare views by.
+func mark(name string, run uint64) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	for i := range 8 {
+		h.Write([]byte{byte(run >> (8 * i))})
+	}
+	return h.Sum64()
+}
+
+// sumOf is a number that stands for a set of names.
+func sumOf(names []string) (sum uint64) {
+	for _, n := range names {
+		sum ^= mark(n, 0)
+	}
+	return sum
+}
+
+// Kind of a message.
+type Kind uint8
+
+const (
+	Ping   Kind = iota + 1 // To answers by Ack
+	Ask                    // the receiver pings To at At for the sender
+	Ack                    // To lives: from itself, or from who asked it
+	Nack                   // who was asked lives, and To does not answer
+	Gossip                 // carries word alone
+)
+
+// Message is what goes between two drivers by UDP.
+type Message struct {
+	Kind    Kind      `cbor:"1,keyasint"`
+	From    Record    `cbor:"2,keyasint"`
+	Count   uint64    `cbor:"3,keyasint"`           // of the sender's messages: one that is not higher is old, or a copy
+	Seq     uint64    `cbor:"4,keyasint,omitempty"` // of the probe
+	To      string    `cbor:"5,keyasint,omitempty"`
+	At      string    `cbor:"6,keyasint,omitempty"`
+	View    uint64    `cbor:"7,keyasint,omitempty"` // of the drivers that live, as the sender sees it
+	Roster  uint64    `cbor:"8,keyasint,omitempty"` // version of the roster that the sender holds
+	Sum     uint64    `cbor:"9,keyasint,omitempty"` // and its names
+	Records []Record  `cbor:"10,keyasint,omitempty"`
+	Hears   []Hearing `cbor:"11,keyasint,omitempty"`
+	Vote    *Vote     `cbor:"12,keyasint,omitempty"`
+	Decided *Change   `cbor:"13,keyasint,omitempty"`
+}
+
+// Hearing is whom a driver does not hear itself, though they are said to live.
+type Hearing struct {
+	Name string   `cbor:"1,keyasint"`
+	Run  uint64   `cbor:"2,keyasint"`
+	Turn uint32   `cbor:"3,keyasint"` // a higher one is newer
+	Deaf []string `cbor:"4,keyasint,omitempty"`
+}
+
+const (
+	mostBytes   = 1000 // of word in a message, about
+	mostDeaf    = 16   // names in a hearing
+	mostRecords = 64   // in a message that is taken
+)
+
+func (h *Hearing) size() int {
+	n := 24 + len(h.Name)
+	for _, d := range h.Deaf {
+		n += 2 + len(d)
+	}
+	return n
+}
+
+// Exchange is all that a driver knows, for a fellow that starts or was cut off.
+type Exchange struct {
+	From    Record    `cbor:"1,keyasint"`
+	Records []Record  `cbor:"2,keyasint,omitempty"`
+	Hears   []Hearing `cbor:"3,keyasint,omitempty"`
+	Roster  *Roster   `cbor:"4,keyasint,omitempty"`
+}
+
+// Send is a message that is to go out.
+type Send struct {
+	Address string
+	Message Message
+}
+
+// Note is a line for the log: a reason code, whom it is about, and more.
+type Note struct {
+	Reason, Name, Text string
+}
+
+// Out is what is to be done.
+type Out struct {
+	Sends     []Send
+	Exchanges []string // addresses with which whole states are to be exchanged
+	Notes     []Note
+}
--- a/internal/operator/migrate.go
+++ b/internal/operator/migrate.go
@@ -35,6 +35,11 @@
 		control.Listen, control.Fellows, control.TokenFile = "", nil, ""
 		f.Control = &control
 	}
+	if m := old.Membership; m != nil {
+		dropped = append(dropped, fmt.Sprintf("membership.listen = %q: drivers that share nothing do not know of each other; "+
+			"give fleet.drivers if the platform does not tell how many there are", m.Listen))
+		f.Membership = nil
+	}
 	if g := old.Registry; g != nil && g.DriversPrefix != "" {
 		registry := *g
 		dropped = append(dropped, fmt.Sprintf("registry.drivers_prefix = %q: drivers do not announce themselves; "+
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -28,6 +29,23 @@
 	Control  *Control // nil: no socket for hooks
 	Ledger   *Ledger  // nil: outcomes of ops are not kept
 	Fleet    *Fleet   // nil: the deployment's shape is as the platform's settings say
+	// Membership is the drivers' own knowledge of each other; nil: they have none.
+	Membership *Membership
+}
+
+// Membership is the block "membership": drivers find out who of them is there.
+type Membership struct {
+	Listen    string   // IP:port, for UDP and TCP; outgoing sockets are bound to this IP
+	Advertise string   // IP:port at which fellows reach this driver; empty: Listen
+	Seeds     []string // IP:port of fellows
+	TokenFile string   // a secret that drivers show each other; empty: that of the control block
+	Zone      string   // empty: the platform's
+	Period    time.Duration
+	// Expect is how many drivers there are to be before they first agree on a roster. 0: as many as the platform or the
+	// fleet block says, and no fewer than the seeds.
+	Expect int
+	// Yield: a larger part takes over the share of those that it lost after so long.
+	Yield time.Duration
 }
 
 // Fleet is the block "fleet": the shape of a deployment where it is not what the platform's settings say. Each
@@ -111,7 +129,7 @@
 	r := &reader{problems: problems}
 	if !problems.HasErrors() {
 		blocks := r.content(syntax.Body, &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "state"}, {Type: "peers"}, {Type: "control"}, {Type: "ledger"},
-			{Type: "fleet"}, {Type: "registry", LabelNames: []string{"dialect"}}}})
+			{Type: "fleet"}, {Type: "membership"}, {Type: "registry", LabelNames: []string{"dialect"}}}})
 		seen := map[string]*hcl.Range{}
 		for _, b := range blocks.Blocks {
 			if before := seen[b.Type]; before != nil {
@@ -132,10 +150,20 @@
 				f.Control = r.control(b)
 			case "fleet":
 				f.Fleet = r.fleet(b)
+			case "membership":
+				f.Membership = r.membership(b)
 			case "registry":
 				f.Registry = r.registry(b)
 			}
 		}
+		if m := f.Membership; m != nil && m.TokenFile == "" {
+			if f.Control != nil {
+				m.TokenFile = f.Control.TokenFile
+			}
+			if m.TokenFile == "" {
+				r.problem(*seen["membership"], "membership wants a token_file, its own or control's.")
+			}
+		}
 	}
 	if r.problems.HasErrors() {
 		return Default(), problemsError(r.problems)
@@ -321,6 +349,45 @@
 	return c
 }
 
+func (r *reader) membership(b *hcl.Block) *Membership {
+	attrs := r.block(b, "listen", "advertise", "seeds", "token_file", "zone", "period", "expect", "yield")
+	m := &Membership{Period: r.duration(attrs, "period", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
+		Expect: r.whole(attrs, "expect", 0, 0, 20000), Yield: r.duration(attrs, "yield", 15*time.Second, time.Second, time.Hour)}
+	literal := func(at hcl.Range, name, text string) {
+		if a, err := netip.ParseAddrPort(text); err != nil {
+			r.problem(at, "%s: %q is no IP:port, such as 10.0.0.5:7434.", name, text)
+		} else if name != "listen" && (a.Port() == 0 || a.Addr().IsUnspecified()) {
+			r.problem(at, "%s: nobody can be reached at %q.", name, text)
+		}
+	}
+	var at hcl.Range
+	if m.Listen, at = r.text(attrs, "listen", ""); m.Listen == "" {
+		r.problem(b.DefRange, "membership wants listen.")
+	} else {
+		literal(at, "listen", m.Listen)
+	}
+	if m.Advertise, at = r.text(attrs, "advertise", ""); m.Advertise != "" {
+		literal(at, "advertise", m.Advertise)
+	} else if a, err := netip.ParseAddrPort(m.Listen); err == nil && a.Addr().IsUnspecified() {
+		r.problem(b.DefRange, "membership that listens at %q wants advertise.", m.Listen)
+	}
+	if v, at, ok := r.value(attrs, "seeds", cty.List(cty.String)); ok {
+		for _, s := range v.AsValueSlice() {
+			if s.IsNull() {
+				r.problem(at, "seeds: null is no IP:port.")
+				continue
+			}
+			literal(at, "seeds", s.AsString())
+			m.Seeds = append(m.Seeds, s.AsString())
+		}
+	}
+	m.TokenFile, _ = r.text(attrs, "token_file", "")
+	if m.Zone, at = r.text(attrs, "zone", ""); len(m.Zone) > 64 {
+		r.problem(at, "zone has %d bytes; 64 at most.", len(m.Zone))
+	}
+	return m
+}
+
 func (r *reader) registry(b *hcl.Block) *Registry {
 	attrs := r.block(b, "endpoints", "prefix", "service", "credentials_file", "ca_file", "take_over", "confirm", "silence",
 		"drivers_prefix", "lease")
@@ -401,6 +468,10 @@
 		fmt.Fprintf(&b, "control {\n  socket     = %s\n  listen     = %s\n  fellows    = [%s]\n  token_file = %s\n  lease      = %q\n  most       = %q\n  opening    = %q\n}\n",
 			quoted(c.Socket), quoted(c.Listen), strings.Join(list(c.Fellows), ", "), quoted(c.TokenFile), c.Lease, c.Most, c.Opening)
 	}
+	if m := f.Membership; m != nil {
+		fmt.Fprintf(&b, "membership {\n  listen     = %s\n  advertise  = %s\n  seeds      = [%s]\n  token_file = %s\n  zone       = %s\n  period     = %q\n  expect     = %d\n  yield      = %q\n}\n",
+			quoted(m.Listen), quoted(m.Advertise), strings.Join(list(m.Seeds), ", "), quoted(m.TokenFile), quoted(m.Zone), m.Period, m.Expect, m.Yield)
+	}
 	if g := f.Registry; g != nil {
 		ends := list(g.Endpoints)
 		fmt.Fprintf(&b, "registry %q {\n  endpoints        = [%s]\n  prefix           = %s\n  service          = %s\n  credentials_file = %s\n"+
