--- a/cmd/weirlab/main.go
+++ b/cmd/weirlab/main.go
@@ -30,6 +30,8 @@
 	Trust      trustCommand      `cmd:"" help:"Play the same scenarios on sockets and in virtual time, and compare."`
 	Switch     switchCommand     `cmd:"" help:"Change the primary again and again under load, with hooks, without, and by killing it; count gaps and effects."`
 	Storm      stormCommand      `cmd:"" help:"Restart a stand-in registry under many clients that follow it, ours and naive ones."`
+	Flock      flockCommand      `cmd:"" help:"Measure how drivers find out about each other, in virtual time."`
+	Fleet      fleetCommand      `cmd:"" help:"Play a script with processes of the program that know each other, and draw who saw whom when."`
 	Load       loadCommand       `cmd:"" help:"Ask drivers at a rate that does not wait for them."`
 }
 
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -42,6 +42,19 @@
 #   opening    = "10s"
 # }
 
+# Drivers know each other: who is there, who has failed; docs/membership.md. Off on the platform, which allows no such talk.
+#
+# membership {
+#   listen     = "10.0.0.5:7434"            # IP:port, UDP and TCP
+#   advertise  = ""                         # where fellows reach it; empty: listen
+#   seeds      = []                         # IP:port of some fellows
+#   token_file = ""                         # empty: control's
+#   zone       = ""                         # empty: the platform's
+#   period     = "500ms"                    # between two probes of one driver
+#   expect     = 0                          # drivers before they first agree; 0: the platform's figure
+#   yield      = "15s"                      # the share of lost ones is taken over after so long
+# }
+
 # Outcomes of writes that carry key=...; docs/switchover.md. Off on the platform, which has no disk that persists.
 #
 # ledger {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -73,7 +73,6 @@
 	count        counters
 	decide       *decider
 	members      *members
-	peers        *peers
 	watching     chan struct{}
 	group        errgroup.Group // connections of clients, and sends
 	probing      errgroup.Group
@@ -97,8 +96,7 @@
 	switches  *switches          // nil where the operators switch no control socket on
 	registry  *operator.Registry // nil where members come from discovery alone
 	following *registry.Watcher
-	present   *presence // among fellow drivers; nil where they are not in the registry
-	fellows   *fellows  // nil where drivers do not know each other
+	fellows   *fellows // the other drivers
 
 	moving  sync.Mutex // guards what follows
 	movedTo string     // where discovery is now, until the watch has moved there
@@ -166,7 +164,8 @@
 	if told.Opening.ReportsByProbe {
 		v.members.probeQuery = "SHOW usage"
 	}
-	if v.peers, err = newPeers(&a.Assignment, told.Index,
+	v.fellows = &fellows{v: v}
+	if v.fellows.peers, err = newPeers(&a.Assignment, told.Index,
 		o.Registry != nil && o.Registry.DriversPrefix != "", &v.count); err != nil {
 		return nil, fmt.Errorf("configuration: peers: %v", err)
 	}
@@ -191,7 +190,7 @@
 		}
 	}
 	if o.Membership != nil {
-		if err := v.openFellows(*o.Membership, &a); err != nil {
+		if err := v.fellows.openMesh(*o.Membership, &a); err != nil {
 			return nil, err
 		}
 	}
@@ -200,9 +199,11 @@
 			return nil, err
 		}
 		if v.registry.DriversPrefix != "" {
-			address, talks := a.PeerListen, told.Opening.MayMessage && v.peers.conn != nil
-			if v.peers.conn != nil {
-				address = v.peers.conn.LocalAddr().String()
+			address, talks := a.PeerListen, told.Opening.MayMessage && v.fellows.peers.conn != nil
+			if v.fellows.peers.conn != nil {
+				address = v.fellows.peers.conn.LocalAddr().String()
+			} else if v.fellows.mesh != nil {
+				address = v.fellows.mesh.Address()
 			} else if address == "" {
 				address = a.Listen
 			}
@@ -210,7 +211,7 @@
 				return nil, err
 			}
 			if talks {
-				v.peers.heard = v.present.heard
+				v.fellows.peers.heard = v.fellows.present.heard
 			}
 		}
 	}
@@ -241,24 +242,14 @@
 	if v.registry != nil {
 		back.Go(func() error { v.following.Run(life); return nil })
 		back.Go(func() error { every(life, rosterTick, v.tick); return nil })
-		if v.present != nil {
-			back.Go(func() error { v.present.run(life); return nil })
-			back.Go(func() error { v.present.follower.Run(life); return nil })
-		}
 	}
 	if v.switches != nil {
 		back.Go(func() error { return v.switches.run(life) })
 	}
-	if v.fellows != nil {
-		back.Go(func() error { return v.fellows.mesh.Run(life) })
-	}
+	v.fellows.run(life, &back)
 	if v.keep != nil {
 		go v.keep.run(life) // a disk that hangs must not keep the rest from ending
 	}
-	if v.peers.conn != nil {
-		back.Go(func() error { v.peers.write(life); return nil })
-		back.Go(func() error { v.peers.read(life, v.decide); return nil })
-	}
 	stop := context.AfterFunc(ctx, func() {
 		now := time.Now()
 		v.stopped.Store(&now)
@@ -315,9 +306,7 @@
 	if v.keep != nil && o.State != nil {
 		v.keep.change(*o.State)
 	}
-	if v.fellows != nil && o.Membership != nil {
-		v.fellows.change(*o.Membership)
-	}
+	v.fellows.change(o.Membership)
 	v.moving.Lock()
 	from, kept := v.config.Discovery, v.config.differs(f)
 	if v.config.Discovery = f.Discovery; from != f.Discovery {
@@ -432,7 +421,7 @@
 
 func (v *Service) note(text string) { v.log.Info("decided", "text", text) }
 
-func (v *Service) tellPeers(data []byte) { v.peers.tell(data) }
+func (v *Service) tellPeers(data []byte) { v.fellows.peers.tell(data) }
 
 func (v *Service) askList() {
 	select {
--- a/internal/driver/fellows.go
+++ b/internal/driver/fellows.go
@@ -1,19 +1,25 @@
 package driver
 
-// This file owns the driver's place among its fellows: what the mesh is opened with, what goes over it (words on changes of
-// primaries, drains), and where the count of drivers comes from. It must never judge a word or a standing itself.
+// This file owns all ways by which drivers hear of each other: the mesh of those that know each other, words to a fixed list
+// of fellows, the registry's presence, and peers' messages; and where the count of drivers comes from. It must never judge a
+// word or a standing itself, or keep a hook or an op waiting for a fellow.
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"weirwind/internal/control"
 	"weirwind/internal/membership"
 	"weirwind/internal/mesh"
 	"weirwind/internal/operator"
 	"weirwind/internal/roster"
+	"weirwind/internal/switchover"
 	"weirwind/logic"
 )
 
@@ -22,12 +28,16 @@
 	drainKeep  = 10 * time.Minute // a drain whose revision the own list does not come to, though it speaks
 	drainLate  = time.Minute      // drains of so late go along with each word; all with whole states
 	mostWords  = 256
+	switchAsk  = time.Second // between calls for what fellows of the fixed list know
 )
 
-// fellows is what is held of the mesh.
+// fellows are the other drivers, by whatever way they are known. Each way may be missing.
 type fellows struct {
-	v    *Service
-	mesh *mesh.Mesh
+	v       *Service
+	peers   *peers     // the platform's messages
+	present *presence  // in the registry
+	fixed   []*fellow  // told words by HTTP
+	mesh    *mesh.Mesh // of those that know each other
 
 	mu     sync.Mutex // guards what follows
 	drains *membership.Drains
@@ -36,8 +46,47 @@
 	period time.Duration
 }
 
-// openFellows opens the mesh.
-func (v *Service) openFellows(o operator.Membership, a *file) error {
+// run is among fellows until the context ends.
+func (f *fellows) run(ctx context.Context, back *errgroup.Group) {
+	if p := f.present; p != nil {
+		back.Go(func() error { p.run(ctx); return nil })
+		back.Go(func() error { p.follower.Run(ctx); return nil })
+	}
+	if f.peers.conn != nil {
+		back.Go(func() error { f.peers.write(ctx); return nil })
+		back.Go(func() error { f.peers.read(ctx, f.v.decide); return nil })
+	}
+	for _, x := range f.fixed {
+		back.Go(func() error { x.exchange(ctx, f.v.switches); x.Close(); return nil })
+	}
+	if f.mesh != nil {
+		back.Go(func() error { return f.mesh.Run(ctx) })
+	}
+}
+
+// news has fellows told of a word that is new here.
+func (f *fellows) news() {
+	for _, x := range f.fixed {
+		select {
+		case x.wake <- struct{}{}:
+		default:
+		}
+	}
+	if f.mesh != nil {
+		f.mesh.Spread()
+	}
+}
+
+// fix takes the operators' fixed list.
+func (f *fellows) fix(addresses []string, token string) {
+	for _, a := range addresses {
+		f.fixed = append(f.fixed, &fellow{Client: control.NewClient(a, token), wake: make(chan struct{}, 1)})
+	}
+}
+
+// openMesh opens the sockets of drivers that know each other.
+func (f *fellows) openMesh(o operator.Membership, a *file) error {
+	v := f.v
 	token, err := secret(o.TokenFile)
 	if err != nil {
 		return fmt.Errorf("membership: token: %v", err)
@@ -46,7 +95,7 @@
 	if err != nil {
 		return fmt.Errorf("membership: listen: %v", err)
 	}
-	f := &fellows{v: v, drains: membership.NewDrains(mostDrains, milliseconds(drainKeep)), seeds: o.Seeds, period: o.Period}
+	f.drains, f.seeds, f.period = membership.NewDrains(mostDrains, milliseconds(drainKeep)), o.Seeds, o.Period
 	zone, expect := o.Zone, o.Expect
 	if zone == "" {
 		zone = a.told.Opening.Zone
@@ -60,7 +109,6 @@
 	if f.mesh, err = mesh.Open(opts); err != nil {
 		return fmt.Errorf("membership: %v", err)
 	}
-	v.fellows = f
 	for i, text := range a.Peers {
 		if at, err := netip.ParseAddrPort(text); err == nil && i != a.told.Index {
 			f.others = append(f.others, f.near(at))
@@ -99,9 +147,16 @@
 
 // listed takes the addresses of fellows that the registry names: seeds more, and nothing else.
 func (f *fellows) listed(addresses []netip.AddrPort) {
+	if f.mesh == nil {
+		return
+	}
 	var others []string
 	for _, at := range addresses {
-		others = append(others, f.near(at))
+		if f.peers.conn != nil { // those are of peers' messages
+			others = append(others, f.near(at))
+		} else {
+			others = append(others, at.String())
+		}
 	}
 	slices.Sort(others)
 	f.mu.Lock()
@@ -114,7 +169,10 @@
 }
 
 // change takes the operators' seeds and period anew.
-func (f *fellows) change(o operator.Membership) {
+func (f *fellows) change(o *operator.Membership) {
+	if f.mesh == nil || o == nil {
+		return
+	}
 	f.mu.Lock()
 	f.seeds, f.period = o.Seeds, o.Period
 	f.mu.Unlock()
@@ -174,6 +232,9 @@
 
 // list takes what a source's list told of members.
 func (f *fellows) list(source roster.Source, revision int64, changes []roster.Entry) {
+	if f.mesh == nil {
+		return
+	}
 	var told []membership.Drain
 	for _, e := range changes {
 		told = append(told, membership.Drain{Member: e.ID, Source: uint8(source), Revision: revision, Up: e.Phase == roster.Up})
@@ -196,21 +257,76 @@
 }
 
 // stand takes a new standing, or count of drivers.
-func (f *fellows) stand(s membership.Standing, count int) {
-	f.v.counted(count, true, true)
-}
+func (f *fellows) stand(_ membership.Standing, count int) { f.counted(count, true, true) }
 
 // counted tells of how many drivers there are. Where drivers know each other that alone decides, and what the registry
 // lists is no second truth.
-func (v *Service) counted(n int, known, module bool) {
-	if !known && v.fellows != nil {
+func (f *fellows) counted(n int, known, module bool) {
+	if !known && f.mesh != nil {
 		return
 	}
-	v.log.Info("drivers", "count", n)
+	f.v.log.Info("drivers", "count", n)
 	if module {
-		v.decide.step(logic.Event{Kind: logic.EvDrivers, Drivers: n})
+		f.v.decide.step(logic.Event{Kind: logic.EvDrivers, Drivers: n})
+	}
+	if f.v.following != nil {
+		f.v.following.Course.Fellows(n)
 	}
-	if v.following != nil {
-		v.following.Course.Fellows(n)
+}
+
+// fellow is another driver that is told words and asked for its own.
+type fellow struct {
+	*control.Client
+	wake chan struct{}
+	away bool // the last call failed
+}
+
+// exchange asks a fellow what it knows, at the start and every second, and tells it at once what is new here. One that
+// can't be reached learns of it by the next call, of its own or of ours.
+func (f *fellow) exchange(ctx context.Context, s *switches) {
+	known := map[int64]switchover.Word{}
+	for {
+		all, err := f.Client.Status(ctx)
+		for _, k := range all {
+			if err := s.Told(k.Word); err != nil {
+				s.v.log.Warn("switch", "fellow", f.Address, "error", err)
+			}
+			known[k.Group] = key(k.Word)
+		}
+		for tell := err == nil; tell; {
+			var news []switchover.Word
+			for _, k := range s.Status() {
+				if known[k.Group] != key(k.Word) {
+					news = append(news, k.Word)
+				}
+			}
+			if len(news) > 0 {
+				err = f.Tell(ctx, news)
+			}
+			for _, w := range news {
+				known[w.Group] = key(w)
+			}
+			select {
+			case <-f.wake:
+				tell = err == nil
+			default:
+				tell = false
+			}
+		}
+		if away := err != nil; away != f.away && ctx.Err() == nil {
+			f.away = away
+			s.v.log.Warn("fellow", "address", f.Address, "away", away, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(switchAsk):
+		case <-f.wake:
+		}
 	}
 }
+
+// key is what of a word makes it news.
+func key(w switchover.Word) switchover.Word {
+	return switchover.Word{Group: w.Group, Epoch: w.Epoch, Stage: w.Stage, Beat: w.Beat}
+}
--- a/internal/driver/listing.go
+++ b/internal/driver/listing.go
@@ -35,7 +35,7 @@
 	defer v.listing.Unlock()
 	out := v.roster.Told(v.decide.clock.now(), u)
 	v.give(out, logic.ListChanges)
-	if v.fellows != nil && out.Verdict != roster.Gap && out.Verdict != roster.Held {
+	if out.Verdict != roster.Gap && out.Verdict != roster.Held {
 		v.fellows.list(u.Source, u.Revision, out.Changes)
 	}
 	return out.Verdict
--- a/internal/driver/presence.go
+++ b/internal/driver/presence.go
@@ -62,7 +62,7 @@
 	}
 	p.follower = &registry.Watcher{Client: client, Now: v.decide.clock.now, Position: p.position, Told: p.told, Lost: p.lost, Alive: p.alive,
 		Course: roster.NewCourse(roster.CourseRules{Endpoints: len(o.Endpoints), Fellows: drivers, Seed: seed + 1})}
-	v.present = p
+	v.fellows.present = p
 	return nil
 }
 
@@ -130,18 +130,16 @@
 	p.count = n
 	p.mu.Unlock()
 	if p.talks {
-		p.v.peers.meet(names)
+		p.v.fellows.peers.meet(names)
 	}
 	if len(fell)+len(back) > 0 {
 		p.v.log.Warn("fellows", "silent", strings.Join(fell, ","), "back", strings.Join(back, ","))
 	}
 	if changed {
-		p.v.counted(n, false, p.talks)
+		p.v.fellows.counted(n, false, p.talks)
 		p.follower.Course.Fellows(n)
 	}
-	if p.v.fellows != nil {
-		p.v.fellows.listed(slices.Collect(maps.Keys(names)))
-	}
+	p.v.fellows.listed(slices.Collect(maps.Keys(names)))
 }
 
 // run keeps the lease and looks around until the context ends, then gives the lease up.
--- a/internal/driver/switches.go
+++ b/internal/driver/switches.go
@@ -1,7 +1,7 @@
 package driver
 
 // This file owns what the driver does with words on changes of primaries: it puts them before internal/switchover, carries
-// out what that decides, and tells fellow drivers. It must never judge a word itself, or keep a hook waiting for a fellow.
+// out what that decides, and has fellow drivers told. It must never judge a word itself, or keep a hook waiting for a fellow.
 
 import (
 	"context"
@@ -23,7 +23,6 @@
 
 const (
 	switchLook   = 20 * time.Millisecond // between looks at who is primary, while a change is open
-	switchAsk    = time.Second           // between calls for what fellows know
 	switchGroups = 64
 )
 
@@ -31,7 +30,6 @@
 	v         *Service
 	listeners []net.Listener
 	token     string
-	fellows   []*fellow
 
 	mu   sync.Mutex
 	book *switchover.Book
@@ -66,9 +64,7 @@
 		}
 		s.listeners = append(s.listeners, ln)
 	}
-	for _, address := range o.Fellows {
-		s.fellows = append(s.fellows, &fellow{Client: control.NewClient(address, s.token), wake: make(chan struct{}, 1)})
-	}
+	v.fellows.fix(o.Fellows, s.token)
 	v.switches = s
 	return nil
 }
@@ -87,12 +83,9 @@
 	for _, ln := range s.listeners {
 		ln.Close()
 	}
-	for _, f := range s.fellows {
-		f.Close()
-	}
 }
 
-// run serves calls, looks at primaries while a change is open, and exchanges words with fellows.
+// run serves calls, and looks at primaries while a change is open.
 func (s *switches) run(ctx context.Context) error {
 	defer s.close()
 	var all errgroup.Group
@@ -109,69 +102,9 @@
 		})
 	}
 	all.Go(func() error { every(ctx, switchLook, s.look); return nil })
-	for _, f := range s.fellows {
-		all.Go(func() error { s.exchange(ctx, f); return nil })
-	}
 	return all.Wait()
 }
 
-// fellow is another driver that is told words and asked for its own.
-type fellow struct {
-	*control.Client
-	wake chan struct{}
-	away bool // the last call failed
-}
-
-// exchange asks a fellow what it knows, at the start and every second, and tells it at once what is new here. One that
-// can't be reached learns of it by the next call, of its own or of ours.
-func (s *switches) exchange(ctx context.Context, f *fellow) {
-	known := map[int64]switchover.Word{}
-	for {
-		all, err := f.Client.Status(ctx)
-		for _, k := range all {
-			if err := s.Told(k.Word); err != nil {
-				s.v.log.Warn("switch", "fellow", f.Address, "error", err)
-			}
-			known[k.Group] = key(k.Word)
-		}
-		for tell := err == nil; tell; {
-			var news []switchover.Word
-			for _, k := range s.Status() {
-				if known[k.Group] != key(k.Word) {
-					news = append(news, k.Word)
-				}
-			}
-			if len(news) > 0 {
-				err = f.Tell(ctx, news)
-			}
-			for _, w := range news {
-				known[w.Group] = key(w)
-			}
-			select {
-			case <-f.wake:
-				tell = err == nil
-			default:
-				tell = false
-			}
-		}
-		if away := err != nil; away != f.away && ctx.Err() == nil {
-			f.away = away
-			s.v.log.Warn("fellow", "address", f.Address, "away", away, "error", err)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(switchAsk):
-		case <-f.wake:
-		}
-	}
-}
-
-// key is what of a word makes it news.
-func key(w switchover.Word) switchover.Word {
-	return switchover.Word{Group: w.Group, Epoch: w.Epoch, Stage: w.Stage, Beat: w.Beat}
-}
-
 // Hook takes a word of a hook; fellows are told behind its back.
 func (s *switches) Hook(w switchover.Word) (switchover.Word, error) {
 	if !s.v.decide.serves(w.Group) {
@@ -192,7 +125,7 @@
 
 // allowed says whether a hook's word may be taken in this driver's standing among its fellows.
 func (s *switches) allowed(w switchover.Word) error {
-	if s.v.fellows == nil {
+	if s.v.fellows.mesh == nil {
 		return nil
 	}
 	act := membership.EndHold
@@ -215,7 +148,7 @@
 
 // Fellowship is the view of fellows, nil where they do not know each other.
 func (s *switches) Fellowship() control.Fellowship {
-	if s.v.fellows == nil {
+	if s.v.fellows.mesh == nil {
 		return nil
 	}
 	return s.v.fellows.mesh
@@ -281,14 +214,6 @@
 	}
 	if out.Note != "" {
 		s.v.log.Info("switch", "text", out.Note)
-		for _, f := range s.fellows {
-			select {
-			case f.wake <- struct{}{}:
-			default:
-			}
-		}
-		if s.v.fellows != nil {
-			s.v.fellows.mesh.Spread()
-		}
+		s.v.fellows.news()
 	}
 }
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -70,6 +70,7 @@
 	entries  map[string]discovery.Entry
 	told     map[string]time.Time // by member: when a drain was answered to a watch first
 	applied  map[string]int       // by op: how often a write ran
+	arrived  map[string]int       // by member: ops that came
 	late     []string             // ops that came to a member after it was told to drain, by more than the grace
 	primary  map[int64]*Member
 	stopped  map[int64]float64 // by group without a primary: where its log ends
@@ -99,7 +100,7 @@
 // Start makes a cluster on free loopback ports.
 func Start(o Options) (*Cluster, error) {
 	c := &Cluster{o: o.filled(), revision: 1, changed: make(chan struct{}), entries: map[string]discovery.Entry{}, told: map[string]time.Time{},
-		applied: map[string]int{}, primary: map[int64]*Member{}, stopped: map[int64]float64{}, draw: rand.New(rand.NewPCG(o.Seed, 3))}
+		applied: map[string]int{}, arrived: map[string]int{}, primary: map[int64]*Member{}, stopped: map[int64]float64{}, draw: rand.New(rand.NewPCG(o.Seed, 3))}
 	for g := range c.o.Groups {
 		for i := range c.o.Members {
 			m := &Member{ID: fmt.Sprintf("g%dm%d", g+1, i+1), c: c, group: int64(g + 1), address: "127.0.0.1:0",
@@ -152,6 +153,14 @@
 	return ""
 }
 
+// Arrived is how many ops came to a member.
+func (c *Cluster) Arrived(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrived[id]
+}
+
+// Replica is a group's, "" where none is up.
 func (c *Cluster) Replica(group int64) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -439,6 +448,7 @@
 func (c *Cluster) arrives(m *Member, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.arrived[m.ID]++
 	if at, told := c.told[m.ID]; told && time.Since(at) > Grace {
 		c.late = append(c.late, id)
 	}
--- a/internal/lab/emulator/clients.go
+++ b/internal/lab/emulator/clients.go
@@ -54,7 +54,7 @@
 // arrivals lets clients come, each time after a pause drawn.
 func (h *host) arrivals() {
 	h.after(h.draw.ExpFloat64()/(h.rate*h.surge), func() {
-		if h.now >= h.w.begin+h.w.setup.For {
+		if h.now >= h.w.begin+h.w.setup.For || h.ended {
 			return
 		}
 		kind, x := 0, h.draw.Float64()*h.w.shares
--- a/internal/lab/emulator/faults.go
+++ b/internal/lab/emulator/faults.go
@@ -29,7 +29,7 @@
 var (
 	onMembers = []string{"kill", "vanish", "hang", "fail", "slow", "lag", "age", "drain", "wrong", "demote", "switch", "heal"}
 	onGroups  = []string{"deploy"}
-	onDrivers = []string{"restart", "lose", "pause", "late", "burst", "hot"}
+	onDrivers = []string{"restart", "lose", "pause", "late", "burst", "hot", "end", "count"}
 	onNetwork = []string{"cut", "loss"}
 )
 
@@ -76,8 +76,13 @@
 				n++
 			}
 		}
-		if n == 0 {
-			return fmt.Errorf("fault %q: no driver %q", f.What, f.On)
+		if n == 0 || f.What == "end" && n == len(w.hosts) {
+			return fmt.Errorf("fault %q: no driver %q, or none is left", f.What, f.On)
+		}
+		for _, h := range w.hosts { // the clients of those that end come to the rest
+			if f.What == "end" && !w.isOne(h, f.On) {
+				h.after(at, func() { h.surge *= float64(len(w.hosts)) / float64(len(w.hosts)-n) })
+			}
 		}
 	case slices.Contains(onNetwork, f.What):
 		c := cut{from: w.begin + at, until: w.begin + at + f.For}
@@ -210,6 +215,11 @@
 	switch f.What {
 	case "restart", "lose":
 		h.restart(f.What == "restart")
+	case "end":
+		h.ended = true
+		h.restart(false)
+	case "count": // it learns how many drivers there are
+		h.step(logic.Event{Kind: logic.EvDrivers, Drivers: int(f.by(float64(len(h.w.hosts))))})
 	case "pause":
 		h.frozen = h.now + max(f.For, 100)
 		for _, o := range h.ops {
--- a/internal/lab/emulator/host.go
+++ b/internal/lab/emulator/host.go
@@ -74,6 +74,7 @@
 	missed   []logic.ListEntry
 	rate     float64          // ops a millisecond
 	surge    float64          // times the usual rate
+	ended    bool             // for good: its clients go to the rest
 	hot      bool             // its clients ask of one group
 	book     *switchover.Book // of words on changes, from the first one on
 	marked   map[string]bool
--- a/internal/lab/emulator/restart.go
+++ b/internal/lab/emulator/restart.go
@@ -72,6 +72,9 @@
 	h.life++
 	h.down = true
 	h.book, h.marked = nil, nil
+	if h.ended {
+		return
+	}
 	h.after(downFor, func() {
 		h.down = false
 		h.policy = h.newPolicy()
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,278 @@
+// Package fleet runs the built program as several processes on loopback, each behind links of its own, before the
+// laboratory's cluster.
+//
+// This file owns the processes: their files, their start, and what is done to them. It must never stop a process that it
+// did not start.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"weirwind/internal/control"
+	"weirwind/internal/lab"
+	"weirwind/internal/membership"
+	"weirwind/internal/standin/links"
+)
+
+// Options describe a fleet.
+type Options struct {
+	Program string // the built one
+	Drivers int
+	Spare   int           // places more, for drivers that come later
+	Period  time.Duration // of membership; 200 ms without
+	Yield   time.Duration
+	Seeds   func(i int) []int // whom driver i is told to look for; nil: the first three
+	Expect  int               // 0: as many as Drivers
+	Seed    uint64
+	Cluster *lab.Cluster
+
+	Secret func(i int) string // its own secret; nil: the same for all
+	Lists  func(i int) string // its own address of discovery; nil: the cluster's
+}
+
+// Fleet is one that runs.
+type Fleet struct {
+	Links   *links.Net
+	Drivers []*Driver
+	o       Options
+	folder  string
+}
+
+// Driver is one place: a name, addresses, and the process that runs there now.
+type Driver struct {
+	Name    string
+	Address string // for clients
+	Control *control.Client
+
+	f      *Fleet
+	i      int
+	socket string
+	mu     sync.Mutex
+	log    bytes.Buffer
+	cmd    *exec.Cmd
+	ended  chan struct{}
+}
+
+// Write takes the process's log.
+func (d *Driver) Write(b []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.log.Write(b)
+}
+
+// Log is what all runs of it have said.
+func (d *Driver) Log() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.log.String()
+}
+
+// Build builds the program into a folder, with further flags, and gives its path.
+func Build(folder string, flags ...string) (string, error) {
+	path := filepath.Join(folder, "weirwind")
+	cmd := exec.Command("go", append(append([]string{"build", "-o", path}, flags...), "weirwind/cmd/weirwind")...)
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%v: %s", err, text)
+	}
+	return path, nil
+}
+
+// New makes the places; no process runs yet.
+func New(o Options) (*Fleet, error) {
+	if o.Period == 0 {
+		o.Period = 200 * time.Millisecond
+	}
+	if o.Yield == 0 {
+		o.Yield = 5 * time.Second
+	}
+	if o.Expect == 0 {
+		o.Expect = o.Drivers
+	}
+	if o.Seeds == nil {
+		o.Seeds = func(i int) []int {
+			var all []int
+			for k := range min(3, o.Drivers) {
+				all = append(all, k)
+			}
+			return all
+		}
+	}
+	folder, err := os.MkdirTemp("", "ww") // short: paths of Unix sockets are
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{o: o, folder: folder}
+	if f.Links, err = links.New(o.Drivers+o.Spare, o.Seed); err != nil {
+		os.RemoveAll(folder)
+		return nil, err
+	}
+	for i := range o.Drivers + o.Spare {
+		d := &Driver{Name: fmt.Sprintf("n%d", i), f: f, i: i, socket: filepath.Join(folder, fmt.Sprintf("%d.sock", i))}
+		d.Control = control.NewClient(d.socket, "")
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		d.Address = ln.Addr().String()
+		ln.Close()
+		f.Drivers = append(f.Drivers, d)
+	}
+	return f, nil
+}
+
+// Close kills what still runs and removes the files.
+func (f *Fleet) Close() {
+	for _, d := range f.Drivers {
+		d.Kill()
+		d.Control.Close()
+	}
+	f.Links.Close()
+	os.RemoveAll(f.folder)
+}
+
+// StartAll starts every driver but the spare ones.
+func (f *Fleet) StartAll() error {
+	var all []int
+	for i := range f.o.Drivers {
+		all = append(all, i)
+	}
+	return f.StartThese(all...)
+}
+
+// StartThese starts some.
+func (f *Fleet) StartThese(of ...int) error {
+	for _, i := range of {
+		if err := f.Drivers[i].Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// write writes the files that a process at this place reads.
+func (d *Driver) write() error {
+	o := &d.f.o
+	secret := "a secret of drivers"
+	if o.Secret != nil {
+		secret = o.Secret(d.i)
+	}
+	config := o.Cluster.Configuration(d.Name, d.Address, o.Expect, d.i)
+	if o.Lists != nil {
+		config = bytes.ReplaceAll(config, []byte(o.Cluster.Discovery()), []byte(o.Lists(d.i)))
+	}
+	var seeds []string
+	for _, s := range o.Seeds(d.i) {
+		if s != d.i {
+			seeds = append(seeds, fmt.Sprintf("%q", d.f.Links.Reach(s)))
+		}
+	}
+	file := d.file
+	operators := fmt.Sprintf("control {\n  socket     = %q\n  token_file = %q\n  lease      = \"3s\"\n  most       = \"1m\"\n  opening    = \"3s\"\n}\n"+
+		"membership {\n  listen    = %q\n  advertise = %q\n  seeds     = [%s]\n  period    = %q\n  expect    = %d\n  yield     = %q\n}\n",
+		d.socket, file("token"), d.f.Links.Listen(d.i), d.f.Links.Reach(d.i), strings.Join(seeds, ", "), o.Period, o.Expect, o.Yield)
+	for kind, text := range map[string][]byte{"json": config, "hcl": []byte(operators), "token": []byte(secret)} {
+		if err := os.WriteFile(file(kind), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Driver) file(kind string) string {
+	return filepath.Join(d.f.folder, fmt.Sprintf("%d.%s", d.i, kind))
+}
+
+// Start begins a process at this place, with no memory of an earlier one.
+func (d *Driver) Start() error {
+	if err := d.write(); err != nil {
+		return err
+	}
+	cmd := exec.Command(d.f.o.Program, "run", "--config", d.file("json"), "--operator", d.file("hcl"))
+	cmd.Stderr, cmd.Stdout = d, d
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	d.mu.Lock()
+	d.cmd, d.ended = cmd, ended
+	d.mu.Unlock()
+	go func() {
+		cmd.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends one to the process that runs here, if any.
+func (d *Driver) Signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		d.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the process without a word, and waits until it is gone.
+func (d *Driver) Kill() { d.end(syscall.SIGKILL) }
+
+// Stop asks it to end, and waits until it has.
+func (d *Driver) Stop() { d.end(syscall.SIGTERM) }
+
+func (d *Driver) end(s syscall.Signal) {
+	d.mu.Lock()
+	cmd, ended := d.cmd, d.ended
+	d.cmd = nil
+	d.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Signal(s)
+		<-ended
+	}
+}
+
+// Freeze lets the process stand still, Thaw go on.
+func (d *Driver) Freeze() { d.Signal(syscall.SIGSTOP) }
+
+// Thaw lets it go on.
+func (d *Driver) Thaw() { d.Signal(syscall.SIGCONT) }
+
+// Status is its view; an error while it does not answer.
+func (d *Driver) Status() (membership.Status, error) {
+	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+	defer stop()
+	return d.Control.Fellows(ctx)
+}
+
+// Stands says whether all of these drivers have a standing now.
+func (f *Fleet) Stands(want membership.Standing, of ...int) bool {
+	for _, i := range of {
+		if s, err := f.Drivers[i].Status(); err != nil || s.Standing != want {
+			return false
+		}
+	}
+	return true
+}
+
+// View is what driver at sees of driver of; ok is false where it does not know it.
+func (f *Fleet) View(at, of int) (v membership.View, ok bool) {
+	s, err := f.Drivers[at].Status()
+	if err != nil {
+		return v, false
+	}
+	for _, v := range s.Drivers {
+		if v.Name == f.Drivers[of].Name {
+			return v, true
+		}
+	}
+	return v, false
+}
--- /dev/null
+++ b/internal/lab/fleet/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package fleet
+
+func init() { flags = append(flags, "-race") }
--- /dev/null
+++ b/internal/lab/fleet/script.go
@@ -0,0 +1,298 @@
+package fleet
+
+// This file owns scripts: what is done to which processes when, and the page that shows who saw whom when. It must never show
+// what no process said.
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"html/template"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/hcl/v2/hclsimple"
+
+	"weirwind/internal/lab"
+	"weirwind/internal/membership"
+	"weirwind/internal/standin/links"
+)
+
+// Script is one that can be played.
+type Script struct {
+	Drivers int    `hcl:"drivers"`
+	Spare   int    `hcl:"spare,optional"` // places for drivers that come later
+	Period  string `hcl:"period,optional"`
+	End     string `hcl:"end"`
+	Seed    int    `hcl:"seed,optional"`
+	Steps   []Step `hcl:"step,block"`
+
+	Program     string
+	period, end time.Duration
+}
+
+// Step is one thing that is done: kill, stop, freeze, thaw or start drivers, set one direction of a pair (way), cut into
+// parts, or heal all.
+type Step struct {
+	What    string  `hcl:"what,label"`
+	At      string  `hcl:"at"`
+	Drivers []int   `hcl:"drivers,optional"`
+	Parts   [][]int `hcl:"parts,optional"`
+	From    int     `hcl:"from,optional"`
+	To      int     `hcl:"to,optional"`
+	Cut     bool    `hcl:"cut,optional"`
+	Loss    float64 `hcl:"loss,optional"`
+	Double  float64 `hcl:"double,optional"`
+	Delay   string  `hcl:"delay,optional"`
+	Jitter  string  `hcl:"jitter,optional"`
+	Rate    int     `hcl:"rate,optional"`
+
+	at            time.Duration
+	delay, jitter time.Duration
+}
+
+// ParseScript reads one; errors carry file and line.
+func ParseScript(name string, text []byte) (*Script, error) {
+	s := &Script{}
+	if err := hclsimple.Decode(name, text, nil, s); err != nil {
+		return nil, err
+	}
+	var err error
+	span := func(what, text string, otherwise time.Duration) (d time.Duration) {
+		if text == "" {
+			return otherwise
+		}
+		d, e := time.ParseDuration(text)
+		if e != nil || d < 0 {
+			err = fmt.Errorf("%s: %s is %q; it wants a time such as \"10s\"", name, what, text)
+		}
+		return d
+	}
+	s.period, s.end = span("period", s.Period, 500*time.Millisecond), span("end", s.End, 0)
+	if s.Drivers < 1 || s.Spare < 0 || s.Drivers+s.Spare > 60 || s.period < 50*time.Millisecond || s.end > time.Hour {
+		return nil, fmt.Errorf("%s: 1 to 60 drivers, a period of 50ms at least, an hour at most", name)
+	}
+	n := s.Drivers + s.Spare
+	for i := range s.Steps {
+		p := &s.Steps[i]
+		p.at, p.delay, p.jitter = span("at", p.At, 0), span("delay", p.Delay, 0), span("jitter", p.Jitter, 0)
+		if !slices.Contains([]string{"kill", "stop", "freeze", "thaw", "start", "way", "cut", "heal"}, p.What) {
+			return nil, fmt.Errorf("%s: step %q is not known", name, p.What)
+		}
+		for _, d := range append(slices.Concat(p.Parts...), append(p.Drivers, p.From, p.To)...) {
+			if d < 0 || d >= n {
+				return nil, fmt.Errorf("%s: there is no driver %d", name, d)
+			}
+		}
+	}
+	slices.SortStableFunc(s.Steps, func(a, b Step) int { return int(a.at - b.at) })
+	return s, err
+}
+
+// String tells a step in a few words.
+func (p *Step) String() string {
+	switch p.What {
+	case "way":
+		return fmt.Sprintf("n%d to n%d: cut %v, loss %g, double %g, delay %s+%s, rate %d", p.From, p.To, p.Cut, p.Loss, p.Double, p.delay, p.jitter, p.Rate)
+	case "cut":
+		return fmt.Sprint("cut into ", p.Parts)
+	case "heal":
+		return "heal"
+	}
+	return fmt.Sprint(p.What, " ", p.Drivers)
+}
+
+func (p *Step) do(f *Fleet) error {
+	switch p.What {
+	case "way":
+		f.Links.Set(p.From, p.To, links.Way{Cut: p.Cut, Loss: p.Loss, Double: p.Double, Delay: p.delay, Jitter: p.jitter, Rate: p.Rate})
+	case "cut":
+		part := make([]int, len(f.Drivers))
+		for i, members := range p.Parts {
+			for _, d := range members {
+				part[d] = i + 1
+			}
+		}
+		f.Links.Parts(part...)
+	case "heal":
+		f.Links.Heal()
+	}
+	for _, i := range p.Drivers {
+		d := f.Drivers[i]
+		switch p.What {
+		case "kill":
+			d.Kill()
+		case "stop":
+			go d.Stop()
+		case "freeze":
+			d.Freeze()
+		case "thaw":
+			d.Thaw()
+		case "start":
+			if err := d.Start(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// span is a time for which something was said.
+type span struct {
+	From, To float64 // seconds
+	What     string
+}
+
+// history is what one driver said, by whom it was about; "" is its own standing.
+type history map[string][]span
+
+func (h history) say(now float64, of, what string) {
+	all := h[of]
+	if n := len(all); n > 0 && all[n-1].What == what {
+		all[n-1].To = now
+		return
+	} else if n > 0 {
+		all[n-1].To = now
+	}
+	h[of] = append(all, span{now, now, what})
+}
+
+// Play plays a script, prints what happens, and gives the page.
+func (s *Script) Play(ctx context.Context, out io.Writer) ([]byte, error) {
+	c, err := lab.Start(lab.Options{Seed: uint64(s.Seed)})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Stop()
+	f, err := New(Options{Program: s.Program, Drivers: s.Drivers, Spare: s.Spare, Period: s.period, Seed: uint64(s.Seed), Cluster: c})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if err := f.StartAll(); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	now := func() float64 { return time.Since(began).Seconds() }
+	said := make([]history, len(f.Drivers))
+	for i := range said {
+		said[i] = history{}
+	}
+	var mu sync.Mutex
+	look := func() {
+		var each sync.WaitGroup
+		for i, d := range f.Drivers {
+			each.Go(func() {
+				st, err := d.Status()
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					said[i].say(now(), "", "silent")
+					return
+				}
+				said[i].say(now(), "", st.Standing.String())
+				for _, v := range st.Drivers {
+					what := v.State.String()
+					if v.State == membership.Alive && !v.Heard {
+						what = "unheard"
+					}
+					said[i].say(now(), v.Name, what)
+				}
+			})
+		}
+		each.Wait()
+	}
+	next := 0
+	var steps []span
+	for ctx.Err() == nil && time.Since(began) < s.end {
+		for next < len(s.Steps) && time.Since(began) >= s.Steps[next].at {
+			p := &s.Steps[next]
+			next++
+			fmt.Fprintf(out, "%6.1fs %s\n", now(), p)
+			steps = append(steps, span{now(), 0, p.String()})
+			if err := p.do(f); err != nil {
+				return nil, err
+			}
+		}
+		look()
+		select {
+		case <-ctx.Done():
+		case <-time.After(s.period / 4):
+		}
+	}
+	for i, d := range f.Drivers {
+		var text []string
+		for _, p := range said[i][""] {
+			text = append(text, fmt.Sprintf("%.1fs %s", p.From, p.What))
+		}
+		fmt.Fprintf(out, "%s: %s\n", d.Name, strings.Join(text, ", "))
+	}
+	return draw(f, said, steps, now())
+}
+
+var colours = map[string]string{"alive": "#4a9", "whole": "#4a9", "larger": "#8c6", "suspect": "#fc5", "unsure": "#fc5", "smaller": "#f96", "alone": "#e55",
+	"failed": "#e55", "left": "#bbb", "unheard": "#69c", "silent": "#eee"}
+
+var page = template.Must(template.New("fleet").Parse(`<!DOCTYPE html><meta charset="utf-8"><title>weirlab fleet</title>
+<style>body{font:13px sans-serif;margin:2em}td{padding:0 6px 0 0}svg{display:block}.k span{padding:2px 8px;margin-right:4px}</style>
+<h1>Who saw whom when</h1><p class="k">{{range .Key}}<span style="background:{{.Colour}}">{{.Name}}</span>{{end}}</p>
+<ol>{{range .Steps}}<li>{{printf "%.1f" .From}} s: {{.What}}</li>{{end}}</ol>
+{{range .Drivers}}<h2>{{.Name}}</h2><table>{{range .Rows}}<tr><td>{{.Of}}<td><svg width="900" height="12">{{range .Bars}}<rect x="{{printf "%.1f" .X}}" y="1" width="{{printf "%.1f" .W}}" height="10" fill="{{.Colour}}"><title>{{.Title}}</title></rect>{{end}}</svg>{{end}}</table>{{end}}
+`))
+
+// draw makes the page.
+func draw(f *Fleet, said []history, steps []span, end float64) ([]byte, error) {
+	type bar struct {
+		X, W          float64
+		Colour, Title string
+	}
+	type row struct {
+		Of   string
+		Bars []bar
+	}
+	type driver struct {
+		Name string
+		Rows []row
+	}
+	type key struct{ Name, Colour string }
+	var x struct {
+		Key     []key
+		Steps   []span
+		Drivers []driver
+	}
+	x.Steps = steps
+	for _, n := range []string{"whole", "larger", "smaller", "alone", "unsure", "alive", "unheard", "suspect", "failed", "left", "silent"} {
+		x.Key = append(x.Key, key{n, colours[n]})
+	}
+	scale := 900 / max(end, 1)
+	for i, h := range said {
+		d := driver{Name: f.Drivers[i].Name}
+		var names []string
+		for n := range h {
+			names = append(names, n)
+		}
+		slices.SortFunc(names, func(a, b string) int {
+			if len(a) != len(b) {
+				return len(a) - len(b)
+			}
+			return strings.Compare(a, b)
+		})
+		for _, n := range names {
+			r := row{Of: n}
+			if n == "" {
+				r.Of = "standing"
+			}
+			for _, p := range h[n] {
+				r.Bars = append(r.Bars, bar{p.From * scale, max((p.To-p.From)*scale, 1), colours[p.What], fmt.Sprintf("%s %.1f to %.1f s", p.What, p.From, p.To)})
+			}
+			d.Rows = append(d.Rows, r)
+		}
+		x.Drivers = append(x.Drivers, d)
+	}
+	var b bytes.Buffer
+	err := page.Execute(&b, x)
+	return b.Bytes(), err
+}
--- a/internal/lab/flock/flock.go
+++ b/internal/lab/flock/flock.go
@@ -52,6 +52,11 @@
 	draw  *rand.Rand
 	queue events
 	turn  int
+
+	killed float64 // when the last one was
+	sample bool    // measure messages
+	sizes  float64 // of those measured
+	count  int
 }
 
 type event struct {
@@ -165,7 +170,7 @@
 }
 
 // Kill ends a run without a word.
-func (f *Flock) Kill(i int) { f.Drivers[i].View = nil }
+func (f *Flock) Kill(i int) { f.Drivers[i].View, f.killed = nil, f.Now }
 
 // Freeze lets a driver stand still for a time.
 func (f *Flock) Freeze(i int, length float64) {
@@ -184,10 +189,11 @@
 	}
 	for _, s := range out.Sends {
 		to := f.index(s.Address)
-		d.Sent++
-		d.Bytes += 110
-		for range s.Message.Records {
-			d.Bytes += 60
+		if d.Sent++; f.sample {
+			if f.turn%50 == 0 || f.count == 0 { // one of many tells for all
+				f.sizes, f.count = f.sizes+size(&s.Message), f.count+1
+			}
+			d.Bytes += f.sizes / float64(f.count)
 		}
 		if to < 0 || f.cut(d.i, to) || f.draw.Float64() < f.Loss {
 			continue
@@ -217,7 +223,7 @@
 			continue
 		}
 		t, ask, life := f.Drivers[to], d.View.Exchange(), d.life
-		d.Bytes += 60 * float64(len(ask.Records))
+		d.Bytes += 60 * float64(len(ask.Records)) // about
 		f.at(2*f.late(), func() {
 			if t.View == nil || f.Now < t.Frozen {
 				return
@@ -286,3 +292,6 @@
 	}
 	return true
 }
+
+// Index is the place of a driver.
+func (f *Flock) Index(d *Driver) int { return d.i }
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -22,12 +22,14 @@
 
 // In periods, where nothing else is said.
 const (
-	directShare  = 0.4  // of the period: an answer by then, or others are asked
-	nackShare    = 0.3  // who is asked says after so long that there is no answer
-	helpers      = 3    // are asked
-	suspectLeast = 3.0  // with as many that confirm it as count
-	suspectMost  = 9.0  // with none
-	confirmers   = 2    // count
+	directShare  = 0.4 // of the period: an answer by then, or others are asked
+	nackShare    = 0.3 // who is asked says after so long that there is no answer
+	helpers      = 3   // are asked
+	suspectLeast = 3.0 // with as many that confirm it as count
+	suspectMost  = 9.0 // with none
+	confirmers   = 2   // count
+	checkers     = 4.0 // look at one that another suspects, about
+	mostChecks   = 4
 	healthMost   = 4    // how much of a driver's slowness it blames on itself
 	stillAfter   = 1.5  // between two ticks: it stood still
 	gossipEvery  = 0.2  // while there is news
@@ -91,7 +93,7 @@
 	list   []*member // by name
 	byName map[string]*member
 	seeds  []string
-	order  []string // of probes, drawn anew each time round
+	check  []string // whom others suspect and this driver is to look at as well
 	probe  *probe
 	relays map[uint64]*relay
 	rumors []*rumour
@@ -159,7 +161,7 @@
 	}
 	f.followProbe()
 	if now >= f.probeAt && f.probe == nil {
-		f.probeAt = now + p*(1+0.25*float64(f.health))
+		f.probeAt = max(f.probeAt+p, now+p/2) + 0.25*p*float64(f.health)
 		f.startProbe()
 		f.reconnect()
 	}
@@ -271,30 +273,51 @@
 	return found
 }
 
-// startProbe asks the next fellow in turn whether it lives.
+// startProbe asks a fellow whether it lives: one that others suspect, if it is to be looked at, or the one whose turn it is.
+// Turns go by the clock that all drivers share, about, so that in each period each driver is asked by one other.
 func (f *Fleet) startProbe() {
-	for tries := len(f.list) + 1; tries > 0; tries-- {
-		if len(f.order) == 0 {
-			for _, m := range f.list {
-				if !m.State.ended() {
-					f.order = append(f.order, m.Name)
-				}
-			}
-			f.draw.Shuffle(len(f.order), func(i, j int) { f.order[i], f.order[j] = f.order[j], f.order[i] })
+	var m *member
+	for len(f.check) > 0 && m == nil {
+		if m = f.byName[f.check[0]]; m == nil || m.State != Suspect {
+			m = nil
 		}
-		if len(f.order) == 0 {
-			return
+		f.check = f.check[1:]
+	}
+	if m == nil {
+		m = f.turnOf(uint64(f.now / f.r.Period))
+	}
+	if m == nil {
+		return
+	}
+	f.seq++
+	slow := 1 + float64(f.health)/2
+	f.probe = &probe{name: m.Name, seq: f.seq, began: f.now, direct: f.now + directShare*f.r.Period*slow, until: f.now + 0.95*f.r.Period*slow}
+	f.send(m.Address, Message{Kind: Ping, Seq: f.seq, To: m.Name})
+}
+
+// turnOf is whom this driver asks in a period; nil where there is nobody.
+func (f *Fleet) turnOf(period uint64) *member {
+	n, own := 0, 0 // of the fellows; of those before this driver
+	for _, m := range f.list {
+		if !m.State.ended() {
+			if n++; m.Name < f.self.Name {
+				own++
+			}
 		}
-		m := f.byName[f.order[0]]
-		if f.order = f.order[1:]; m == nil || m.State.ended() {
-			continue
+	}
+	if n == 0 {
+		return nil
+	}
+	at := (own + int(period%uint64(n))) % n // the fellows, without this driver, from the next one on
+	for _, m := range f.list {
+		if !m.State.ended() {
+			if at == 0 {
+				return m
+			}
+			at--
 		}
-		f.seq++
-		slow := 1 + float64(f.health)/2
-		f.probe = &probe{name: m.Name, seq: f.seq, began: f.now, direct: f.now + directShare*f.r.Period*slow, until: f.now + 0.95*f.r.Period*slow}
-		f.send(m.Address, Message{Kind: Ping, Seq: f.seq, To: m.Name})
-		return
 	}
+	return nil
 }
 
 // followProbe asks others where no answer came, and suspects who did not answer them either.
@@ -647,6 +670,9 @@
 	m.Record = r
 	if r.State == Suspect {
 		m.began, m.scale, m.by = f.now, 1+float64(f.health)/2, map[string]bool{r.By: true}
+		if r.By != f.self.Name && len(f.check) < mostChecks && f.draw.Float64()*float64(f.alive()) < checkers {
+			f.check = append(f.check, r.Name)
+		}
 	} else {
 		m.by = nil
 	}
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -187,9 +187,13 @@
 	if f.now < f.retry || f.now < f.votesAt || f.now-f.wantedAt < float64(min(rank, 8))*rankPause*f.r.Period || !f.roster.has(f.self.Name) {
 		return
 	}
-	if s := f.standing; s != Whole && s != Larger {
-		return
+	if allowed, _ := Allowed(f.standing, ChangeNames); allowed {
+		f.propose(want)
 	}
+}
+
+// propose begins a ballot for a change.
+func (f *Fleet) propose(want *Change) {
 	f.turn++
 	f.round = &round{ballot: Ballot{f.turn, f.self.Name}, until: f.now + roundTime*f.r.Period, promised: map[string]bool{}, accepted: map[string]bool{}, change: want}
 	f.retry = f.round.until
--- a/internal/membership/standing.go
+++ b/internal/membership/standing.go
@@ -238,6 +238,14 @@
 	return s
 }
 
+// State is what a driver is taken for; Left where it is not known.
+func (f *Fleet) State(name string) State {
+	if m := f.byName[name]; m != nil {
+		return m.Record.State
+	}
+	return Left
+}
+
 // Living are the addresses of fellows that do not count as ended.
 func (f *Fleet) Living() (all []string) {
 	for _, m := range f.list {
--- /dev/null
+++ b/internal/membership/votes_test.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// vote is a message between two drivers of the model.
+type vote struct {
+	from, to string
+	v        Vote
+}
+
+// chamber is some drivers that hold one roster, and whatever is on its way between them.
+type chamber struct {
+	of    map[string]*Fleet
+	names []string
+	pool  []vote
+}
+
+func newChamber(n, newcomers int) *chamber {
+	c := &chamber{of: map[string]*Fleet{}}
+	var roster []string
+	for i := range n + newcomers {
+		name := fmt.Sprintf("n%d", i)
+		c.names = append(c.names, name)
+		if i < n {
+			roster = append(roster, name)
+		}
+	}
+	for _, name := range c.names {
+		f := New(0, Rules{Period: 100, Expect: 1, Most: 100}, Record{Name: name, Run: 1, Address: name}, nil, 1)
+		for _, o := range c.names {
+			f.apply(Record{Name: o, Run: 1, Address: o})
+		}
+		if name < roster[len(roster)-1] || name == roster[len(roster)-1] {
+			f.hold(Roster{Version: 1, Lineage: 1, Names: roster, sum: sumOf(roster)})
+		}
+		f.take()
+		c.of[name] = f
+	}
+	return c
+}
+
+// out puts what a driver sends on its way.
+func (c *chamber) out(f *Fleet) {
+	for _, s := range f.take().Sends {
+		if s.Message.Vote != nil {
+			c.pool = append(c.pool, vote{f.self.Name, s.Address, *s.Message.Vote})
+		}
+	}
+}
+
+func change(f *Fleet, add, remove string) *Change {
+	c := &Change{Version: f.roster.Version + 1, Lineage: 1, Base: f.roster.sum, Sum: f.roster.sum}
+	if add != "" {
+		c.Add = []string{add}
+	}
+	if remove != "" {
+		c.Remove = []string{remove}
+	}
+	c.Sum ^= sumOf(c.Add) ^ sumOf(c.Remove)
+	return c
+}
+
+// Several drivers propose different changes at once, again and again, and every message is lost, late, doubled or out of
+// order as it happens: whoever decides on the next version decides the same, and each decision had both majorities.
+func TestVotesInAnyOrder(t *testing.T) {
+	decided := 0
+	for seed := range uint64(6000) {
+		draw := rand.New(rand.NewPCG(seed, 5))
+		n := 3 + draw.IntN(3)
+		c := newChamber(n, 2)
+		taken := map[string]uint64{} // by driver: what it accepted last
+		for range 60 + draw.IntN(120) {
+			name := c.names[draw.IntN(n)]
+			switch f := c.of[name]; {
+			case draw.IntN(12) == 0 && f.roster.Version == 1:
+				switch f.round = nil; draw.IntN(3) {
+				case 0:
+					f.propose(change(f, c.names[n+draw.IntN(2)], ""))
+				case 1:
+					f.propose(change(f, "", c.names[draw.IntN(n)]))
+				case 2:
+					f.propose(change(f, c.names[n+draw.IntN(2)], c.names[draw.IntN(n)]))
+				}
+				c.out(f)
+			case len(c.pool) > 0:
+				i := draw.IntN(len(c.pool))
+				m := c.pool[i]
+				if draw.IntN(8) > 0 { // else it comes once more, later
+					c.pool = append(c.pool[:i], c.pool[i+1:]...)
+				}
+				if draw.IntN(10) == 0 {
+					continue // lost
+				}
+				to := c.of[m.to]
+				to.voted(m.from, m.from, m.v)
+				if to.change != nil {
+					taken[m.to] = to.change.Sum
+				}
+				c.out(to)
+			}
+		}
+		var first *Roster
+		for _, name := range c.names[:n] {
+			r := c.of[name].roster
+			if r.Version == 1 {
+				continue
+			}
+			decided++
+			if first == nil {
+				first = r
+			}
+			if r.Version != 2 || r.sum != first.sum {
+				t.Fatalf("seed %d: version 2 is %v and %v", seed, first.Names, r.Names)
+			}
+		}
+	}
+	if decided < 1000 {
+		t.Errorf("only %d decisions: the test does not test", decided)
+	}
+}
+
+// A driver that may have forgotten a vote gives none for a while.
+func TestForgetfulDriversDoNotVote(t *testing.T) {
+	c := newChamber(3, 0)
+	f := c.of["n1"]
+	f.roster = nil
+	f.adopt(Roster{Version: 1, Lineage: 1, Names: []string{"n0", "n1", "n2"}})
+	p := c.of["n0"]
+	p.propose(change(p, "", "n2"))
+	for _, s := range p.take().Sends {
+		if s.Address == "n1" {
+			f.voted("n0", "n0", *s.Message.Vote)
+		}
+	}
+	if out := f.take(); len(out.Sends) > 0 {
+		t.Errorf("it votes: %+v", out.Sends)
+	}
+	f.now = forgetful*100 + 1
+	f.voted("n0", "n0", Vote{Step: Prepare, Version: 2, Base: f.roster.sum, Ballot: Ballot{9, "n0"}})
+	if out := f.take(); len(out.Sends) != 1 || out.Sends[0].Message.Vote.Step != Promise {
+		t.Errorf("it never votes again: %+v", out)
+	}
+}
+
+// The table: what each standing allows.
+func TestWhatStandingsAllow(t *testing.T) {
+	for s := Unsure; s <= Whole; s++ {
+		for a := BeginHold; a <= LearnRoles; a++ {
+			larger := s == Larger || s == Whole
+			want := map[Act]bool{BeginHold: larger, RenewHold: true, EndHold: true, ChangeNames: larger, HonourDrain: true, ShrinkCount: larger}[a]
+			if got, why := Allowed(s, a); got != want || got != (why == "") {
+				t.Errorf("%s, act %d: %v %q", s, a, got, why)
+			}
+		}
+	}
+}
+
+// All shares together are one whole, however a fleet has come apart.
+func TestSharesAddUp(t *testing.T) {
+	for n := 2; n <= 40; n++ {
+		for a := 1; a < n; a++ {
+			view := func(living int) int {
+				f := New(0, Rules{Period: 100, Expect: 1, Most: 100, Yield: 1000}, Record{Name: "n00", Run: 1, Address: "n00"}, nil, 1)
+				names := []string{"n00"}
+				for i := 1; i < n; i++ {
+					r := Record{Name: fmt.Sprintf("n%02d", i), Run: 1, Address: fmt.Sprint(i)}
+					names = append(names, r.Name)
+					f.apply(r)
+					if i >= living {
+						r.State = Failed
+						f.apply(r)
+					}
+				}
+				f.hold(Roster{Version: 1, Lineage: 1, Names: names, sum: sumOf(names)})
+				f.judge()
+				if c := f.Count(); f.standing == Larger && c < n {
+					t.Errorf("%d of %d count %d before the others can have given way", living, n, c)
+				}
+				f.now = 2000
+				return f.Count()
+			}
+			if sum := float64(a)/float64(view(a)) + float64(n-a)/float64(view(n-a)); sum > 1.0001 {
+				t.Errorf("%d and %d of %d: all shares are %.3f", a, n-a, n, sum)
+			}
+		}
+	}
+}
+
+// Of two living processes with one name the first keeps it; word of an ended one does not end the other.
+func TestWhichSayingHolds(t *testing.T) {
+	first := Record{Name: "a", Run: 5, Address: "x"}
+	second := Record{Name: "a", Run: 9, Address: "y"}
+	with := func(r Record, s State, inc uint32) Record { r.State, r.Inc = s, inc; return r }
+	for _, x := range []struct {
+		r, held Record
+		want    bool
+	}{
+		{second, first, false}, {first, second, true}, {second, with(first, Failed, 3), true}, {first, with(second, Failed, 0), false},
+		{with(second, Failed, 0), first, false}, {with(first, Suspect, 0), first, true}, {first, with(first, Suspect, 0), false},
+		{with(first, Alive, 1), with(first, Failed, 0), true}, {with(first, Alive, 9), with(first, Left, 0), false},
+		{Record{Name: "a", Run: 6, Address: "x"}, with(first, Left, 0), true}, {Record{Name: "a", Run: 4, Address: "x"}, first, false},
+	} {
+		if got := x.r.supersedes(&x.held); got != x.want {
+			t.Errorf("%+v over %+v: %v", x.r, x.held, got)
+		}
+	}
+}
