Membership at a thousand drivers: rumours by index, standing and roster looked at only when due

Members now bear whether the roster holds them, the standing is worked out when something changed and five times a period, rumours are found by name and merged in order instead of sorted.

--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -34,6 +34,7 @@
 	stillAfter   = 1.5  // between two ticks: it stood still
 	gossipEvery  = 0.2  // while there is news
 	gossipTo     = 2    // fellows at a time
+	lookEvery    = 0.2  // at what changes slowly
 	quietFor     = 3.0  // views that differ though nothing was news for so long are exchanged
 	exchangeGap  = 3.0  // between exchanges begun by one driver
 	deafLeast    = 5.0  // unheard for so long, and longer the more fellows there are, up to deafMost
@@ -55,6 +56,7 @@
 	scale float64         // by how unwell this driver was then
 	by    map[string]bool // who confirmed it
 	met   float64         // first known of, in this run
+	on    bool            // the roster that holds
 	later float64         // no exchange with it before
 }
 
@@ -81,6 +83,7 @@
 	record Record
 	hears  *Hearing
 	sent   int
+	dead   bool // another one has taken its place
 }
 
 // Fleet is one driver's view. It is not safe for use by several goroutines at a time.
@@ -96,13 +99,15 @@
 	check  []string // whom others suspect and this driver is to look at as well
 	probe  *probe
 	relays map[uint64]*relay
-	rumors []*rumour
+	rumors []*rumour // by how often they were sent
+	spare  []*rumour
+	going  map[string][]*rumour // those that are not dead, by whom they are about
 	health int
 	hears  Hearing
 
-	now, ticked, probeAt, gossipAt, seedAt, exchangeAt float64
-	changed, news                                      float64 // the set of those that live; anything
-	view                                               uint64
+	now, ticked, probeAt, gossipAt, seedAt, exchangeAt, counselAt, reapAt, lookAt, judgeAt float64
+	changed, news                                                                          float64 // the set of those that live; anything
+	view                                                                                   uint64
 
 	missed    int     // probes in a row that nobody answered
 	doubt     float64 // it stood still: until then it can't know
@@ -119,11 +124,13 @@
 	behind    float64 // since when a fellow holds a newer roster
 	out       Out
 	statesGen uint64
+	judged    uint64 // statesGen when the standing was last looked at
+	suspects  int    // there may be some
 }
 
 // New makes the view of a driver that starts. Its record names it, its run and its address; seeds are addresses of fellows.
 func New(now float64, r Rules, self Record, seeds []string, seed uint64) *Fleet {
-	f := &Fleet{r: r, draw: rand.New(rand.NewPCG(seed, 0x6d656d62)), self: self, byName: map[string]*member{}, relays: map[uint64]*relay{},
+	f := &Fleet{r: r, draw: rand.New(rand.NewPCG(seed, 0x6d656d62)), self: self, byName: map[string]*member{}, relays: map[uint64]*relay{}, going: map[string][]*rumour{},
 		now: now, ticked: now, changed: now, news: now, warned: map[string]float64{}, stands: now, standing: Unsure, why: "no_roster",
 		view: mark(self.Name, self.Run), hears: Hearing{Name: self.Name, Run: self.Run}}
 	f.seq = f.draw.Uint64() >> 2 // answers to an earlier run are not taken for ones to this
@@ -170,17 +177,14 @@
 			delete(f.relays, seq)
 		}
 	}
-	for _, m := range f.list {
-		switch {
-		case m.State == Suspect && now >= f.deadline(m):
-			r := m.Record
-			r.State, r.By = Failed, f.self.Name
-			f.apply(r)
-		case !m.State.ended() && !m.deaf && m.silent && now-max(m.fresh, m.met) > f.deafAfter():
-			f.hear(m, false)
-		}
+	if now >= f.lookAt || f.suspects > 0 {
+		f.lookAt = now + lookEvery*p
+		f.look()
+	}
+	if now >= f.reapAt {
+		f.reapAt = now + 4*p
+		f.reap()
 	}
-	f.reap()
 	if now >= f.gossipAt {
 		f.gossipAt = now + gossipEvery*p
 		f.gossip()
@@ -192,11 +196,32 @@
 		f.contested = 0
 		f.queue(f.self)
 	}
-	f.counsel()
+	if now >= f.counselAt {
+		f.counselAt = now + lookEvery*p
+		f.counsel()
+	}
 	f.judge()
 	return f.take()
 }
 
+// look ends suspicions that have lasted, and notes who is not heard.
+func (f *Fleet) look() {
+	f.suspects = 0
+	for _, m := range f.list {
+		if m.State == Suspect {
+			f.suspects++
+		}
+		switch {
+		case m.State == Suspect && f.now >= f.deadline(m):
+			r := m.Record
+			r.State, r.By = Failed, f.self.Name
+			f.apply(r)
+		case !m.State.ended() && !m.deaf && m.silent && f.now-max(m.fresh, m.met) > f.deafAfter():
+			f.hear(m, false)
+		}
+	}
+}
+
 // pass brings the time up to date, and sees a gap since the last tick, whatever comes first behind it.
 func (f *Fleet) pass(now float64) {
 	if gap := now - f.ticked; gap > stillAfter*f.r.Period {
@@ -220,7 +245,7 @@
 		m.silent = false
 	}
 	f.relays = map[uint64]*relay{}
-	f.doubt, f.unproved = now+2*f.r.Period, true
+	f.doubt, f.unproved, f.judgeAt = now+2*f.r.Period, true, 0
 	f.council.stood(now)
 	if m := f.pick(func(m *member) bool { return !m.State.ended() }); m != nil {
 		f.out.Exchanges = append(f.out.Exchanges, m.Address)
@@ -362,8 +387,10 @@
 
 // answered notes a sign of life that this driver asked for.
 func (f *Fleet) answered() {
-	f.missed, f.health = 0, max(0, f.health-1)
-	f.unproved = false
+	if f.unproved || f.missed > 0 {
+		f.judgeAt = 0
+	}
+	f.missed, f.health, f.unproved = 0, max(0, f.health-1), false
 }
 
 // reconnect tries some of those that have failed: they may be behind a cut that has healed. All drivers together try each
@@ -426,13 +453,21 @@
 		m.Decided = d
 		left -= d.size()
 	}
-	done := false
-	for _, r := range f.rumors {
-		n := 0
+	f.carry(&m, left)
+	f.out.Sends = append(f.out.Sends, Send{address, m})
+}
+
+// carry puts news into a message, up to so many bytes: what was passed on least often first.
+func (f *Fleet) carry(m *Message, left int) {
+	i := 0
+	for ; i < len(f.rumors); i++ {
+		r := f.rumors[i]
+		if r.dead {
+			continue
+		}
+		n := r.record.size()
 		if r.hears != nil {
 			n = r.hears.size()
-		} else {
-			n = r.record.size()
 		}
 		if n > left {
 			break
@@ -443,32 +478,71 @@
 			m.Records = append(m.Records, r.record)
 		}
 		r.sent++
-		done = done || r.sent >= f.times()
 	}
-	if len(m.Records)+len(m.Hears) > 0 {
-		if done {
-			f.rumors = slices.DeleteFunc(f.rumors, func(r *rumour) bool { return r.sent >= f.times() })
+	if i == 0 {
+		return
+	}
+	taken, rest, times := f.rumors[:i], f.rumors[i:], f.times()
+	f.spare = f.spare[:0]
+	for len(taken) > 0 || len(rest) > 0 { // both are in order
+		switch {
+		case len(taken) > 0 && (taken[0].dead || taken[0].sent >= times):
+			f.untell(taken[0])
+			taken = taken[1:]
+		case len(rest) > 0 && rest[0].dead:
+			rest = rest[1:]
+		case len(rest) > 0 && (len(taken) == 0 || rest[0].sent <= taken[0].sent):
+			f.spare = append(f.spare, rest[0])
+			rest = rest[1:]
+		default:
+			f.spare = append(f.spare, taken[0])
+			taken = taken[1:]
 		}
-		slices.SortStableFunc(f.rumors, func(a, b *rumour) int { return a.sent - b.sent })
 	}
-	f.out.Sends = append(f.out.Sends, Send{address, m})
+	f.rumors, f.spare = f.spare, f.rumors
 }
 
 // times is how often one driver passes a rumour on.
 func (f *Fleet) times() int { return 3*int(math.Ceil(math.Log10(float64(len(f.list)+2)))) + 2 }
 
+func (r *rumour) about() string {
+	if r.hears != nil {
+		return "hears " + r.hears.Name
+	}
+	return r.record.Name
+}
+
+// untell takes a rumour out of those that go round.
+func (f *Fleet) untell(r *rumour) {
+	r.dead = true
+	key := r.about()
+	if left := slices.DeleteFunc(f.going[key], func(o *rumour) bool { return o.dead }); len(left) > 0 {
+		f.going[key] = left
+	} else {
+		delete(f.going, key)
+	}
+}
+
+// tell makes a rumour go round, before all others.
+func (f *Fleet) tell(r *rumour) {
+	f.rumors = slices.Insert(f.rumors, 0, r)
+	f.going[r.about()] = append(f.going[r.about()], r)
+}
+
 // queue makes a record news. Sayings of a driver replace each other, but for suspicions by several.
 func (f *Fleet) queue(r Record) {
 	f.news = f.now
-	f.rumors = slices.DeleteFunc(f.rumors, func(o *rumour) bool {
-		return o.hears == nil && o.record.Name == r.Name && (r.State != Suspect || o.record.State != Suspect || o.record.Run != r.Run || o.record.Inc != r.Inc || o.record.By == r.By)
-	})
-	f.rumors = slices.Insert(f.rumors, 0, &rumour{record: r})
+	for _, o := range slices.Clone(f.going[r.Name]) {
+		if r.State != Suspect || o.record.State != Suspect || o.record.Run != r.Run || o.record.Inc != r.Inc || o.record.By == r.By {
+			f.untell(o)
+		}
+	}
+	f.tell(&rumour{record: r})
 }
 
 // gossip passes news on between probes.
 func (f *Fleet) gossip() {
-	if len(f.rumors) == 0 && f.decidedLeft == 0 {
+	if len(f.going) == 0 && f.decidedLeft == 0 {
 		return
 	}
 	to := map[string]bool{}
@@ -630,7 +704,7 @@
 			}
 			return
 		}
-		m = &member{Record: Record{Name: r.Name, State: Left}, met: f.now, since: f.now}
+		m = &member{Record: Record{Name: r.Name, State: Left}, met: f.now, since: f.now, on: f.listed(r.Name)}
 		i, _ := slices.BinarySearchFunc(f.list, r.Name, func(m *member, name string) int { return strings.Compare(m.Name, name) })
 		f.list = slices.Insert(f.list, i, m)
 		f.byName[r.Name] = m
@@ -669,6 +743,7 @@
 	}
 	m.Record = r
 	if r.State == Suspect {
+		f.suspects++
 		m.began, m.scale, m.by = f.now, 1+float64(f.health)/2, map[string]bool{r.By: true}
 		if r.By != f.self.Name && len(f.check) < mostChecks && f.draw.Float64()*float64(f.alive()) < checkers {
 			f.check = append(f.check, r.Name)
@@ -717,14 +792,14 @@
 			f.rename(r.Run + 1)
 		}
 		if r.Address == f.holder {
-			f.contested, f.holder = 0, ""
+			f.contested, f.holder, f.judgeAt = 0, "", 0
 			f.queue(f.self)
 		}
 	case r.Run < f.self.Run: // it was there first
 		if f.contested == 0 && f.holder != r.Address {
 			f.note("name_taken", f.self.Name, "by the driver at "+r.Address)
 		}
-		f.contested, f.holder = f.now, r.Address
+		f.contested, f.holder, f.judgeAt = f.now, r.Address, 0
 	}
 }
 
@@ -765,8 +840,11 @@
 }
 
 func (f *Fleet) queueHearing(h Hearing) {
-	f.rumors = slices.DeleteFunc(f.rumors, func(o *rumour) bool { return o.hears != nil && o.hears.Name == h.Name })
-	f.rumors = append(f.rumors, &rumour{hears: &h})
+	r := &rumour{hears: &h}
+	for _, o := range slices.Clone(f.going[r.about()]) {
+		f.untell(o)
+	}
+	f.tell(r)
 }
 
 // heardOf takes whom a fellow does not hear.
@@ -782,7 +860,7 @@
 
 // reap forgets those that have ended, are on no roster and were remembered for long enough.
 func (f *Fleet) reap() {
-	gone := func(m *member) bool { return m.State.ended() && f.now-m.since > f.r.Keep && !f.listed(m.Name) }
+	gone := func(m *member) bool { return m.State.ended() && f.now-m.since > f.r.Keep && !m.on }
 	if !slices.ContainsFunc(f.list, gone) {
 		return
 	}
@@ -810,7 +888,7 @@
 func (f *Fleet) Leave(now float64) Out {
 	f.now = max(f.now, now)
 	if !f.leaving {
-		f.leaving = true
+		f.leaving, f.judgeAt = true, 0
 		f.self.State = Left
 		f.queue(f.self)
 		told := map[string]bool{}
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -180,7 +180,7 @@
 	}
 	rank := 0
 	for _, m := range f.list {
-		if m.Name < f.self.Name && m.State == Alive && f.roster.has(m.Name) {
+		if m.Name < f.self.Name && m.State == Alive && m.on {
 			rank++
 		}
 	}
@@ -215,7 +215,7 @@
 		if len(c.Add)+len(c.Remove) >= mostChange {
 			break
 		}
-		switch on := f.roster.has(m.Name); {
+		switch on := m.on; {
 		case on && m.State == Left && f.now-m.since > wait:
 			c.Remove = append(c.Remove, m.Name)
 		case !on && m.State == Alive && f.now-m.since > wait:
@@ -364,6 +364,9 @@
 // hold makes a roster the one that holds.
 func (f *Fleet) hold(r Roster) {
 	f.roster, f.round, f.behind = &r, nil, 0
+	for _, m := range f.list {
+		m.on = r.has(m.Name)
+	}
 	if f.change != nil && f.version <= r.Version {
 		f.change, f.taken = nil, Ballot{}
 	}
--- a/internal/membership/standing.go
+++ b/internal/membership/standing.go
@@ -76,8 +76,12 @@
 	return false, "unknown"
 }
 
-// judge brings the standing up to date.
+// judge brings the standing up to date, where something has changed and from time to time.
 func (f *Fleet) judge() {
+	if f.judged == f.statesGen && f.now < f.judgeAt {
+		return
+	}
+	f.judgeAt = f.now + lookEvery*f.r.Period
 	s, why := f.assess()
 	if s != f.standing || why != f.why {
 		f.statesGen++
@@ -86,7 +90,7 @@
 		f.stands = f.now
 		f.note("standing", f.self.Name, s.String()+" "+why)
 	}
-	f.standing, f.why = s, why
+	f.standing, f.why, f.judged = s, why, f.statesGen
 }
 
 func (f *Fleet) assess() (Standing, string) {
@@ -107,7 +111,7 @@
 		if !m.State.ended() {
 			others++
 		}
-		if !f.roster.has(m.Name) {
+		if !m.on {
 			continue
 		}
 		switch m.State {
@@ -174,7 +178,7 @@
 		living++
 	}
 	for _, m := range f.list {
-		on := f.roster.has(m.Name)
+		on := m.on
 		switch {
 		case m.State == Left && on:
 			n--
@@ -232,7 +236,7 @@
 	s := Status{Self: f.self.Name, Standing: f.standing, Reason: f.why, For: f.now - f.stands, Count: f.Count(), Address: f.self.Address,
 		Run: f.self.Run, Health: f.health, Roster: f.roster, Drivers: []View{}}
 	for _, m := range f.list {
-		s.Drivers = append(s.Drivers, View{Name: m.Name, State: m.State, Heard: !m.State.ended() && !m.deaf, Listed: f.listed(m.Name),
+		s.Drivers = append(s.Drivers, View{Name: m.Name, State: m.State, Heard: !m.State.ended() && !m.deaf, Listed: m.on,
 			Address: m.Address, Zone: m.Zone, Run: m.Run, Inc: m.Inc, For: f.now - m.since, Deaf: m.hears.Deaf})
 	}
 	return s
