--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -40,6 +40,7 @@
 	deafLeast    = 5.0  // unheard for so long, and longer the more fellows there are, up to deafMost
 	deafMost     = 60.0 //
 	mostRelays   = 256
+	heardLately  = 4.0 // it lives, whatever others say
 )
 
 // member is what is known of a fellow.
@@ -58,6 +59,8 @@
 	met   float64         // first known of, in this run
 	on    bool            // the roster that holds
 	later float64         // no exchange with it before
+
+	accused float64 // no word to it of what is said of it before
 }
 
 // probe is the one that is out.
@@ -712,6 +715,13 @@
 		return
 	}
 	switch {
+	case r.State == Failed && m.State == Alive && m.Run == r.Run && m.Inc <= r.Inc && f.now-m.fresh < heardLately*f.r.Period:
+		// Heard here a moment ago: word of the other side of a cut that healed. It is told, and denies it; if it
+		// has failed since, this driver finds out, or hears of it once more.
+		if f.now >= m.accused {
+			m.accused = f.now + f.r.Period
+			f.send(m.Address, Message{Kind: Gossip, To: m.Name, Records: []Record{r}})
+		}
 	case m.Run == r.Run && m.Inc == r.Inc && m.State == Suspect && r.State == Suspect:
 		if !m.by[r.By] && len(m.by) <= confirmers {
 			m.by[r.By] = true
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"weirwind/internal/lab/flock"
@@ -93,7 +94,17 @@
 			t.Errorf("a loss changed the roster: %+v", r)
 		}
 		f.Cut = nil
+		fell := "" // what the other side said of the own fellows is no news to who hears them
+		notes := f.Notes
+		f.Notes = func(at float64, d string, n membership.Note) {
+			if notes(at, d, n); n.Reason == "standing" && (strings.HasPrefix(n.Text, "smaller") || strings.HasPrefix(n.Text, "alone")) {
+				fell = d + " " + n.Text
+			}
+		}
 		wait(t, f, "heal", func() bool { return f.Stand(membership.Whole, all[:len(x.parts)]...) })
+		if fell != "" {
+			t.Errorf("%v: by the heal alone: %s", x.parts, fell)
+		}
 	}
 }
 
