--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -119,13 +118,7 @@
 	for i := range o.Drivers + o.Spare {
 		d := &Driver{Name: fmt.Sprintf("n%d", i), f: f, i: i, socket: filepath.Join(folder, fmt.Sprintf("%d.sock", i))}
 		d.Control = control.NewClient(d.socket, "")
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			f.Close()
-			return nil, err
-		}
-		d.Address = ln.Addr().String()
-		ln.Close()
+		d.Address = f.Links.Serve(i)
 		f.Drivers = append(f.Drivers, d)
 	}
 	return f, nil
--- a/internal/standin/links/links.go
+++ b/internal/standin/links/links.go
@@ -89,6 +89,12 @@
 // Listen is where process i is to listen; Reach is where the others reach it.
 func (l *Net) Listen(i int) string { return l.address(i + 1).String() }
 
+// Serve is where process i may listen for others than its fellows; no ephemeral port is taken for it.
+func (l *Net) Serve(i int) string {
+	at := l.address(i + 1)
+	return netip.AddrPortFrom(at.Addr(), at.Port()+1).String()
+}
+
 // Reach is the address that process i is to advertise.
 func (l *Net) Reach(i int) string { return l.address(firstHost + i).String() }
 
