--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -182,8 +182,10 @@
 		said[i] = history{}
 	}
 	var mu sync.Mutex
+	killed := map[string]float64{} // since when, of those that not all know of
 	look := func() {
 		var each sync.WaitGroup
+		unknown := map[string]bool{}
 		for i, d := range f.Drivers {
 			each.Go(func() {
 				st, err := d.Status()
@@ -195,6 +197,9 @@
 				}
 				said[i].say(now(), "", st.Standing.String())
 				for _, v := range st.Drivers {
+					if v.State != membership.Failed {
+						unknown[v.Name] = true
+					}
 					what := v.State.String()
 					if v.State == membership.Alive && !v.Heard {
 						what = "unheard"
@@ -204,6 +209,12 @@
 			})
 		}
 		each.Wait()
+		for name, at := range killed {
+			if !unknown[name] {
+				fmt.Fprintf(out, "%6.1fs all know that %s failed, %.2f s after the kill\n", now(), name, now()-at)
+				delete(killed, name)
+			}
+		}
 	}
 	next := 0
 	var steps []span
@@ -213,6 +224,11 @@
 			next++
 			fmt.Fprintf(out, "%6.1fs %s\n", now(), p)
 			steps = append(steps, span{now(), 0, p.String()})
+			for _, i := range p.Drivers {
+				if p.What == "kill" {
+					killed[f.Drivers[i].Name] = now()
+				}
+			}
 			if err := p.do(f); err != nil {
 				return nil, err
 			}
