--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -36,6 +36,7 @@
 	gossipTo     = 2    // fellows at a time
 	lookEvery    = 0.2  // at what changes slowly
 	quietFor     = 3.0  // views that differ though nothing was news for so long are exchanged
+	backlog      = 64   // drivers that there is news of
 	exchangeGap  = 3.0  // between exchanges begun by one driver
 	deafLeast    = 5.0  // unheard for so long, and longer the more fellows there are, up to deafMost
 	deafMost     = 60.0 //
@@ -645,7 +646,8 @@
 	} else {
 		f.behind = 0
 	}
-	differs := m.View != f.view && f.now-f.news > quietFor*f.r.Period
+	// ... or where there is more news than rumours carry: behind a heal, or as many start at once
+	differs := m.View != f.view && (f.now-f.news > quietFor*f.r.Period || len(f.going) > backlog)
 	if !newer && !differs || f.now < f.exchangeAt || f.now < from.later {
 		return
 	}
