--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -381,6 +381,11 @@
 	return s[0]
 }
 
+// stages says whether the change of group 1 is so at every driver.
+func (f *Fleet) stages(so func(switchover.Status) bool) bool {
+	return !slices.ContainsFunc(f.Drivers, func(d *Driver) bool { return !so(stage(d)) })
+}
+
 // A hold begun with the larger part while the smaller can't hear of it, released at the smaller; writes come to both.
 func TestHoldAndReleaseOnTwoSides(t *testing.T) {
 	f := start(t, Options{Seed: 10})
@@ -410,14 +415,7 @@
 			t.Error(err)
 		}
 		f.Links.Heal()
-		f.await(t, "released everywhere", func() bool {
-			for _, d := range f.Drivers {
-				if s := stage(d); s.Stage != switchover.Released || !s.Over {
-					return false
-				}
-			}
-			return true
-		})
+		f.await(t, "released everywhere", func() bool { return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Released && s.Over }) })
 	}, all...)
 }
 
@@ -440,14 +438,7 @@
 		if _, err := c.Planned(context.Background(), f.Drivers[0].Control, 1); err != nil {
 			t.Error(err)
 		}
-		f.await(t, "all know", func() bool {
-			for _, d := range f.Drivers {
-				if s := stage(d); s.Stage != switchover.Released || s.Epoch != stage(f.Drivers[0]).Epoch {
-					return false
-				}
-			}
-			return true
-		})
+		f.await(t, "all know", func() bool { return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Released && s.Epoch == stage(f.Drivers[0]).Epoch }) })
 	}, all...)
 }
 
@@ -462,14 +453,7 @@
 			t.Error(err)
 			return
 		}
-		f.await(t, "held by all", func() bool {
-			for _, d := range f.Drivers {
-				if stage(d).Stage != switchover.Held {
-					return false
-				}
-			}
-			return true
-		})
+		f.await(t, "held by all", func() bool { return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Held }) })
 		f.Drivers[4].Kill()
 		c.Do("demote", old)
 		f.await(t, "a new primary", func() bool { p := c.Primary(1); return p != "" && p != old })
@@ -481,14 +465,7 @@
 		if _, err := f.Drivers[1].Control.Hook(context.Background(), switchover.Word{Group: 1, Stage: switchover.Released, To: c.Primary(1)}); err != nil {
 			t.Error(err)
 		}
-		f.await(t, "released by all", func() bool {
-			for _, d := range f.Drivers {
-				if stage(d).Stage != switchover.Released {
-					return false
-				}
-			}
-			return true
-		})
+		f.await(t, "released by all", func() bool { return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Released }) })
 	}, 0, 1, 2, 3)
 }
 
