--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -415,7 +415,9 @@
 			t.Error(err)
 		}
 		f.Links.Heal()
-		f.await(t, "released everywhere", func() bool { return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Released && s.Over }) })
+		f.await(t, "released everywhere", func() bool {
+			return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Released && s.Over })
+		})
 	}, all...)
 }
 
@@ -438,7 +440,11 @@
 		if _, err := c.Planned(context.Background(), f.Drivers[0].Control, 1); err != nil {
 			t.Error(err)
 		}
-		f.await(t, "all know", func() bool { return f.stages(func(s switchover.Status) bool { return s.Stage == switchover.Released && s.Epoch == stage(f.Drivers[0]).Epoch }) })
+		f.await(t, "all know", func() bool {
+			return f.stages(func(s switchover.Status) bool {
+				return s.Stage == switchover.Released && s.Epoch == stage(f.Drivers[0]).Epoch
+			})
+		})
 	}, all...)
 }
 
