Membership: votes outlive the process, large fleets are founded under loss, fewer words

Seen: a thousand drivers with 5 % loss (and a hundred with 20 %) never founded a roster, as founding wanted nobody suspected in any view for four periods (found, votedFounding); a hundred drivers with 5 % loss sent 2.05 KB/s each, as one unanswered probe of a fellow not heard for long made it 'not heard' and that went to all (look); a single viewer took a living driver for failed about once in 2,500 s, as the denial never came to it and nobody was asked again. New: membership { folder } keeps roster and votes on disk before what follows from them is sent. The vote test kills drivers between voting and writing and lets writes fail; leaving out either write is found. Fleet test: five killed, one back is alone, three agree at once. Frames that are refused are logged (frame_refused) and counted in status.

--- a/cmd/weirwind/membership.go
+++ b/cmd/weirwind/membership.go
@@ -54,6 +54,9 @@
 	if s.Roster != nil {
 		text += fmt.Sprintf(" roster=%d of=%d", s.Roster.Version, len(s.Roster.Names))
 	}
+	if s.Refused > 0 {
+		text += fmt.Sprintf(" frames_refused=%d", s.Refused)
+	}
 	return text
 }
 
--- a/internal/driver/fellows.go
+++ b/internal/driver/fellows.go
@@ -105,7 +105,7 @@
 	}
 	opts := mesh.Options{Name: a.Name, Zone: zone, Listen: listen, Advertise: o.Advertise, Seeds: o.Seeds, Secret: token, Period: o.Period,
 		Expect: expect, Yield: o.Yield, Seed: a.told.Opening.Seed + 2, Run: uint64(v.decide.clock.unixMs), Now: v.decide.clock.now, Log: v.log,
-		Words: f.words, Told: f.told, Stand: f.stand}
+		Folder: o.Folder, Words: f.words, Told: f.told, Stand: f.stand}
 	if f.mesh, err = mesh.Open(opts); err != nil {
 		return fmt.Errorf("membership: %v", err)
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -35,6 +35,8 @@
 	Seed    uint64
 	Cluster *lab.Cluster
 
+	Keep bool // each place has a folder in which its drivers keep their votes
+
 	Secret func(i int) string // its own secret; nil: the same for all
 	Lists  func(i int) string // its own address of discovery; nil: the cluster's
 }
@@ -174,6 +176,9 @@
 	operators := fmt.Sprintf("control {\n  socket     = %q\n  token_file = %q\n  lease      = \"3s\"\n  most       = \"1m\"\n  opening    = \"3s\"\n}\n"+
 		"membership {\n  listen    = %q\n  advertise = %q\n  seeds     = [%s]\n  period    = %q\n  expect    = %d\n  yield     = %q\n}\n",
 		d.socket, file("token"), d.f.Links.Listen(d.i), d.f.Links.Reach(d.i), strings.Join(seeds, ", "), o.Period, o.Expect, o.Yield)
+	if o.Keep {
+		operators = strings.Replace(operators, "  period ", fmt.Sprintf("  folder    = %q\n  period ", file("votes")), 1)
+	}
 	for kind, text := range map[string][]byte{"json": config, "hcl": []byte(operators), "token": []byte(secret)} {
 		if err := os.WriteFile(file(kind), text, 0o600); err != nil {
 			return err
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -120,6 +121,55 @@
 	return true
 }
 
+// With a folder a fleet that is killed as a whole, and whose machines come back one by one, is the same fleet: its first
+// driver waits for the rest and founds nothing, and all vote at once. A folder that has lost what it held is refused.
+func TestVotesOutliveProcesses(t *testing.T) {
+	f := start(t, Options{Seed: 21, Keep: true})
+	before, err := f.Drivers[0].Status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range f.Drivers {
+		d.Kill()
+	}
+	if err := f.StartThese(0); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "the first one back is alone", func() bool { return f.Stands(membership.Alone, 0) })
+	if _, err := f.Drivers[0].Control.Hook(context.Background(), switchover.Word{Group: 1, Stage: switchover.Held}); err == nil || !strings.Contains(err.Error(), "503") {
+		t.Errorf("a hold begun alone: %v", err)
+	}
+	if err := f.StartThese(1, 2); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "three of five", func() bool { return f.Stands(membership.Larger, 0, 1, 2) })
+	s, err := f.Drivers[0].Status()
+	if err != nil || s.Roster.Lineage != before.Roster.Lineage || !slices.Equal(s.Roster.Names, before.Roster.Names) {
+		t.Fatalf("another fleet: %+v %v, before %+v", s.Roster, err, before.Roster)
+	}
+	if err := f.Drivers[1].Control.Forget(context.Background(), control.Forgotten{Name: "n4"}); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "a roster agreed on by three that were all killed", func() bool { return f.rosterIs(4, 0, 1, 2) })
+	f.Drivers[2].Kill()
+	logs, err := filepath.Glob(filepath.Join(f.Drivers[2].file("votes"), "*"))
+	if err != nil || len(logs) == 0 {
+		t.Fatal(logs, err)
+	}
+	for _, l := range logs {
+		if b, err := os.ReadFile(l); err == nil && len(b) > 40 {
+			b[len(b)/2] ^= 0xff
+			if err := os.WriteFile(l, b, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := f.StartThese(2); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "a spoilt folder is refused", func() bool { return strings.Contains(f.Drivers[2].Log(), "move it away") })
+}
+
 func TestKills(t *testing.T) {
 	f := start(t, Options{Seed: 1})
 	f.Drivers[4].Kill()
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -18,6 +18,8 @@
 	Keep   float64 // one that has ended and is on no roster is remembered for so long
 	Most   int     // drivers that are known at most
 	Yield  float64 // a larger part takes over the share of who is lost after so long (see Count)
+	Keeps  bool    // votes and rosters outlive the process: Out.Save is safe before what goes with it is sent
+	Kept   *Kept   // what an earlier run saved last; nil for none
 }
 
 // In periods, where nothing else is said.
@@ -28,6 +30,7 @@
 	suspectLeast = 3.0 // with as many that confirm it as count
 	suspectMost  = 9.0 // with none
 	confirmers   = 2   // count
+	askBefore    = 2.5 // before a suspicion that few confirm is certain, whom it is about is asked straight
 	checkers     = 4.0 // look at one that another suspects, about
 	mostChecks   = 4
 	healthMost   = 4    // how much of a driver's slowness it blames on itself
@@ -42,6 +45,7 @@
 	deafMost     = 60.0 //
 	mostRelays   = 256
 	heardLately  = 4.0 // it lives, whatever others say
+	straight     = 4   // probes more, a period apart, to one that did not answer straight, before it counts as not heard
 )
 
 // member is what is known of a fellow.
@@ -51,6 +55,8 @@
 	count  uint64  // of its newest message that came straight from it
 	fresh  float64 // when that came
 	silent bool    // the last probe straight to it was not answered
+	tries  int     // made since
+	again  float64 // the next one
 	deaf   bool    // it is not heard, though it is said to live
 	hears  Hearing
 
@@ -128,8 +134,8 @@
 	behind    float64 // since when a fellow holds a newer roster
 	out       Out
 	statesGen uint64
-	judged    uint64 // statesGen when the standing was last looked at
-	suspects  int    // there may be some
+	judged    uint64    // statesGen when the standing was last looked at
+	doubted   []*member // those that are suspected are among them
 }
 
 // New makes the view of a driver that starts. Its record names it, its run and its address; seeds are addresses of fellows.
@@ -137,6 +143,7 @@
 	f := &Fleet{r: r, draw: rand.New(rand.NewPCG(seed, 0x6d656d62)), self: self, byName: map[string]*member{}, relays: map[uint64]*relay{}, going: map[string][]*rumour{},
 		now: now, ticked: now, changed: now, news: now, warned: map[string]float64{}, stands: now, standing: Unsure, why: "no_roster",
 		view: mark(self.Name, self.Run), hears: Hearing{Name: self.Name, Run: self.Run}}
+	f.restore(r.Kept)
 	f.seq = f.draw.Uint64() >> 2 // answers to an earlier run are not taken for ones to this
 	f.probeAt = now + f.r.Period*f.draw.Float64()
 	f.Seeds(seeds)
@@ -153,6 +160,7 @@
 func (f *Fleet) Pace(period float64) { f.r.Period = period }
 
 func (f *Fleet) take() (out Out) {
+	f.out.Save = f.save()
 	out, f.out = f.out, Out{}
 	return out
 }
@@ -181,7 +189,8 @@
 			delete(f.relays, seq)
 		}
 	}
-	if now >= f.lookAt || f.suspects > 0 {
+	f.lookAtDoubted()
+	if now >= f.lookAt {
 		f.lookAt = now + lookEvery*p
 		f.look()
 	}
@@ -208,19 +217,35 @@
 	return f.take()
 }
 
-// look ends suspicions that have lasted, and notes who is not heard.
-func (f *Fleet) look() {
-	f.suspects = 0
-	for _, m := range f.list {
-		if m.State == Suspect {
-			f.suspects++
+// lookAtDoubted ends suspicions that have lasted.
+func (f *Fleet) lookAtDoubted() {
+	for _, m := range slices.Clone(f.doubted) {
+		if m.State != Suspect {
+			continue
 		}
-		switch {
-		case m.State == Suspect && f.now >= f.deadline(m):
+		switch at := f.deadline(m); {
+		case f.now >= at:
 			r := m.Record
 			r.State, r.By = Failed, f.self.Name
 			f.apply(r)
-		case !m.State.ended() && !m.deaf && m.silent && f.now-max(m.fresh, m.met) > f.deafAfter():
+		case len(m.by) <= confirmers && f.now >= at-askBefore*f.r.Period && f.now >= m.again: // its denial may not have come here
+			m.again = f.now + f.r.Period/2
+			f.send(m.Address, Message{Kind: Ping, To: m.Name, Records: []Record{m.Record}})
+		}
+	}
+	f.doubted = slices.DeleteFunc(f.doubted, func(m *member) bool { return m.State != Suspect })
+}
+
+// look asks again who did not answer straight, and notes who is not heard. One lost datagram says nothing, and word that
+// somebody is not heard goes to all.
+func (f *Fleet) look() {
+	for _, m := range f.list {
+		switch {
+		case m.State.ended() || m.deaf || !m.silent || f.now < m.again:
+		case m.tries < straight:
+			m.tries, m.again = m.tries+1, f.now+f.r.Period
+			f.send(m.Address, Message{Kind: Ping, To: m.Name})
+		case f.now-max(m.fresh, m.met) > f.deafAfter():
 			f.hear(m, false)
 		}
 	}
@@ -361,7 +386,9 @@
 		return
 	}
 	if !p.asked && f.now >= p.direct {
-		p.asked, m.silent = true, true
+		if p.asked = true; !m.silent {
+			m.silent, m.tries, m.again = true, 0, f.now+f.r.Period
+		}
 		asked := map[string]bool{p.name: true}
 		for range helpers {
 			h := f.pick(func(h *member) bool { return h.State == Alive && !asked[h.Name] })
@@ -755,7 +782,9 @@
 	}
 	m.Record = r
 	if r.State == Suspect {
-		f.suspects++
+		if before != Suspect {
+			f.doubted = append(f.doubted, m)
+		}
 		m.began, m.scale, m.by = f.now, 1+float64(f.health)/2, map[string]bool{r.By: true}
 		if r.By != f.self.Name && len(f.check) < mostChecks && f.draw.Float64()*float64(f.alive()) < checkers {
 			f.check = append(f.check, r.Name)
--- a/internal/membership/records.go
+++ b/internal/membership/records.go
@@ -194,4 +194,5 @@
 	Sends     []Send
 	Exchanges []string // addresses with which whole states are to be exchanged
 	Notes     []Note
+	Save      *Kept // to be safe before Sends go out, see Fleet.Saved; nil for nothing new
 }
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -123,6 +123,9 @@
 	wantedAt  float64 // since when a change is wanted
 	retry     float64
 	forgotten map[string]uint64 // by operators: run
+	unsaved   bool              // something is to be kept
+	saveAt    float64           // not before
+	unsafe    bool              // what was voted could not be kept
 
 	founding  map[string]bool // who sees the same
 	foundSum  uint64
@@ -139,19 +142,16 @@
 
 func (f *Fleet) listed(name string) bool { return f.roster != nil && f.roster.has(name) }
 
-// names are those of all that live, sorted; calmly says that nobody is doubted.
-func (f *Fleet) names() (all []string, calmly bool) {
-	calmly = true
-	all = append(all, f.self.Name)
+// names are those of all that live, sorted; doubted ones among them or not.
+func (f *Fleet) names(doubted bool) []string {
+	all := append(make([]string, 0, len(f.list)+1), f.self.Name)
 	for _, m := range f.list {
-		if m.State == Alive {
+		if m.State == Alive || doubted && m.State == Suspect {
 			all = append(all, m.Name)
-		} else if m.State == Suspect {
-			calmly = false
 		}
 	}
 	slices.Sort(all)
-	return all, calmly
+	return all
 }
 
 // counsel founds a roster, or proposes a change of the one that holds.
@@ -184,7 +184,7 @@
 			rank++
 		}
 	}
-	if f.now < f.retry || f.now < f.votesAt || f.now-f.wantedAt < float64(min(rank, 8))*rankPause*f.r.Period || !f.roster.has(f.self.Name) {
+	if f.now < f.retry || !f.mayVote() || f.now-f.wantedAt < float64(min(rank, 8))*rankPause*f.r.Period || !f.roster.has(f.self.Name) {
 		return
 	}
 	if allowed, _ := Allowed(f.standing, ChangeNames); allowed {
@@ -286,12 +286,12 @@
 	switch v.Step {
 	case Prepare:
 		switch {
-		case f.now < f.votesAt || !f.roster.has(f.self.Name):
+		case !f.mayVote() || !f.roster.has(f.self.Name):
 			return
 		case v.Ballot.compare(f.promised) < 0:
 			back.Step, back.Ballot = Refuse, f.promised
 		default:
-			f.promised = v.Ballot
+			f.promised, f.unsaved = v.Ballot, true
 			back.Step, back.Taken, back.Change = Promise, f.taken, f.change
 		}
 		f.answer(name, address, back)
@@ -309,12 +309,12 @@
 		}
 	case Accept:
 		switch {
-		case v.Change == nil || v.Change.Base != f.roster.sum || f.now < f.votesAt:
+		case v.Change == nil || v.Change.Base != f.roster.sum || !f.mayVote():
 			return
 		case v.Ballot.compare(f.promised) < 0:
 			back.Step, back.Ballot = Refuse, f.promised
 		default:
-			f.promised, f.taken, f.change, f.takenAt = v.Ballot, v.Ballot, v.Change, f.now
+			f.promised, f.taken, f.change, f.takenAt, f.unsaved = v.Ballot, v.Ballot, v.Change, f.now, true
 			back.Step = Accepted
 		}
 		f.answer(name, address, back)
@@ -363,7 +363,7 @@
 
 // hold makes a roster the one that holds.
 func (f *Fleet) hold(r Roster) {
-	f.roster, f.round, f.behind = &r, nil, 0
+	f.roster, f.round, f.behind, f.unsaved = &r, nil, 0, true
 	for _, m := range f.list {
 		m.on = r.has(m.Name)
 	}
@@ -383,7 +383,7 @@
 func (f *Fleet) learn(c Change) {
 	switch {
 	case f.roster == nil && c.Version == 1:
-		if names, _ := f.names(); sumOf(names) == c.Sum {
+		if names := f.names(true); sumOf(names) == c.Sum {
 			f.hold(Roster{Version: 1, Lineage: c.Lineage, Names: names, sum: c.Sum})
 			f.decided, f.decidedLeft = &c, f.times()
 		}
@@ -420,8 +420,12 @@
 
 // found agrees on a first roster: the driver whose name comes first asks all that it sees whether they see the same.
 func (f *Fleet) found() {
-	names, calmly := f.names()
-	if !calmly || len(names) < f.r.Expect || f.now-f.changed < calm*f.r.Period || names[0] != f.self.Name || len(f.seeds) > 0 && len(names) == 1 || f.unproved {
+	if f.now-f.changed < calm*f.r.Period || len(f.list)+1 < f.r.Expect || f.unproved {
+		f.founding = nil
+		return
+	}
+	names := f.names(true) // each of them is to say that it sees the same: among many there is always one that is doubted
+	if len(names) < f.r.Expect || names[0] != f.self.Name || len(f.seeds) > 0 && len(names) == 1 {
 		f.founding = nil
 		return
 	}
@@ -439,7 +443,7 @@
 	if f.now >= f.foundAt {
 		f.foundAt = f.now + 2*f.r.Period
 		for _, m := range f.list {
-			if m.State == Alive && !f.founding[m.Name] {
+			if !m.State.ended() && !f.founding[m.Name] {
 				f.send(m.Address, Message{Kind: Gossip, To: m.Name, Vote: &Vote{Step: Found, Version: 1, Sum: sum, Ballot: Ballot{Name: f.self.Name}}})
 			}
 		}
@@ -450,10 +454,10 @@
 	if f.roster != nil {
 		return // who asks learns of it by an exchange
 	}
-	names, calmly := f.names()
+	names := f.names(true)
 	switch v.Step {
 	case Found:
-		if calmly && sumOf(names) == v.Sum && name == names[0] && (f.joinUntil <= f.now || f.joined == v.Sum) && f.contested == 0 && f.now >= f.doubt {
+		if sumOf(names) == v.Sum && name == names[0] && (f.joinUntil <= f.now || f.joined == v.Sum) && f.contested == 0 && f.now >= f.doubt {
 			f.joined, f.joinUntil = v.Sum, f.now+6*f.r.Period
 			f.answer(name, address, Vote{Step: Join, Version: 1, Sum: v.Sum, Ballot: v.Ballot})
 		}
@@ -502,3 +506,52 @@
 	f.judge()
 	return f.take(), nil
 }
+
+// Kept is what must outlive the process for its votes to count when it comes back.
+type Kept struct {
+	Name     string  `cbor:"1,keyasint"`
+	Run      uint64  `cbor:"2,keyasint"`
+	Roster   Roster  `cbor:"3,keyasint"`
+	Version  uint64  `cbor:"4,keyasint,omitempty"` // of the roster to come that the votes are about
+	Promised Ballot  `cbor:"5,keyasint"`
+	Taken    Ballot  `cbor:"6,keyasint"`
+	Change   *Change `cbor:"7,keyasint,omitempty"` // taken
+	Turn     uint32  `cbor:"8,keyasint,omitempty"`
+}
+
+// mayVote says that no earlier vote of this driver can have been forgotten.
+func (f *Fleet) mayVote() bool { return f.now >= f.votesAt && !f.unsafe }
+
+// restore takes up what an earlier run under the name kept: that roster and those votes, so that it votes at once.
+func (f *Fleet) restore(k *Kept) {
+	if k == nil || k.Name != f.self.Name || k.Roster.Version == 0 {
+		return
+	}
+	if k.Run >= f.self.Run && k.Run < mostRun-1 { // the clock went back
+		f.rename(k.Run + 1)
+	}
+	f.adopt(k.Roster)
+	f.version, f.promised, f.taken, f.change, f.takenAt, f.turn = k.Version, k.Promised, k.Taken, k.Change, f.now-roundTime*f.r.Period, k.Turn
+	f.votesAt = 0
+}
+
+// save gives what is to be kept, where there is something new.
+func (f *Fleet) save() *Kept {
+	if !f.r.Keeps || !f.unsaved || f.roster == nil || f.now < f.saveAt {
+		return nil
+	}
+	f.unsaved = false
+	return &Kept{f.self.Name, f.self.Run, *f.roster, f.version, f.promised, f.taken, f.change, f.turn}
+}
+
+// Saved tells what became of the last Out.Save. Where it could not be kept, that Out's messages must not be sent, and this
+// driver gives no votes until a later one could be.
+func (f *Fleet) Saved(ok bool) {
+	if !ok {
+		f.unsaved, f.saveAt, f.round = true, f.now+settled*f.r.Period, nil
+	}
+	if f.unsafe == ok {
+		f.unsafe = !ok
+		f.note(map[bool]string{true: "votes_kept", false: "votes_not_kept"}[ok], f.self.Name, "")
+	}
+}
--- a/internal/membership/standing.go
+++ b/internal/membership/standing.go
@@ -148,7 +148,7 @@
 		return true
 	}
 	next := f.after(f.change)
-	names, _ := f.names()
+	names := f.names(false)
 	who := map[string]bool{}
 	for _, n := range names {
 		who[n] = true
@@ -231,6 +231,8 @@
 	Run      uint64   `json:"run"`
 	Health   int      `json:"health"` // 0: well
 	Roster   *Roster  `json:"roster"`
+	Refused  int64    `json:"frames_refused"` // that could not be taken: another secret, or damaged
+	Sent     int64    `json:"bytes_sent"`     // by UDP
 	Drivers  []View   `json:"drivers"`
 }
 
@@ -262,6 +264,3 @@
 	}
 	return all
 }
-
-// Generation changes whenever what Status shows of states, standing and hearing does.
-func (f *Fleet) Generation() uint64 { return f.statesGen }
--- a/internal/membership/votes_test.go
+++ b/internal/membership/votes_test.go
@@ -17,10 +17,11 @@
 	of    map[string]*Fleet
 	names []string
 	pool  []vote
+	disk  map[string]*Kept
 }
 
 func newChamber(n, newcomers int) *chamber {
-	c := &chamber{of: map[string]*Fleet{}}
+	c := &chamber{of: map[string]*Fleet{}, disk: map[string]*Kept{}}
 	var roster []string
 	for i := range n + newcomers {
 		name := fmt.Sprintf("n%d", i)
@@ -30,22 +31,33 @@
 		}
 	}
 	for _, name := range c.names {
-		f := New(0, Rules{Period: 100, Expect: 1, Most: 100}, Record{Name: name, Run: 1, Address: name}, nil, 1)
-		for _, o := range c.names {
-			f.apply(Record{Name: o, Run: 1, Address: o})
-		}
+		f := c.begin(name)
 		if name < roster[len(roster)-1] || name == roster[len(roster)-1] {
 			f.hold(Roster{Version: 1, Lineage: 1, Names: roster, sum: sumOf(roster)})
 		}
-		f.take()
-		c.of[name] = f
+		c.out(f)
 	}
 	return c
 }
 
-// out puts what a driver sends on its way.
+// begin starts a process that knows what an earlier one kept, and all drivers.
+func (c *chamber) begin(name string) *Fleet {
+	f := New(0, Rules{Period: 100, Expect: 1, Most: 100, Keeps: true, Kept: c.disk[name]}, Record{Name: name, Run: 1, Address: name}, nil, 1)
+	for _, o := range c.names {
+		f.apply(Record{Name: o, Run: 1, Address: o})
+	}
+	c.of[name] = f
+	return f
+}
+
+// out keeps what a driver is to keep, and puts what it sends on its way.
 func (c *chamber) out(f *Fleet) {
-	for _, s := range f.take().Sends {
+	out := f.take()
+	if out.Save != nil {
+		c.disk[f.self.Name] = out.Save
+		f.Saved(true)
+	}
+	for _, s := range out.Sends {
 		if s.Message.Vote != nil {
 			c.pool = append(c.pool, vote{f.self.Name, s.Address, *s.Message.Vote})
 		}
@@ -65,14 +77,15 @@
 }
 
 // Several drivers propose different changes at once, again and again, and every message is lost, late, doubled or out of
-// order as it happens: whoever decides on the next version decides the same, and each decision had both majorities.
+// order as it happens, and drivers are killed and come back, before or after what they voted was on disk, or can't write to
+// it: whoever decides on the next version decides the same, and each decision had both majorities.
 func TestVotesInAnyOrder(t *testing.T) {
-	decided := 0
-	for seed := range uint64(6000) {
+	decided, killed := 0, 0
+	for seed := range uint64(10000) {
 		draw := rand.New(rand.NewPCG(seed, 5))
 		n := 3 + draw.IntN(3)
 		c := newChamber(n, 2)
-		taken := map[string]uint64{} // by driver: what it accepted last
+		versions := map[uint64]*Roster{} // that a process held when it was killed
 		for range 60 + draw.IntN(120) {
 			name := c.names[draw.IntN(n)]
 			switch f := c.of[name]; {
@@ -86,6 +99,13 @@
 					f.propose(change(f, c.names[n+draw.IntN(2)], c.names[draw.IntN(n)]))
 				}
 				c.out(f)
+			case draw.IntN(20) == 0: // killed, and back with what it kept
+				if f.roster.Version > 1 {
+					versions[f.roster.sum] = f.roster
+				}
+				f = c.begin(name)
+				f.take()
+				killed++
 			case len(c.pool) > 0:
 				i := draw.IntN(len(c.pool))
 				m := c.pool[i]
@@ -97,15 +117,24 @@
 				}
 				to := c.of[m.to]
 				to.voted(m.from, m.from, m.v)
-				if to.change != nil {
-					taken[m.to] = to.change.Sum
+				switch draw.IntN(30) {
+				case 0: // killed before anything was written
+					c.begin(m.to).take()
+				case 1: // nothing can be written
+					if to.take().Save != nil {
+						to.Saved(false)
+						to.now += settled * 100
+					}
+				default:
+					c.out(to)
 				}
-				c.out(to)
 			}
 		}
 		var first *Roster
 		for _, name := range c.names[:n] {
-			r := c.of[name].roster
+			versions[c.of[name].roster.sum] = c.of[name].roster
+		}
+		for _, r := range versions {
 			if r.Version == 1 {
 				continue
 			}
@@ -118,8 +147,8 @@
 			}
 		}
 	}
-	if decided < 1000 {
-		t.Errorf("only %d decisions: the test does not test", decided)
+	if decided < 1000 || killed < 1000 {
+		t.Errorf("only %d decisions, %d killed: the test does not test", decided, killed)
 	}
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -35,6 +35,7 @@
 	wordsEvery  = time.Second
 	ticks       = 10 // a period
 	leaveTime   = 300 * time.Millisecond
+	badEvery    = 30 * time.Second // between two lines on what was refused
 )
 
 // Options are what a mesh goes by.
@@ -49,6 +50,7 @@
 	Yield      time.Duration // see membership.Rules
 	Seed       uint64
 	Run        uint64
+	Folder     string         // where votes outlive the process; empty: nowhere
 	Now        func() float64 // milliseconds; never steps
 	Log        *slog.Logger
 
@@ -69,7 +71,9 @@
 	wake   chan struct{}
 	left   atomic.Bool
 	bad    atomic.Int64 // datagrams and frames that could not be taken
+	badAt  atomic.Int64 // when that was logged last, milliseconds
 	sent   atomic.Int64 // bytes by UDP
+	kept   *keeper      // nil where nothing is
 
 	telling sync.Mutex // held while somebody is told of the standing
 
@@ -107,8 +111,16 @@
 	if m.o.Advertise == "" {
 		m.o.Advertise = m.tcp.Addr().String()
 	}
+	var kept *membership.Kept
+	if o.Folder != "" {
+		if m.kept, kept, err = openKeeper(o.Folder); err != nil {
+			m.udp.Close()
+			m.tcp.Close()
+			return nil, err
+		}
+	}
 	m.view = membership.New(o.Now(), membership.Rules{Period: milliseconds(o.Period), Expect: o.Expect, Keep: milliseconds(10 * time.Minute),
-		Most: 20000, Yield: milliseconds(o.Yield)}, membership.Record{Name: o.Name, Run: o.Run, Address: m.o.Advertise, Zone: o.Zone}, o.Seeds, o.Seed)
+		Most: 20000, Yield: milliseconds(o.Yield), Keeps: m.kept != nil, Kept: kept}, membership.Record{Name: o.Name, Run: o.Run, Address: m.o.Advertise, Zone: o.Zone}, o.Seeds, o.Seed)
 	return m, nil
 }
 
@@ -121,6 +133,9 @@
 func (m *Mesh) Close() {
 	m.udp.Close()
 	m.tcp.Close()
+	if m.kept != nil {
+		m.kept.store.Close()
+	}
 }
 
 // Run is among fellows until the context ends, then leaves.
@@ -177,8 +192,17 @@
 	}
 }
 
-// do carries out what was decided and tells of changes. It is called with the lock, and lets go of it.
+// do carries out what was decided and tells of changes. It is called with the lock, and lets go of it. Votes are on disk
+// before they are sent, and before anything else is decided.
 func (m *Mesh) do(out membership.Out) {
+	if out.Save != nil {
+		err := m.kept.save(out.Save)
+		if err != nil {
+			m.o.Log.Warn("membership", "reason", "votes_not_kept", "error", err)
+			out.Sends = nil
+		}
+		m.view.Saved(err == nil)
+	}
 	standing, _, _ := m.view.Standing()
 	count := m.view.Count()
 	changed := !m.told || standing != m.standing || count != m.count
@@ -231,7 +255,7 @@
 func (m *Mesh) receive(ctx context.Context) {
 	buf := make([]byte, mostDatagram+1)
 	for ctx.Err() == nil {
-		n, _, err := m.udp.ReadFromUDPAddrPort(buf)
+		n, from, err := m.udp.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			select { // an error of one datagram, such as a fellow that does not listen
 			case <-ctx.Done():
@@ -240,8 +264,12 @@
 			continue
 		}
 		var msg membership.Message
-		if n > mostDatagram || m.dgrams.open(buf[:n], &msg) != nil {
-			m.bad.Add(1)
+		err = errLong
+		if n <= mostDatagram {
+			err = m.dgrams.open(buf[:n], &msg)
+		}
+		if err != nil {
+			m.refused(err, from.String())
 			continue
 		}
 		m.mu.Lock()
@@ -249,6 +277,15 @@
 	}
 }
 
+// refused counts what could not be taken, and says so now and then.
+func (m *Mesh) refused(err error, from string) {
+	n := m.bad.Add(1)
+	now, last := int64(m.o.Now()), m.badAt.Load()
+	if (last == 0 || now-last >= badEvery.Milliseconds()) && m.badAt.CompareAndSwap(last, max(now, 1)) {
+		m.o.Log.Warn("membership", "reason", "frame_refused", "from", from, "error", err, "in_all", n)
+	}
+}
+
 // accept serves fellows' calls.
 func (m *Mesh) accept(ctx context.Context) {
 	places := make(chan struct{}, mostCallers)
@@ -280,7 +317,7 @@
 	f, err := m.frames.read(c)
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
-			m.bad.Add(1)
+			m.refused(err, c.RemoteAddr().String())
 		}
 		return
 	}
@@ -408,7 +445,9 @@
 	m.do(m.view.Tick(m.o.Now()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.view.Status()
+	s := m.view.Status()
+	s.Refused, s.Sent = m.bad.Load(), m.sent.Load()
+	return s
 }
 
 // Standing is this driver's as it is now.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -46,6 +46,8 @@
 	Expect int
 	// Yield: a larger part takes over the share of those that it lost after so long.
 	Yield time.Duration
+	// Folder keeps the roster and this driver's votes on it, for its next process. Empty: nothing is kept.
+	Folder string
 }
 
 // Fleet is the block "fleet": the shape of a deployment where it is not what the platform's settings say. Each
@@ -350,9 +352,10 @@
 }
 
 func (r *reader) membership(b *hcl.Block) *Membership {
-	attrs := r.block(b, "listen", "advertise", "seeds", "token_file", "zone", "period", "expect", "yield")
+	attrs := r.block(b, "listen", "advertise", "seeds", "token_file", "zone", "period", "expect", "yield", "folder")
 	m := &Membership{Period: r.duration(attrs, "period", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
 		Expect: r.whole(attrs, "expect", 0, 0, 20000), Yield: r.duration(attrs, "yield", 15*time.Second, time.Second, time.Hour)}
+	m.Folder, _ = r.text(attrs, "folder", "")
 	literal := func(at hcl.Range, name, text string) {
 		if a, err := netip.ParseAddrPort(text); err != nil {
 			r.problem(at, "%s: %q is no IP:port, such as 10.0.0.5:7434.", name, text)
@@ -469,8 +472,8 @@
 			quoted(c.Socket), quoted(c.Listen), strings.Join(list(c.Fellows), ", "), quoted(c.TokenFile), c.Lease, c.Most, c.Opening)
 	}
 	if m := f.Membership; m != nil {
-		fmt.Fprintf(&b, "membership {\n  listen     = %s\n  advertise  = %s\n  seeds      = [%s]\n  token_file = %s\n  zone       = %s\n  period     = %q\n  expect     = %d\n  yield      = %q\n}\n",
-			quoted(m.Listen), quoted(m.Advertise), strings.Join(list(m.Seeds), ", "), quoted(m.TokenFile), quoted(m.Zone), m.Period, m.Expect, m.Yield)
+		fmt.Fprintf(&b, "membership {\n  listen     = %s\n  advertise  = %s\n  seeds      = [%s]\n  token_file = %s\n  zone       = %s\n  period     = %q\n  expect     = %d\n  yield      = %q\n  folder     = %s\n}\n",
+			quoted(m.Listen), quoted(m.Advertise), strings.Join(list(m.Seeds), ", "), quoted(m.TokenFile), quoted(m.Zone), m.Period, m.Expect, m.Yield, quoted(m.Folder))
 	}
 	if g := f.Registry; g != nil {
 		ends := list(g.Endpoints)
