--- a/logic/api.go
+++ b/logic/api.go
@@ -105,6 +105,7 @@
 	EvRecall   // Memory: what an earlier run knew, behind the first list and before the first op
 	EvRemember // Memory, which the module fills for a run to come
 	EvDrivers  // Drivers: how many there are by now, where they may send each other messages
+	EvTolls    // Tolls: what a plan of zones asks for each; nil: there is none any more
 )
 
 // ListKind says how Members relates to the list known so far.
@@ -188,6 +189,7 @@
 	Data     []byte
 	Memory   *Memory
 	Drivers  int
+	Tolls    map[string]float64 // by zone, in sends in flight; not changed after it was given
 }
 
 // Memory is what one run of a driver leaves to the next. Times are clock times in milliseconds. Who hands one to
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,14 +71,15 @@
 }
 
 type member struct {
-	id, zone              string
-	hash                  uint32
-	group                 *group
-	draining, listed, far bool    // listed: the list calls it primary
-	position, replicaAt   float64 // replicaAt: when it last said that it is a replica
-	inFlight, cuts        int     // cuts: connections that broke since it was heard of
-	heard, owed, quiet    float64 // last word; usual times unanswered since: of ended sends, with those out
-	errors, late, proven  float64 // smoothed: share of errors, times over the easy, sends out while so
+	id, zone             string
+	hash                 uint32
+	group                *group
+	draining, listed     bool    // listed: the list calls it primary
+	toll                 float64 // of its zone, in sends in flight
+	position, replicaAt  float64 // replicaAt: when it last said that it is a replica
+	inFlight, cuts       int     // cuts: connections that broke since it was heard of
+	heard, owed, quiet   float64 // last word; usual times unanswered since: of ended sends, with those out
+	errors, late, proven float64 // smoothed: share of errors, times over the easy, sends out while so
 
 	over, ease, toldAt, backAt, pause, trialAt float64 // over: late, at a replica half of all; ease: own
 	started, asideAt, left                     float64 // left: the list, 0 while it is there
@@ -112,6 +113,7 @@
 type Driver struct {
 	now, zero, bound, sweepGap, margin float64 // bound: the tightest bound on the age of data
 	zone                               string
+	tolls                              map[string]float64 // by zone, where a plan says them
 	out                                []Action
 	state                              uint64
 	types                              []*opKind
@@ -171,6 +173,11 @@
 			d.remember(ev.Memory)
 		case EvDrivers:
 			d.fleet(float64(ev.Drivers))
+		case EvTolls:
+			d.tolls = ev.Tolls
+			for _, m := range d.members {
+				m.toll = d.toll(m.zone)
+			}
 		}
 	}
 	if due { // after the answers that came with the timer
@@ -259,7 +266,7 @@
 			h.Write([]byte(e.Member))
 			m = &member{id: e.Member, hash: h.Sum32() >> 8, group: d.groupAt(e.Group), position: -1,
 				heard: d.now, replicaAt: math.Inf(-1), backAt: math.Inf(-1), window: startWindow / 2,
-				zone: e.Zone, far: e.Zone != d.zone}
+				zone: e.Zone, toll: d.toll(e.Zone)}
 			d.members[e.Member] = m
 			m.group.members = append(m.group.members, m)
 			_, taken := d.byHash[m.hash]
@@ -518,10 +525,15 @@
 // drawn by chance, in proportion: many drivers know the same of them and must not act as one.
 func (d *Driver) load(m *member) float64 {
 	l := float64(m.inFlight+1)/d.warmth(m) + latePenalty*(1+2*m.group.blur)*m.late + 0.05*d.chance()
-	if m.far {
-		l += farPenalty
+	return (l + m.toll) * math.Pow(-math.Log(1-d.chance()), m.group.blur)
+}
+
+// toll is what a zone's members cost more: by the plan that holds, or for another zone.
+func (d *Driver) toll(zone string) float64 {
+	if t, planned := d.tolls[zone]; planned || zone == d.zone {
+		return t
 	}
-	return l * math.Pow(-math.Log(1-d.chance()), m.group.blur)
+	return farPenalty
 }
 
 // apart puts reads of any age rather where data is not fresh anyway, as fresh replicas are scarce for others.
