--- a/cmd/weirwind/main.go
+++ b/cmd/weirwind/main.go
@@ -20,6 +20,7 @@
 	State      stateCommands      `cmd:"" help:"Look at learned state, verify it, forget parts of it."`
 	Registry   registryCommands   `cmd:"" help:"Look at the members in a key-value registry."`
 	Switch     switchCommands     `cmd:"" help:"Words on planned changes of a primary, for hooks of the topology manager."`
+	Zones      zonesCommands      `cmd:"" help:"Zones and regions: which serve whose reads, as the drivers agreed."`
 	Membership membershipCommands `cmd:"" help:"Fellow drivers: who is there, who has failed, who may do what."`
 	Migrate    migrateCommand     `cmd:"" help:"Write an operators' file's counterpart for drivers that share nothing."`
 	Version    versionCommand     `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/cmd/weirwind/zones.go
@@ -0,0 +1,191 @@
+package main
+
+// This file owns the commands on zones. It must never decide what is planned.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"time"
+
+	"weirwind/internal/control"
+	"weirwind/internal/zones"
+)
+
+type zonesCommands struct {
+	Status   zonesStatus   `cmd:"" help:"The plan that the driver goes by, what it sees of zones, and what crossed between them."`
+	Plan     zonesPlan     `cmd:"" help:"Which shares would be planned; at the driver that leads."`
+	Evacuate zonesEvacuate `cmd:"" help:"Have a zone's reads and primaries move elsewhere."`
+	Return   zonesReturn   `cmd:"" help:"Take an evacuation back."`
+	Freeze   zonesFreeze   `cmd:"" help:"Have the plan stay as it is, or go on again with --off."`
+	Watch    zonesWatch    `cmd:"" help:"Print each new plan, until interrupted."`
+}
+
+func printPlan(out io.Writer, s *zones.Status) {
+	fmt.Fprintf(out, "self=%s zone=%s leads=%v in_force=%v age=%s", s.Self, s.Zone, s.Leads, s.InForce, span(s.Age))
+	if s.Plan == nil {
+		fmt.Fprintln(out, " epoch=none")
+		return
+	}
+	fmt.Fprintf(out, " epoch=%d voters=%v frozen=%v\n", s.Plan.Epoch, s.Plan.Voters, s.Plan.Frozen)
+	for _, z := range s.Plan.Zones {
+		fmt.Fprintf(out, "zone=%s state=%s cause=%s part=%.2f", z.Name, z.State, z.Cause, z.Part)
+		if t, ok := s.Tolls[z.Name]; ok {
+			fmt.Fprintf(out, " toll=%.2f", t)
+		}
+		fmt.Fprintln(out)
+	}
+	for _, c := range s.Plan.Cuts {
+		fmt.Fprintf(out, "cut from=%s to=%s\n", c.From, c.To)
+	}
+	for _, f := range s.Plan.Flows {
+		fmt.Fprintf(out, "share from=%s to=%s of=%.2f\n", f.From, f.To, f.Share)
+	}
+	for _, m := range s.Plan.Moves {
+		fmt.Fprintf(out, "move group=%d from=%s to=%s\n", m.Group, m.From, m.To)
+	}
+	for _, b := range s.Plan.Binds {
+		fmt.Fprintf(out, "binds %s\n", b)
+	}
+}
+
+type zonesStatus struct {
+	socketFlag
+	JSON bool `help:"As JSON." name:"json"`
+}
+
+// Run prints the driver's part.
+func (c *zonesStatus) Run(out io.Writer) error {
+	return c.with(func(ctx context.Context, client *control.Client) error {
+		s, err := client.Zones(ctx)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return printJSON(out, s)
+		}
+		printPlan(out, &s)
+		for _, g := range s.Sights {
+			fmt.Fprintf(out, "sees zone=%s members=%d silent=%d behind=%d slow=%.2f reads=%.1f/s\n", g.Zone, g.Members, g.Silent, g.Behind, g.Slow, g.Reads)
+		}
+		for _, x := range s.Calls {
+			fmt.Fprintf(out, "crossed to=%s type=%s reason=%s ops=%d bytes=%d\n", x.To, x.Type, x.Reason, x.Ops, x.Bytes)
+		}
+		return nil
+	})
+}
+
+type zonesPlan struct {
+	socketFlag
+	DryRun  bool   `help:"Said for clarity: this command never changes anything." default:"true"`
+	Without string `help:"Were this zone away."`
+	JSON    bool   `help:"As JSON." name:"json"`
+}
+
+// Run prints what would be planned.
+func (c *zonesPlan) Run(out io.Writer) error {
+	return c.with(func(ctx context.Context, client *control.Client) error {
+		p, err := client.Without(ctx, c.Without)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return printJSON(out, p)
+		}
+		for _, z := range p.Places {
+			fmt.Fprintf(out, "zone=%s region=%s reads=%.1f/s room=%.1f/s\n", z.Name, z.Region, z.Demand, z.Room)
+		}
+		for _, f := range p.Flows {
+			fmt.Fprintf(out, "share from=%s to=%s of=%.2f\n", f.From, f.To, f.Share)
+		}
+		for _, b := range p.Binds {
+			fmt.Fprintf(out, "binds %s\n", b)
+		}
+		return nil
+	})
+}
+
+type zonesEvacuate struct {
+	socketFlag
+	Zone string        `arg:"" help:"The zone."`
+	For  time.Duration `help:"It returns by itself after so long; 0: when it is told to."`
+}
+
+// Run has a zone emptied.
+func (c *zonesEvacuate) Run(out io.Writer) error {
+	return c.with(func(ctx context.Context, client *control.Client) error {
+		return client.OrderZone(ctx, zones.Saying{Zone: c.Zone, Away: true, For: float64(c.For.Milliseconds())})
+	})
+}
+
+type zonesReturn struct {
+	socketFlag
+	Zone string `arg:"" help:"The zone."`
+}
+
+// Run takes an evacuation back.
+func (c *zonesReturn) Run(out io.Writer) error {
+	return c.with(func(ctx context.Context, client *control.Client) error {
+		return client.OrderZone(ctx, zones.Saying{Zone: c.Zone})
+	})
+}
+
+type zonesFreeze struct {
+	socketFlag
+	Off bool `help:"Plans go on again."`
+}
+
+// Run has the plan stay as it is.
+func (c *zonesFreeze) Run(out io.Writer) error {
+	return c.with(func(ctx context.Context, client *control.Client) error {
+		on := !c.Off
+		return client.OrderZone(ctx, zones.Saying{Freeze: &on})
+	})
+}
+
+type zonesWatch struct {
+	socketFlag
+	JSON  bool          `help:"As JSON, a plan a line." name:"json"`
+	Every time.Duration `help:"Between two looks." default:"200ms"`
+	Times int           `help:"End after so many looks; 0: never." default:"0"`
+}
+
+// Run prints plans as they change, and moves of primaries that are asked for.
+func (c *zonesWatch) Run(out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	client := control.NewClient(c.Socket, "")
+	defer client.Close()
+	epoch, force := uint64(0), false
+	var moves []zones.Move
+	for n := 0; c.Times == 0 || n < c.Times; n++ {
+		s, err := client.Zones(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if p := s.Plan; p != nil && (p.Epoch != epoch || force != s.InForce || !slices.Equal(p.Moves, moves)) {
+			epoch, force, moves = p.Epoch, s.InForce, p.Moves
+			if c.JSON {
+				err = printJSON(out, s)
+			} else {
+				fmt.Fprintln(out, time.Now().Format("15:04:05.000"))
+				printPlan(out, &s)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(c.Every):
+		}
+	}
+	return nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -109,6 +109,7 @@
 	})
 	if token == "" {
 		fellowship(mux, s, answer)
+		zoneCalls(mux, s, answer)
 		return mux
 	}
 	want := []byte("Bearer " + token)
--- /dev/null
+++ b/internal/control/zones.go
@@ -0,0 +1,80 @@
+package control
+
+// This file owns calls on zones: the driver's part of plans, what would be planned, and operators' orders. They are answered
+// on the Unix socket alone.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"weirwind/internal/zones"
+)
+
+// Zoner is a driver's part in deciding on zones. Its methods may be called from several goroutines.
+type Zoner interface {
+	Status() zones.Status
+	Without(zone string) (zones.Preview, error)
+	Order(zones.Saying) error
+}
+
+// zoned is what a Switcher also is where zones are decided on in common; nil while they are not.
+type zoned interface{ Zoner() Zoner }
+
+var errNoZones = errors.New("zones are not switched on in the operators' file")
+
+func zoneCalls(mux *http.ServeMux, s Switcher, answer func(http.ResponseWriter, any)) {
+	with := func(do func(http.ResponseWriter, *http.Request, Zoner) error) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			err := errNoZones
+			if j, ok := s.(zoned); ok {
+				if z := j.Zoner(); z != nil {
+					err = do(w, r, z)
+				}
+			}
+			switch {
+			case err == nil:
+			case errors.Is(err, errNoZones), errors.Is(err, zones.ErrZone):
+				http.Error(w, err.Error(), http.StatusNotFound)
+			case errors.Is(err, zones.ErrNone), errors.Is(err, zones.ErrPart), errors.Is(err, zones.ErrLeads):
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			default:
+				http.Error(w, err.Error(), http.StatusBadRequest)
+			}
+		}
+	}
+	mux.HandleFunc("GET /zones", with(func(w http.ResponseWriter, r *http.Request, z Zoner) error {
+		answer(w, z.Status())
+		return nil
+	}))
+	mux.HandleFunc("GET /zones/plan", with(func(w http.ResponseWriter, r *http.Request, z Zoner) error {
+		p, err := z.Without(r.URL.Query().Get("without"))
+		if err == nil {
+			answer(w, p)
+		}
+		return err
+	}))
+	mux.HandleFunc("POST /zones/order", with(func(w http.ResponseWriter, r *http.Request, z Zoner) error {
+		var s zones.Saying
+		if err := read(w, r, &s); err != nil {
+			return err
+		}
+		return z.Order(s)
+	}))
+}
+
+// Zones asks for the driver's part in deciding on zones.
+func (c *Client) Zones(ctx context.Context) (s zones.Status, err error) {
+	return s, c.call(ctx, http.MethodGet, "/zones", nil, &s)
+}
+
+// Without asks what would be planned were a zone away; empty: as it is.
+func (c *Client) Without(ctx context.Context, zone string) (p zones.Preview, err error) {
+	return p, c.call(ctx, http.MethodGet, "/zones/plan?without="+url.QueryEscape(zone), nil, &p)
+}
+
+// OrderZone gives what operators say of a zone.
+func (c *Client) OrderZone(ctx context.Context, s zones.Saying) error {
+	return c.call(ctx, http.MethodPost, "/zones/order", s, nil)
+}
--- a/internal/driver/decide.go
+++ b/internal/driver/decide.go
@@ -5,6 +5,7 @@
 // under the lock, and never choose anything itself.
 
 import (
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -65,6 +66,8 @@
 	marked map[string]marks           // members that count as draining whatever the list says, and why
 	serial uint64
 	closed bool
+	zoning *zoning        // nil where zones are not decided on
+	near   map[int64]bool // groups with a member in the own zone; while zoning
 }
 
 // marks are reasons for which a member counts as draining whatever the list says.
@@ -112,6 +115,10 @@
 		case logic.ActSend, logic.ActCancel, logic.ActRefuse, logic.ActFail:
 			if o := d.ops[a.Op]; o != nil {
 				o.push(*a)
+				if d.zoning != nil && a.Kind == logic.ActSend {
+					o.to = append(o.to, sentTo{a.Member, d.clock.now()})
+					d.zoning.counted(o, d.lines[a.Member].Zone, len(o.to) > 1, d.near[o.statement.Group])
+				}
 				if a.Kind == logic.ActRefuse || a.Kind == logic.ActFail {
 					o.final = true
 				}
@@ -156,9 +163,36 @@
 			l.Phase = logic.Draining
 		}
 	}
+	d.look()
 	d.stepLocked(ev)
 }
 
+// zoned has sends counted by zone from here on.
+func (d *decider) zoned(z *zoning) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.zoning = z
+	d.look()
+}
+
+// look finds the groups that have a member near. The caller holds the lock.
+func (d *decider) look() {
+	if d.zoning == nil {
+		return
+	}
+	d.near = map[int64]bool{}
+	for _, l := range d.lines {
+		d.near[l.Group] = d.near[l.Group] || l.Zone == d.zoning.zone && l.Phase == logic.Ready
+	}
+}
+
+// listed is the list as it was told.
+func (d *decider) listed() map[string]logic.ListEntry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.lines)
+}
+
 // mark lets a member count as draining for a reason, or no longer for that one: without any it is as the list says again.
 func (d *decider) mark(member string, why marks, draining bool) {
 	d.mu.Lock()
@@ -238,6 +272,9 @@
 	if r.outcome == logic.OK && !o.final {
 		o.final, o.rows = true, r.rows
 	}
+	if d.zoning != nil && r.outcome == logic.OK && n < len(o.to) {
+		d.zoning.timed(o.to[n].member, d.lines[o.to[n].member].Zone, d.clock.now()-o.to[n].at, d.clock.sight(r.role, r.position).Position)
+	}
 	opened := 0.0
 	if r.outcome == logic.OK && !r.opened.IsZero() {
 		opened = d.clock.at(r.opened)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -97,6 +97,7 @@
 	registry  *operator.Registry // nil where members come from discovery alone
 	following *registry.Watcher
 	fellows   *fellows // the other drivers
+	zoning    *zoning  // nil where zones are not decided on in common
 
 	moving  sync.Mutex // guards what follows
 	movedTo string     // where discovery is now, until the watch has moved there
@@ -189,6 +190,11 @@
 			return nil, err
 		}
 	}
+	if o.Zones != nil && o.Membership != nil {
+		if err := v.openZones(*o.Zones, *o.Membership, &a); err != nil {
+			return nil, err
+		}
+	}
 	if o.Membership != nil {
 		if err := v.fellows.openMesh(*o.Membership, &a); err != nil {
 			return nil, err
@@ -247,6 +253,9 @@
 		back.Go(func() error { return v.switches.run(life) })
 	}
 	v.fellows.run(life, &back)
+	if v.zoning != nil {
+		back.Go(func() error { return v.zoning.run(life) })
+	}
 	if v.keep != nil {
 		go v.keep.run(life) // a disk that hangs must not keep the rest from ending
 	}
--- a/internal/driver/fellows.go
+++ b/internal/driver/fellows.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -20,6 +21,7 @@
 	"weirwind/internal/operator"
 	"weirwind/internal/roster"
 	"weirwind/internal/switchover"
+	"weirwind/internal/zones"
 	"weirwind/logic"
 )
 
@@ -106,6 +108,9 @@
 	opts := mesh.Options{Name: a.Name, Zone: zone, Listen: listen, Advertise: o.Advertise, Seeds: o.Seeds, Secret: token, Period: o.Period,
 		Expect: expect, Yield: o.Yield, Seed: a.told.Opening.Seed + 2, Run: uint64(v.decide.clock.unixMs), Now: v.decide.clock.now, Log: v.log,
 		Folder: o.Folder, Words: f.words, Told: f.told, Stand: f.stand}
+	if v.zoning != nil {
+		opts.Heard = v.zoning.heard
+	}
 	if f.mesh, err = mesh.Open(opts); err != nil {
 		return fmt.Errorf("membership: %v", err)
 	}
@@ -190,6 +195,11 @@
 // words are what a fellow is told: all changes of primaries that are known, and drains, all or those of late.
 func (f *fellows) words(all bool) *mesh.Words {
 	w := &mesh.Words{}
+	if z := f.v.zoning; z != nil {
+		z.mu.Lock()
+		w.Zones = z.z.Summary(f.v.decide.clock.now())
+		z.mu.Unlock()
+	}
 	if f.v.switches != nil {
 		for _, s := range f.v.switches.Status() {
 			w.Switches = append(w.Switches, s.Word)
@@ -206,10 +216,14 @@
 }
 
 // told takes a fellow's words, and says whether any was news.
-func (f *fellows) told(w *mesh.Words) (news bool) {
+func (f *fellows) told(w *mesh.Words, asked float64) (news, again bool) {
 	if len(w.Switches) > mostWords || len(w.Drains) > mostDrains {
 		f.v.log.Warn("membership", "reason", "too_many_words", "switches", len(w.Switches), "drains", len(w.Drains))
-		return false
+		return false, false
+	}
+	if z := f.v.zoning; z != nil && w.Zones != nil {
+		news = z.do(func(now float64) zones.Out { return z.z.Heard(now, asked, w.Zones) })
+		again = news && math.IsInf(asked, -1)
 	}
 	if s := f.v.switches; s != nil {
 		for _, word := range w.Switches {
@@ -227,7 +241,7 @@
 		f.carry(marks)
 		news = news || n
 	}
-	return news
+	return news, again
 }
 
 // list takes what a source's list told of members.
--- a/internal/driver/op.go
+++ b/internal/driver/op.go
@@ -25,6 +25,13 @@
 	final bool    // its answer is settled, or its client has left
 	rows  []byte  // the good answer, as the member gave it
 	wake  chan struct{}
+	to    []sentTo // its sends, where zones are decided on
+}
+
+// sentTo is where a send went, and when that was decided on the module's clock.
+type sentTo struct {
+	member string
+	at     float64
 }
 
 // order is an action of the module for an op, and when it was decided.
--- a/internal/driver/switches.go
+++ b/internal/driver/switches.go
@@ -154,6 +154,14 @@
 	return s.v.fellows.mesh
 }
 
+// Zoner is this driver's part in deciding on zones; nil while there is none.
+func (s *switches) Zoner() control.Zoner {
+	if s.v.zoning == nil {
+		return nil
+	}
+	return s.v.zoning
+}
+
 // Told takes a word of a fellow.
 func (s *switches) Told(w switchover.Word) error {
 	_, err := s.told(w)
--- /dev/null
+++ b/internal/driver/zoning.go
@@ -0,0 +1,416 @@
+package driver
+
+// This file owns what the driver does with plans of zones: it puts what it sees and what fellows say before internal/zones,
+// carries out what that decides, and counts sends between zones. It must never judge a zone or a plan itself, or keep an op
+// waiting for either.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"weirwind/internal/durable"
+	"weirwind/internal/membership"
+	"weirwind/internal/operator"
+	"weirwind/internal/zones"
+	"weirwind/logic"
+)
+
+const (
+	zoneLooks    = 5 // a beat
+	zoneCalls    = 8 // to fellows at a time
+	zoneQueue    = 256
+	zoneCallTime = 2 * time.Second
+	plansTag     = "PLAN"
+	plansLimit   = 4 << 20
+	webhookTime  = 5 * time.Second
+	webhookAgain = 10 * time.Second
+	toldKeep     = 2000.0 // ms that a member's position counts
+)
+
+// zoning is a driver's part in deciding on zones.
+type zoning struct {
+	v       *Service
+	name    string
+	zone    string
+	beat    time.Duration
+	keep    *durable.Last // nil where votes do not outlive the process
+	out     chan zones.Send
+	webhook string
+	bound   float64 // the tightest bound on the age of data; 0: there is none
+	names   []string
+
+	mu sync.Mutex // guards what follows; never taken with the decider's lock held
+	z  *zones.Zones
+
+	counting sync.Mutex // guards what follows; may be taken with the decider's lock held
+	account  zones.Account
+	usual    map[string]*zones.Usual // by zone
+	applied  map[string]told         // by member: what it said last
+	plan     map[string]bool         // zones that the plan has a share for
+	sent     map[string]float64
+	sentAt   float64
+
+	asked map[int64]time.Time // webhooks, by group
+}
+
+// told is a position that a member said, and when.
+type told struct{ position, at float64 }
+
+// openZones makes a driver's part in deciding on zones.
+func (v *Service) openZones(o operator.Zones, m operator.Membership, a *file) error {
+	z := &zoning{v: v, name: a.Name, zone: m.Zone, beat: o.Beat, out: make(chan zones.Send, zoneQueue), webhook: o.Webhook,
+		usual: map[string]*zones.Usual{}, applied: map[string]told{}, asked: map[int64]time.Time{}, sentAt: v.decide.clock.now()}
+	if z.zone == "" {
+		z.zone = a.told.Opening.Zone
+	}
+	for _, t := range a.told.Opening.OpTypes {
+		if t.Need == logic.Bounded && (z.bound == 0 || t.MaxAge < z.bound) {
+			z.bound = t.MaxAge
+		}
+	}
+	z.names = make([]string, len(a.told.Opening.OpTypes))
+	for name, i := range a.told.OpTypes {
+		z.names[i] = name
+	}
+	beat := milliseconds(o.Beat)
+	rules := zones.Rules{Beat: beat, Lease: milliseconds(o.Lease), Voters: o.Voters, Load: float64(o.Load) / 100, Move: 0.5,
+		Pace:   zones.Pace{Doubt: milliseconds(o.Doubt), SlowFor: 5 * milliseconds(o.Doubt), Away: milliseconds(o.Away), AwayMost: 32 * milliseconds(o.Away), Ramp: 4 * beat, Calm: 30 * milliseconds(o.Away)},
+		Limits: zones.Limits{Headroom: float64(o.Headroom) / 100, Budget: float64(o.Budget) / 100}}
+	for _, r := range o.Regions {
+		rules.Regions = append(rules.Regions, zones.Region{Name: r.Name, Zones: r.Zones})
+	}
+	if m.Folder != "" {
+		keep, last, err := durable.OpenLast(filepath.Join(m.Folder, "plans"), plansTag, plansLimit)
+		if err == nil && len(last) > 0 {
+			rules.Kept = &zones.Kept{}
+			err = cbor.Unmarshal(last, rules.Kept)
+		}
+		if err != nil {
+			return fmt.Errorf("zones: %v", err)
+		}
+		z.keep, rules.Keeps = keep, true
+	}
+	z.z = zones.New(v.decide.clock.now(), rules, zones.Fellow{Name: a.Name, Zone: z.zone}, uint64(v.decide.clock.unixMs))
+	v.zoning = z
+	v.decide.zoned(z)
+	return nil
+}
+
+// run takes part until the context ends.
+func (z *zoning) run(ctx context.Context) error {
+	var all errgroup.Group
+	for range zoneCalls {
+		all.Go(func() error {
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case s := <-z.out:
+					z.say(ctx, s)
+				}
+			}
+		})
+	}
+	every(ctx, z.beat/zoneLooks, func() { z.look(ctx) })
+	err := all.Wait()
+	if z.keep != nil {
+		z.keep.Close()
+	}
+	return err
+}
+
+// look puts what is seen before the decisions, and lets time pass.
+func (z *zoning) look(ctx context.Context) {
+	now := z.v.decide.clock.now()
+	sights, homes, sent := z.sights(now)
+	fleet := z.fleet()
+	z.do(func(now float64) zones.Out { return z.z.See(now, sights, homes, sent) })
+	z.do(func(now float64) zones.Out { return z.z.Tick(now, fleet) })
+	z.hook(ctx)
+}
+
+// do lets something be decided and carries out what comes of it. Votes are on disk before they are sent, and before anything
+// else is decided.
+func (z *zoning) do(decide func(now float64) zones.Out) (news bool) {
+	z.mu.Lock()
+	now := z.v.decide.clock.now()
+	out := decide(now)
+	if out.Save != nil {
+		b, err := cbor.Marshal(out.Save)
+		if err == nil {
+			err = z.keep.Save(b)
+		}
+		if err != nil {
+			z.v.log.Warn("zones", "reason", "votes_not_kept", "error", err)
+			out.Sends = nil
+		}
+		z.z.Saved(now, err == nil)
+	}
+	if out.Tolls {
+		tolls := z.z.Tolls()
+		z.v.decide.step(logic.Event{Kind: logic.EvTolls, Tolls: tolls})
+		z.v.log.Info("zones", "reason", "tolls", "text", fmt.Sprint(tolls))
+		z.counting.Lock()
+		z.plan = z.z.Planned()
+		z.counting.Unlock()
+	}
+	z.mu.Unlock()
+	for _, n := range out.Notes {
+		z.v.log.Info("zones", "reason", n.Reason, "name", n.Name, "text", n.Text)
+	}
+	for _, s := range out.Sends {
+		z.send(s)
+	}
+	if out.News {
+		z.v.fellows.mesh.Spread()
+	}
+	return out.News
+}
+
+// send has a word brought to a fellow, soon.
+func (z *zoning) send(s zones.Send) {
+	select {
+	case z.out <- s:
+	default: // it is said again where it matters
+	}
+}
+
+// say brings a word to a fellow, and what it answers before the decisions.
+func (z *zoning) say(ctx context.Context, s zones.Send) {
+	b, err := cbor.Marshal([]zones.Word{s.Word})
+	if err != nil {
+		return
+	}
+	within, stop := context.WithTimeout(ctx, zoneCallTime)
+	defer stop()
+	asked := z.v.decide.clock.now()
+	back, err := z.v.fellows.mesh.Send(within, s.To, b)
+	if err == nil {
+		for _, w := range z.take(s.To, back, asked) {
+			z.send(zones.Send{To: s.To, Word: w})
+		}
+	} else if !errors.Is(err, membership.ErrUnknown) {
+		z.v.log.Debug("zones", "reason", "word_not_sent", "to", s.To, "step", s.Word.Step, "took", z.v.decide.clock.now()-asked, "error", err)
+	}
+}
+
+// heard takes words of a fellow; what answers them goes back at once, the rest is sent.
+func (z *zoning) heard(from string, what []byte) []byte {
+	if back := z.take(from, what, math.Inf(-1)); len(back) > 0 {
+		b, _ := cbor.Marshal(back)
+		return b
+	}
+	return nil
+}
+
+func (z *zoning) take(from string, what []byte, asked float64) (back []zones.Word) {
+	var words []zones.Word
+	if len(what) == 0 || cbor.Unmarshal(what, &words) != nil || len(words) > 16 {
+		return nil
+	}
+	for _, w := range words {
+		z.do(func(now float64) zones.Out {
+			out := z.z.Got(now, asked, from, w)
+			if out.Save == nil { // else it goes when that is safe
+				out.Sends = slices.DeleteFunc(out.Sends, func(s zones.Send) bool {
+					if s.To == from {
+						back = append(back, s.Word)
+					}
+					return s.To == from
+				})
+			}
+			return out
+		})
+	}
+	return back
+}
+
+// fleet is what membership tells.
+func (z *zoning) fleet() zones.Fleet {
+	s := z.v.fellows.mesh.Status()
+	f := zones.Fleet{Standing: s.Standing, Living: []zones.Fellow{{Name: s.Self, Zone: z.zone}}, Zones: []string{z.zone}}
+	if s.Roster != nil {
+		f.Roster, f.Names = s.Roster.Version, s.Roster.Names
+	}
+	for _, d := range s.Drivers {
+		if d.State == membership.Alive || d.State == membership.Suspect {
+			f.Living = append(f.Living, zones.Fellow{Name: d.Name, Zone: d.Zone})
+		}
+		f.Zones = append(f.Zones, d.Zone)
+	}
+	slices.SortFunc(f.Living, func(a, b zones.Fellow) int { return strings.Compare(a.Name, b.Name) })
+	slices.Sort(f.Zones)
+	f.Zones = slices.Compact(f.Zones)
+	return f
+}
+
+// sights are what the own module knows of members, by zone, and where own reads went.
+func (z *zoning) sights(now float64) (all []zones.Sight, homes []zones.Home, sent map[string]float64) {
+	var memory logic.Memory
+	z.v.decide.step(logic.Event{Kind: logic.EvRemember, Memory: &memory})
+	lines := z.v.decide.listed()
+	at := map[string]*zones.Sight{}
+	newest, heard := map[int64]float64{}, map[string]int{}
+	z.counting.Lock()
+	applied := maps.Clone(z.applied)
+	for member, t := range z.applied {
+		if _, ok := lines[member]; !ok || now-t.at > toldKeep {
+			delete(z.applied, member)
+			delete(applied, member)
+		}
+	}
+	z.counting.Unlock()
+	for member, t := range applied {
+		newest[lines[member].Group] = max(newest[lines[member].Group], t.position)
+	}
+	for _, m := range memory.Members {
+		l, ok := lines[m.Member]
+		if !ok || l.Phase != logic.Ready {
+			continue
+		}
+		s := at[l.Zone]
+		if s == nil {
+			s = &zones.Sight{Zone: l.Zone}
+			at[l.Zone] = s
+		}
+		if s.Members++; m.Aside > 0 {
+			s.Silent++
+		}
+		if t, ok := applied[m.Member]; ok {
+			if heard[l.Zone]++; z.bound > 0 && newest[m.Group]-t.position > z.bound {
+				s.Behind++
+			}
+		}
+	}
+	for _, g := range memory.Groups {
+		if l, ok := lines[g.Slot]; ok && g.Slot != "" {
+			homes = append(homes, zones.Home{Group: g.Group, Zone: l.Zone})
+		}
+	}
+	z.counting.Lock()
+	defer z.counting.Unlock()
+	if span := now - z.sentAt; span >= 900 || z.sent == nil {
+		z.sent = z.account.Sent()
+		for zone, n := range z.sent {
+			z.sent[zone] = n * 1000 / max(span, 1)
+		}
+		z.sentAt = now
+		sent = z.sent
+	}
+	for zone, s := range at {
+		if s.Reads = z.sent[zone]; 2*heard[zone] < s.Members {
+			s.Behind = 0 // too few were heard of late to tell
+		}
+		if u := z.usual[zone]; u != nil {
+			s.Slow = u.Slow()
+		}
+		all = append(all, *s)
+	}
+	slices.SortFunc(all, func(a, b zones.Sight) int { return strings.Compare(a.Zone, b.Zone) })
+	return all, homes, sent
+}
+
+// counted takes a send, under the decider's lock.
+func (z *zoning) counted(o *op, zone string, repeat, near bool) {
+	z.counting.Lock()
+	defer z.counting.Unlock()
+	z.account.Count(z.zone, zone, z.names[o.opType], len(o.statement.Text), zones.Facts{Repeat: repeat, Primary: o.statement.Write, NoNear: !near}, z.plan[zone])
+}
+
+// timed takes how long a good answer took and the position that came with it, 0 for none, under the decider's lock.
+func (z *zoning) timed(member, zone string, ms, position float64) {
+	z.counting.Lock()
+	defer z.counting.Unlock()
+	if position > 0 {
+		z.applied[member] = told{position, z.v.decide.clock.now()}
+	}
+	u := z.usual[zone]
+	if u == nil {
+		if len(z.usual) >= 64 {
+			return
+		}
+		u = &zones.Usual{}
+		z.usual[zone] = u
+	}
+	u.Add(ms)
+}
+
+// Status is the view as it is now.
+func (z *zoning) Status() zones.Status {
+	z.mu.Lock()
+	s := z.z.Status(z.v.decide.clock.now())
+	z.mu.Unlock()
+	z.counting.Lock()
+	s.Calls = z.account.All()
+	z.counting.Unlock()
+	return s
+}
+
+// Order takes what operators say.
+func (z *zoning) Order(s zones.Saying) (err error) {
+	s.Asked = uint64(z.v.decide.clock.now() * 1000)
+	z.do(func(now float64) (out zones.Out) {
+		out, err = z.z.Order(now, s)
+		return out
+	})
+	return err
+}
+
+// Without tells what would be planned were a zone away.
+func (z *zoning) Without(zone string) (zones.Preview, error) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.z.Without(z.v.decide.clock.now(), zone)
+}
+
+// hook has the topology manager asked for moves, while this driver leads and may ask.
+func (z *zoning) hook(ctx context.Context) {
+	if z.webhook == "" {
+		return
+	}
+	z.mu.Lock()
+	moves, epoch := z.z.Asks(z.v.decide.clock.now())
+	z.mu.Unlock()
+	for _, m := range moves {
+		if time.Since(z.asked[m.Group]) < webhookAgain {
+			continue
+		}
+		if len(z.asked) > 1024 {
+			clear(z.asked)
+		}
+		z.asked[m.Group] = time.Now()
+		body, _ := json.Marshal(struct {
+			zones.Move
+			Epoch uint64 `json:"epoch"`
+		}{m, epoch})
+		go func() {
+			within, stop := context.WithTimeout(ctx, webhookTime)
+			defer stop()
+			req, err := http.NewRequestWithContext(within, http.MethodPost, z.webhook, bytes.NewReader(body))
+			if err == nil {
+				req.Header.Set("Content-Type", "application/json")
+				var res *http.Response
+				if res, err = http.DefaultClient.Do(req); err == nil {
+					if res.Body.Close(); res.StatusCode/100 != 2 {
+						err = errors.New(res.Status)
+					}
+				}
+			}
+			z.v.log.Info("zones", "reason", "move_asked", "group", m.Group, "to", m.To, "epoch", epoch, "error", err)
+		}()
+	}
+}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -29,11 +29,19 @@
 	Members int           // a group
 	Cores   int           // a member: so many ops at a time, others wait
 	Work    time.Duration // mean time of an op, drawn exponentially
+	Zones   []string      // of the members of a group, in turn; nil: all in a
 	Lag     time.Duration // replicas are behind by so much
 	Elect   time.Duration // from a primary's end to the next one
 	Seed    uint64
 }
 
+func (o Options) zone(i int) string {
+	if len(o.Zones) == 0 {
+		return "a"
+	}
+	return o.Zones[i%len(o.Zones)]
+}
+
 func (o Options) filled() Options {
 	set := func(x *int, least int) { *x = max(*x, least) }
 	if o.Members == 0 {
@@ -110,7 +118,7 @@
 				return nil, err
 			}
 			c.members = append(c.members, m)
-			c.entries[m.ID] = discovery.Entry{ID: m.ID, HostPort: m.address, Locality: "a", Cell: m.group, Phase: discovery.PhaseUp}
+			c.entries[m.ID] = discovery.Entry{ID: m.ID, HostPort: m.address, Locality: c.o.zone(i), Cell: m.group, Phase: discovery.PhaseUp}
 			if i == 0 {
 				c.primary[m.group] = m
 			}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -35,7 +35,8 @@
 	Seed    uint64
 	Cluster *lab.Cluster
 
-	Keep bool // each place has a folder in which its drivers keep their votes
+	Zones []string // of the drivers, in turn, which decide on zones in common; nil: they do not
+	Keep  bool     // each place has a folder in which its drivers keep their votes
 
 	Secret func(i int) string // its own secret; nil: the same for all
 	Lists  func(i int) string // its own address of discovery; nil: the cluster's
@@ -163,6 +164,9 @@
 		secret = o.Secret(d.i)
 	}
 	config := o.Cluster.Configuration(d.Name, d.Address, o.Expect, d.i)
+	if len(o.Zones) > 0 {
+		config = bytes.ReplaceAll(config, []byte(`"zone": "a"`), fmt.Appendf(nil, `"zone": %q`, o.Zones[d.i%len(o.Zones)]))
+	}
 	if o.Lists != nil {
 		config = bytes.ReplaceAll(config, []byte(o.Cluster.Discovery()), []byte(o.Lists(d.i)))
 	}
@@ -179,6 +183,10 @@
 	if o.Keep {
 		operators = strings.Replace(operators, "  period ", fmt.Sprintf("  folder    = %q\n  period ", file("votes")), 1)
 	}
+	if len(o.Zones) > 0 {
+		operators = strings.Replace(operators, "  period ", fmt.Sprintf("  zone      = %q\n  period ", o.Zones[d.i%len(o.Zones)]), 1)
+		operators += "zones {\n  region \"r\" {\n    zones = [\"a\", \"b\", \"c\"]\n  }\n  beat  = \"200ms\"\n  lease = \"3s\"\n  doubt = \"400ms\"\n  away  = \"1s\"\n}\n"
+	}
 	for kind, text := range map[string][]byte{"json": config, "hcl": []byte(operators), "token": []byte(secret)} {
 		if err := os.WriteFile(file(kind), text, 0o600); err != nil {
 			return err
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -84,7 +84,11 @@
 			for _, d := range f.Drivers {
 				s, err := d.Status()
 				text, _ := json.Marshal(s)
-				lines := strings.Split(d.Log(), "\n")
+				if z, ok := d.zones(); ok {
+					text, _ := json.Marshal(z)
+					t.Logf("%s: %s", d.Name, text)
+				}
+				lines := slices.DeleteFunc(strings.Split(d.Log(), "\n"), func(l string) bool { return strings.Contains(l, "client_closed") })
 				t.Logf("%s: %v %s\n%s", d.Name, err, text, strings.Join(lines[max(0, len(lines)-40):], "\n"))
 			}
 		}
--- a/internal/membership/standing.go
+++ b/internal/membership/standing.go
@@ -255,6 +255,14 @@
 	return Left
 }
 
+// Address is where a fellow is reached that does not count as ended; empty for none.
+func (f *Fleet) Address(name string) string {
+	if m := f.byName[name]; m != nil && !m.State.ended() {
+		return m.Record.Address
+	}
+	return ""
+}
+
 // Living are the addresses of fellows that do not count as ended.
 func (f *Fleet) Living() (all []string) {
 	for _, m := range f.list {
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -15,6 +15,7 @@
 
 	"weirwind/internal/membership"
 	"weirwind/internal/switchover"
+	"weirwind/internal/zones"
 )
 
 const (
@@ -37,12 +38,16 @@
 	Words    *Words               `cbor:"3,keyasint,omitempty"`
 	Status   []byte               `cbor:"4,keyasint,omitempty"` // JSON
 	Nonce    uint64               `cbor:"5,keyasint"`           // of the call; its answer bears it too
+	From     string               `cbor:"6,keyasint,omitempty"` // name of who sends
+	Sent     []byte               `cbor:"7,keyasint,omitempty"` // what another package has said to its like
 }
 
 // Words are what drivers tell each other of members: changes of primaries, and drains.
 type Words struct {
 	Switches []switchover.Word  `cbor:"1,keyasint,omitempty"`
 	Drains   []membership.Drain `cbor:"2,keyasint,omitempty"`
+	From     string             `cbor:"3,keyasint,omitempty"` // address at which who says this is asked
+	Zones    *zones.Summary     `cbor:"4,keyasint,omitempty"`
 }
 
 type call uint8
@@ -51,6 +56,7 @@
 	callExchange call = iota + 1 // whole states, and words
 	callWords                    // words alone
 	callStatus
+	callSend
 )
 
 var (
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -23,6 +24,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"weirwind/internal/durable"
 	"weirwind/internal/membership"
 )
 
@@ -54,8 +56,12 @@
 	Now        func() float64 // milliseconds; never steps
 	Log        *slog.Logger
 
-	Words func(all bool) *Words           // goes along with whole states, and else those of late; nil for none
-	Told  func(*Words) (news bool)        // takes a fellow's
+	Words func(all bool) *Words // goes along with whole states, and else those of late; nil for none
+	// Told takes a fellow's. asked is when it was asked for them, on Now's clock, and -Inf where it said them unasked. again:
+	// it is to be asked at once what it says when asked.
+	Told func(w *Words, asked float64) (news, again bool)
+	// Heard takes what a fellow sent by Send, and gives what goes back. Nil: nothing is taken.
+	Heard func(from string, what []byte) (back []byte)
 	Stand func(membership.Standing, int)  // is told of the standing and the count of drivers, when they change
 	On    func(note membership.Note) bool // sees each note; false keeps it out of the log. Nil: all are logged
 }
@@ -68,12 +74,13 @@
 	dgrams codec
 	frames codec
 	calls  chan string // addresses to exchange whole states with
+	asks   chan string // and words
 	wake   chan struct{}
 	left   atomic.Bool
-	bad    atomic.Int64 // datagrams and frames that could not be taken
-	badAt  atomic.Int64 // when that was logged last, milliseconds
-	sent   atomic.Int64 // bytes by UDP
-	kept   *keeper      // nil where nothing is
+	bad    atomic.Int64  // datagrams and frames that could not be taken
+	badAt  atomic.Int64  // when that was logged last, milliseconds
+	sent   atomic.Int64  // bytes by UDP
+	kept   *durable.Last // nil where nothing is
 
 	telling sync.Mutex // held while somebody is told of the standing
 
@@ -90,7 +97,7 @@
 	if o.Secret == "" {
 		return nil, errors.New("there is no secret")
 	}
-	m := &Mesh{o: o, dgrams: newCodec(o.Secret, "datagram"), frames: newCodec(o.Secret, "frame"), calls: make(chan string, mostQueue),
+	m := &Mesh{o: o, dgrams: newCodec(o.Secret, "datagram"), frames: newCodec(o.Secret, "frame"), calls: make(chan string, mostQueue), asks: make(chan string, mostCalls),
 		wake: make(chan struct{}, 1), period: o.Period}
 	var err error
 	for range 16 { // with port 0 the one that UDP got may be taken for TCP
@@ -134,7 +141,7 @@
 	m.udp.Close()
 	m.tcp.Close()
 	if m.kept != nil {
-		m.kept.store.Close()
+		m.kept.Close()
 	}
 }
 
@@ -152,6 +159,8 @@
 					return nil
 				case at := <-m.calls:
 					m.exchange(life, at)
+				case at := <-m.asks:
+					m.askWords(life, at)
 				}
 			}
 		})
@@ -196,7 +205,10 @@
 // before they are sent, and before anything else is decided.
 func (m *Mesh) do(out membership.Out) {
 	if out.Save != nil {
-		err := m.kept.save(out.Save)
+		b, err := encoder.Marshal(out.Save)
+		if err == nil {
+			err = m.kept.Save(b)
+		}
 		if err != nil {
 			m.o.Log.Warn("membership", "reason", "votes_not_kept", "error", err)
 			out.Sends = nil
@@ -330,23 +342,68 @@
 			back.Exchange = &x
 			m.do(m.view.Merge(m.o.Now(), *f.Exchange))
 		}
-		if m.o.Words != nil {
-			back.Words = m.o.Words(f.Call == callExchange)
+		back.Words = m.words(f.Call == callExchange)
+		m.hear(f.Words, math.Inf(-1))
+	case callSend:
+		if m.o.Heard != nil && f.From != "" {
+			back.Sent = m.o.Heard(f.From, f.Sent)
 		}
-		m.hear(f.Words)
 	case callStatus:
 		back.Status, _ = json.Marshal(m.Status())
 	}
 	m.frames.write(c, back)
 }
 
+// words are what this driver says to fellows; nil for nothing.
+func (m *Mesh) words(all bool) *Words {
+	if m.o.Words == nil {
+		return nil
+	}
+	w := m.o.Words(all)
+	w.From = m.o.Advertise
+	return w
+}
+
 // hear takes a fellow's words, and passes on what was news.
-func (m *Mesh) hear(words *Words) {
-	if words != nil && m.o.Told != nil && m.o.Told(words) {
+func (m *Mesh) hear(words *Words, asked float64) {
+	if words == nil || m.o.Told == nil {
+		return
+	}
+	news, again := m.o.Told(words, asked)
+	if again && words.From != "" {
+		select {
+		case m.asks <- words.From:
+		default: // the next one that is asked will do
+		}
+	}
+	if news {
 		m.Spread()
 	}
 }
 
+// Send has a fellow take something, and gives what it sends back.
+func (m *Mesh) Send(ctx context.Context, to string, what []byte) ([]byte, error) {
+	m.mu.Lock()
+	address := m.view.Address(to)
+	m.mu.Unlock()
+	if address == "" {
+		return nil, membership.ErrUnknown
+	}
+	back, err := m.call(ctx, address, &frame{Call: callSend, From: m.o.Name, Sent: what})
+	if err != nil {
+		return nil, err
+	}
+	return back.Sent, nil
+}
+
+// askWords exchanges words with one fellow.
+func (m *Mesh) askWords(ctx context.Context, at string) {
+	asked := m.o.Now()
+	if back, err := m.call(ctx, at, &frame{Call: callWords, Words: m.words(false)}); err == nil {
+		m.hear(back.Words, asked)
+	}
+}
+
 // call makes one call to a fellow.
 func (m *Mesh) call(ctx context.Context, address string, f *frame) (*frame, error) {
 	d := net.Dialer{Timeout: callTime}
@@ -380,10 +437,7 @@
 	m.mu.Lock()
 	x := m.view.Exchange()
 	m.mu.Unlock()
-	f := &frame{Call: callExchange, Exchange: &x}
-	if m.o.Words != nil {
-		f.Words = m.o.Words(true)
-	}
+	f, asked := &frame{Call: callExchange, Exchange: &x, Words: m.words(true)}, m.o.Now()
 	back, err := m.call(ctx, address, f)
 	if err != nil {
 		m.o.Log.Debug("membership", "reason", "exchange_failed", "address", address, "error", err)
@@ -393,7 +447,7 @@
 		m.mu.Lock()
 		m.do(m.view.Merge(m.o.Now(), *back.Exchange))
 	}
-	m.hear(back.Words)
+	m.hear(back.Words, asked)
 }
 
 // Spread has fellows told of words that are new here, soon.
@@ -430,10 +484,7 @@
 			behind.Add(1)
 			go func() { // each ends within callTime
 				defer behind.Done()
-				back, err := m.call(ctx, at, &frame{Call: callWords, Words: m.o.Words(false)})
-				if err == nil {
-					m.hear(back.Words)
-				}
+				m.askWords(ctx, at)
 			}()
 		}
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,6 +31,8 @@
 	Fleet    *Fleet   // nil: the deployment's shape is as the platform's settings say
 	// Membership is the drivers' own knowledge of each other; nil: they have none.
 	Membership *Membership
+	// Zones has drivers decide in common how zones stand in for each other; nil: each driver decides alone.
+	Zones *Zones
 }
 
 // Membership is the block "membership": drivers find out who of them is there.
@@ -50,6 +52,26 @@
 	Folder string
 }
 
+// Zones is the block "zones": drivers that know each other agree on which zones serve whose reads.
+type Zones struct {
+	Regions  []Region
+	Voters   int
+	Beat     time.Duration // between two looks of who leads
+	Lease    time.Duration // a plan holds for so long after it was certainly the newest
+	Headroom int           // percent of a zone's room kept for one more loss
+	Budget   int           // percent of all reads that may cross between zones
+	Load     int           // percent of what members can do that reads take usually
+	Doubt    time.Duration // a loss lasts so long before a zone is taken out
+	Away     time.Duration // least stay before it returns
+	Webhook  string        // called with each move of a primary that is asked for; empty: none
+}
+
+// Region is one with its zones, nearer to each other than to others.
+type Region struct {
+	Name  string
+	Zones []string
+}
+
 // Fleet is the block "fleet": the shape of a deployment where it is not what the platform's settings say. Each
 // field left out keeps the settings' own value, so a file without the block changes nothing.
 type Fleet struct {
@@ -131,7 +153,7 @@
 	r := &reader{problems: problems}
 	if !problems.HasErrors() {
 		blocks := r.content(syntax.Body, &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "state"}, {Type: "peers"}, {Type: "control"}, {Type: "ledger"},
-			{Type: "fleet"}, {Type: "membership"}, {Type: "registry", LabelNames: []string{"dialect"}}}})
+			{Type: "fleet"}, {Type: "membership"}, {Type: "zones"}, {Type: "registry", LabelNames: []string{"dialect"}}}})
 		seen := map[string]*hcl.Range{}
 		for _, b := range blocks.Blocks {
 			if before := seen[b.Type]; before != nil {
@@ -154,6 +176,8 @@
 				f.Fleet = r.fleet(b)
 			case "membership":
 				f.Membership = r.membership(b)
+			case "zones":
+				f.Zones = r.zones(b)
 			case "registry":
 				f.Registry = r.registry(b)
 			}
@@ -166,6 +190,9 @@
 				r.problem(*seen["membership"], "membership wants a token_file, its own or control's.")
 			}
 		}
+		if f.Zones != nil && f.Membership == nil {
+			r.problem(*seen["zones"], "zones want membership: drivers agree on them.")
+		}
 	}
 	if r.problems.HasErrors() {
 		return Default(), problemsError(r.problems)
@@ -391,6 +418,43 @@
 	return m
 }
 
+func (r *reader) zones(b *hcl.Block) *Zones {
+	names := []string{"voters", "beat", "lease", "headroom", "budget", "load", "doubt", "away", "webhook"}
+	schema := &hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "region", LabelNames: []string{"name"}}}}
+	for _, n := range names {
+		schema.Attributes = append(schema.Attributes, hcl.AttributeSchema{Name: n})
+	}
+	content := r.content(b.Body, schema)
+	attrs := content.Attributes
+	z := &Zones{Voters: r.whole(attrs, "voters", 5, 1, 9), Beat: r.duration(attrs, "beat", time.Second, 100*time.Millisecond, time.Minute),
+		Lease: r.duration(attrs, "lease", 15*time.Second, time.Second, 10*time.Minute), Headroom: r.whole(attrs, "headroom", 15, 0, 90),
+		Budget: r.whole(attrs, "budget", 100, 0, 100), Load: r.whole(attrs, "load", 60, 1, 100), Doubt: r.duration(attrs, "doubt", time.Second, 0, time.Minute),
+		Away: r.duration(attrs, "away", 10*time.Second, time.Second, time.Hour)}
+	z.Webhook, _ = r.text(attrs, "webhook", "")
+	of := map[string]string{}
+	for _, g := range content.Blocks {
+		attrs := r.block(g, "zones")
+		region := Region{Name: g.Labels[0]}
+		if v, at, ok := r.value(attrs, "zones", cty.List(cty.String)); ok {
+			for _, s := range v.AsValueSlice() {
+				if s.IsNull() || s.AsString() == "" || len(s.AsString()) > 64 {
+					r.problem(at, "zones: a name has 1 to 64 bytes.")
+				} else if other, twice := of[s.AsString()]; twice {
+					r.problem(at, "zones: %q stands in region %q already.", s.AsString(), other)
+				} else {
+					of[s.AsString()] = region.Name
+					region.Zones = append(region.Zones, s.AsString())
+				}
+			}
+		}
+		z.Regions = append(z.Regions, region)
+	}
+	if z.Lease < 3*z.Beat {
+		r.problem(b.DefRange, "zones: a lease of %v is under three beats of %v.", z.Lease, z.Beat)
+	}
+	return z
+}
+
 func (r *reader) registry(b *hcl.Block) *Registry {
 	attrs := r.block(b, "endpoints", "prefix", "service", "credentials_file", "ca_file", "take_over", "confirm", "silence",
 		"drivers_prefix", "lease")
@@ -475,6 +539,14 @@
 		fmt.Fprintf(&b, "membership {\n  listen     = %s\n  advertise  = %s\n  seeds      = [%s]\n  token_file = %s\n  zone       = %s\n  period     = %q\n  expect     = %d\n  yield      = %q\n  folder     = %s\n}\n",
 			quoted(m.Listen), quoted(m.Advertise), strings.Join(list(m.Seeds), ", "), quoted(m.TokenFile), quoted(m.Zone), m.Period, m.Expect, m.Yield, quoted(m.Folder))
 	}
+	if z := f.Zones; z != nil {
+		b.WriteString("zones {\n")
+		for _, g := range z.Regions {
+			fmt.Fprintf(&b, "  region %s {\n    zones = [%s]\n  }\n", quoted(g.Name), strings.Join(list(g.Zones), ", "))
+		}
+		fmt.Fprintf(&b, "  voters   = %d\n  beat     = %q\n  lease    = %q\n  headroom = %d\n  budget   = %d\n  load     = %d\n  doubt    = %q\n  away     = %q\n  webhook  = %s\n}\n",
+			z.Voters, z.Beat, z.Lease, z.Headroom, z.Budget, z.Load, z.Doubt, z.Away, quoted(z.Webhook))
+	}
 	if g := f.Registry; g != nil {
 		ends := list(g.Endpoints)
 		fmt.Fprintf(&b, "registry %q {\n  endpoints        = [%s]\n  prefix           = %s\n  service          = %s\n  credentials_file = %s\n"+
--- /dev/null
+++ b/internal/zones/machine.go
@@ -0,0 +1,110 @@
+package zones
+
+// This file owns how a zone goes from serving to away and back: what must last for how long, and one return at a time. It
+// must never bring back a zone that was just lost, or take one out for what did not last.
+
+import "math"
+
+// Pace says how fast zones are taken out and come back.
+type Pace struct {
+	Doubt    float64 // a loss lasts so long before it counts
+	SlowFor  float64 // and slowness, or replicas behind
+	Away     float64 // least stay; doubled with each return that failed
+	AwayMost float64
+	Ramp     float64 // of a return, from nothing to all
+	Calm     float64 // serving for so long forgets the failed returns
+}
+
+// course is where one zone stands, at who leads.
+type course struct {
+	Zone
+	since float64 // in its state
+	cause Cause   // that lasts, for the state doubted
+	well  float64 // since when nothing was wrong; +Inf: something is
+}
+
+// stops says whether a cause takes a zone out.
+func (c Cause) stops() bool { return c != None && c != DriversLost }
+
+// step lets one zone go on. may says that no other one returns now.
+func (c *course) step(now float64, p Pace, cause Cause, ordered, may bool) {
+	if ordered {
+		cause = Evacuated
+	}
+	stops := cause.stops()
+	switch {
+	case stops:
+		c.well = math.Inf(1)
+	case math.IsInf(c.well, 1):
+		c.well = now
+	}
+	to := func(s State, why Cause) {
+		if c.State != s {
+			c.State, c.since = s, now
+		}
+		c.Cause = why
+	}
+	hard := cause == Lost || cause == MembersLost || cause == RegionLost || cause == Isolated
+	out := func(why Cause) {
+		if c.State == Returning {
+			c.Flaps = min(c.Flaps+1, 8)
+		}
+		if hard || why == Lost || why == RegionLost || why == MembersLost || why == Isolated {
+			c.Part = 0
+			to(Away, why)
+		} else {
+			to(Leaving, why)
+		}
+	}
+	switch c.State {
+	case Serving:
+		if !stops {
+			c.Part, c.Cause = 1, cause
+			if c.Flaps > 0 && now-c.since > p.Calm {
+				c.Flaps, c.since = c.Flaps-1, now
+			}
+			return
+		}
+		if ordered {
+			out(Evacuated)
+			return
+		}
+		to(Doubted, cause)
+	case Doubted:
+		c.Cause = cause
+		lasts := p.Doubt
+		if cause == Slow || cause == Behind {
+			lasts = p.SlowFor
+		}
+		switch {
+		case !stops:
+			to(Serving, cause)
+		case ordered || now-c.since >= lasts:
+			out(cause)
+		}
+	case Leaving: // shares follow by their own pace; it is away when none is left
+		if hard {
+			out(cause)
+			return
+		}
+		if c.Part = max(0, c.Part-0.25); c.Part == 0 {
+			to(Away, c.Cause)
+		}
+	case Away:
+		stay := min(p.Away*math.Exp2(float64(c.Flaps)), p.AwayMost)
+		if stops {
+			c.Cause = cause
+		} else if may && now-c.since >= stay && now-c.well >= min(stay, p.Away*2) {
+			to(Returning, c.Cause)
+		}
+	case Returning:
+		switch {
+		case stops:
+			out(cause)
+		default:
+			if c.Part = min(1, max(0, now-c.since)/p.Ramp); c.Part == 1 {
+				to(Serving, cause)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/zones/town_test.go
@@ -0,0 +1,521 @@
+package zones
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"weirwind/internal/membership"
+)
+
+// town is some drivers in virtual time, with a network between them and members that are only health.
+type town struct {
+	now    float64
+	ds     []*resident
+	queue  moments
+	turn   int
+	draw   *rand.Rand
+	cut    func(a, b int) bool            // drivers, one way
+	sees   func(from, of string) Sight    // what drivers of a zone see of another
+	lies   func(d *resident, all []Sight) // changes a report
+	loss   float64
+	late   float64 // mean latency
+	moved  map[int64]map[string]bool
+	epochs map[uint64]uint64 // sum by epoch, of all plans that were ever in force
+	began  map[uint64]float64
+	lease  float64
+	home   map[int64]string
+	keeps  bool
+	broken []string
+}
+
+type resident struct {
+	z      *Zones
+	i      int
+	name   string
+	zone   string
+	life   int
+	frozen float64
+	disk   *Kept
+	heard  []float64
+	wait   []func()
+	sent   map[string]float64
+}
+
+type moment struct {
+	at   float64
+	turn int
+	do   func()
+}
+type moments []moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].turn < m[j].turn
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	last := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return last
+}
+
+func rules() Rules {
+	return Rules{Beat: 500, Lease: 5000, Voters: 5, Regions: []Region{{"r", []string{"a", "b", "c"}}}, Load: 0.6, Move: 0.5,
+		Pace: Pace{Doubt: 1000, SlowFor: 3000, Away: 3000, AwayMost: 60000, Ramp: 2000, Calm: 60000}, Limits: Limits{Headroom: 0.2, Budget: 1}}
+}
+
+func newTown(seed uint64, zones ...string) *town {
+	t := &town{now: 1000, draw: rand.New(rand.NewPCG(seed, 9)), late: 5, epochs: map[uint64]uint64{}, began: map[uint64]float64{}, lease: rules().Lease,
+		home: map[int64]string{1: "a"}, keeps: true}
+	t.sees = func(from, of string) Sight { return Sight{Zone: of, Members: 4, Reads: 100} }
+	for i, zone := range zones {
+		d := &resident{i: i, name: fmt.Sprintf("n%d", i), zone: zone, heard: make([]float64, len(zones))}
+		for k := range d.heard {
+			d.heard[k] = -1e9
+		}
+		t.ds = append(t.ds, d)
+	}
+	for _, d := range t.ds {
+		t.start(d)
+	}
+	return t
+}
+
+func (t *town) at(after float64, do func()) {
+	t.turn++
+	heap.Push(&t.queue, moment{t.now + after, t.turn, do})
+}
+
+func (t *town) zones() (all []string) {
+	for _, d := range t.ds {
+		all = append(all, d.zone)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// start begins a process, which knows what an earlier one kept.
+func (t *town) start(d *resident) {
+	r := rules()
+	r.Keeps, r.Kept = t.keeps, d.disk
+	d.life++
+	d.z, d.frozen, d.wait = New(t.now, r, Fellow{d.name, d.zone}, uint64(t.now)), 0, nil
+	if !t.keeps && d.life > 1 {
+		d.z.votesAt = t.now + forgetBeats*d.z.beat
+	}
+	life := d.life
+	var tick, gossip func()
+	tick = func() {
+		if d.life != life {
+			return
+		}
+		if t.now < d.frozen {
+			t.at(d.frozen-t.now, tick)
+			return
+		}
+		for _, do := range d.wait {
+			do()
+		}
+		d.wait = nil
+		t.tick(d)
+		t.at(100, tick)
+	}
+	gossip = func() {
+		if d.life != life {
+			return
+		}
+		if t.now >= d.frozen {
+			t.ask(d, t.ds[t.draw.IntN(len(t.ds))])
+		}
+		t.at(500*(0.5+t.draw.Float64()), gossip)
+	}
+	t.at(100*t.draw.Float64(), tick)
+	t.at(100*t.draw.Float64(), gossip)
+}
+
+func (t *town) kill(d *resident) { d.life++; d.z = nil }
+
+// pass carries something from one driver to another, if it comes through.
+func (t *town) pass(a, b *resident, do func()) {
+	if a == b || t.cut != nil && t.cut(a.i, b.i) || t.draw.Float64() < t.loss {
+		return
+	}
+	life := b.life
+	after := t.late * (0.5 + t.draw.ExpFloat64())
+	if t.draw.Float64() < t.loss/2 { // much too late
+		after += 20000 * t.draw.Float64()
+	}
+	once := func() {
+		if b.z == nil || b.life != life {
+			return
+		}
+		if t.now < b.frozen {
+			b.wait = append(b.wait, do)
+			return
+		}
+		do()
+	}
+	t.at(after, once)
+	if t.draw.Float64() < t.loss {
+		t.at(2*after, once)
+	}
+}
+
+// ask has one driver asked for what it holds.
+func (t *town) ask(d, o *resident) {
+	asked, life := t.now, d.life
+	t.pass(d, o, func() {
+		s := o.z.Summary(t.now)
+		t.pass(o, d, func() {
+			if d.life == life {
+				t.out(d, d.z.Heard(t.now, asked, s))
+			}
+		})
+	})
+}
+
+func (t *town) out(d *resident, o Out) {
+	if o.Save != nil {
+		k := *o.Save
+		d.disk = &k
+		d.z.Saved(t.now, true)
+	}
+	for _, s := range o.Sends {
+		i := slices.IndexFunc(t.ds, func(o *resident) bool { return o.name == s.To })
+		to := t.ds[i]
+		asked, life := t.now, d.life
+		t.pass(d, to, func() {
+			o := to.z.Got(t.now, math.Inf(-1), d.name, s.Word)
+			if s.Word.Step == Tell {
+				o.Sends = slices.DeleteFunc(o.Sends, func(s Send) bool {
+					if s.To == d.name {
+						t.pass(to, d, func() {
+							if d.life == life {
+								t.out(d, d.z.Got(t.now, asked, to.name, s.Word))
+							}
+						})
+					}
+					return s.To == d.name
+				})
+			}
+			t.out(to, o)
+		})
+	}
+	if o.News {
+		for range 3 {
+			to := t.ds[t.draw.IntN(len(t.ds))]
+			s := d.z.Summary(t.now)
+			t.pass(d, to, func() {
+				o := to.z.Heard(t.now, math.Inf(-1), s)
+				if t.out(to, o); o.News {
+					t.ask(to, d)
+				}
+			})
+		}
+	}
+	t.check(d)
+}
+
+// check holds what must always be so.
+func (t *town) check(d *resident) {
+	z := d.z
+	if z == nil || !z.inForce(t.now) {
+		return
+	}
+	e := z.plan.Epoch
+	if sum, ok := t.epochs[e]; ok && sum != z.planSum {
+		t.broken = append(t.broken, fmt.Sprintf("%.0f: two plans of epoch %d", t.now, e))
+	}
+	t.epochs[e] = z.planSum
+	if _, ok := t.began[e]; !ok {
+		t.began[e] = t.now
+	}
+	for later, began := range t.began {
+		if later > e && t.now-began > t.lease {
+			t.broken = append(t.broken, fmt.Sprintf("%.0f: %s goes by epoch %d, %.0f after %d began", t.now, d.name, e, t.now-began, later))
+		}
+	}
+}
+
+// tick lets a driver see what membership and its own sends would tell it.
+func (t *town) tick(d *resident) {
+	f := Fleet{Roster: 1, Zones: t.zones()}
+	for _, o := range t.ds {
+		f.Names = append(f.Names, o.name)
+		if o == d || o.z != nil && t.now >= o.frozen && !(t.cut != nil && (t.cut(o.i, d.i) || t.cut(d.i, o.i))) {
+			d.heard[o.i] = t.now
+		}
+		if t.now-d.heard[o.i] < 1500 {
+			f.Living = append(f.Living, Fellow{o.name, o.zone})
+		}
+	}
+	slices.Sort(f.Names)
+	slices.SortFunc(f.Living, func(a, b Fellow) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	switch n := len(f.Living); {
+	case n == len(f.Names):
+		f.Standing = membership.Whole
+	case 2*n > len(f.Names):
+		f.Standing = membership.Larger
+	default:
+		f.Standing = membership.Smaller
+	}
+	var sights []Sight
+	for _, z := range t.zones() {
+		if s := t.sees(d.zone, z); s.Members > 0 {
+			if z != d.zone {
+				s.Reads = 0
+			}
+			sights = append(sights, s)
+		}
+	}
+	if t.lies != nil {
+		t.lies(d, sights)
+	}
+	homes := []Home{}
+	for g, zone := range t.home {
+		homes = append(homes, Home{g, zone})
+	}
+	t.out(d, d.z.See(t.now, sights, homes, nil))
+	t.out(d, d.z.Tick(t.now, f))
+}
+
+func (t *town) run(length float64) {
+	end := t.now + length
+	for len(t.queue) > 0 && t.queue[0].at <= end {
+		m := heap.Pop(&t.queue).(moment)
+		t.now = m.at
+		m.do()
+	}
+	t.now = end
+}
+
+// until runs until something is so; it gives how long that took, -1 where it was not so in time.
+func (t *town) until(most float64, so func() bool) float64 {
+	for began := t.now; t.now-began < most; t.run(50) {
+		if so() {
+			return t.now - began
+		}
+	}
+	return -1
+}
+
+// all says that every driver that runs goes by one plan in force, for which something holds.
+func (t *town) all(so func(p *Plan) bool) bool {
+	var sum uint64
+	for _, d := range t.ds {
+		if d.z == nil {
+			continue
+		}
+		if !d.z.inForce(t.now) || sum != 0 && d.z.planSum != sum || !so(d.z.plan) {
+			return false
+		}
+		sum = d.z.planSum
+	}
+	return true
+}
+
+func calm(p *Plan) bool {
+	for _, z := range p.Zones {
+		if z.State != Serving {
+			return false
+		}
+	}
+	return len(p.Cuts) == 0 && len(p.Flows) == 0
+}
+
+// serving says that all zones are; one with more drivers may still spill over.
+func serving(p *Plan) bool {
+	q := *p
+	q.Flows = nil
+	return calm(&q)
+}
+
+func (t *town) dump(tt testing.TB) {
+	for _, d := range t.ds {
+		if d.z != nil {
+			tt.Logf("%.0f %s/%s: %+v judged %+v", t.now, d.name, d.zone, d.z.Status(t.now), d.z.judged)
+			if d.z.plan != nil {
+				tt.Logf("  %s", describe(d.z.plan))
+			}
+		}
+	}
+	for _, b := range t.broken {
+		tt.Log(b)
+	}
+}
+
+func is(zone string, s State, c Cause) func(p *Plan) bool {
+	return func(p *Plan) bool { z := p.zone(zone); return z.State == s && z.Cause == c }
+}
+
+// What is wrong is told apart, decided on by all, and undone when it is over.
+func TestCauses(t *testing.T) {
+	nine := []string{"a", "b", "c", "a", "b", "c", "a", "b", "c"}
+	drivers := func(zone string, w *town) (all []*resident) {
+		for _, d := range w.ds {
+			if d.zone == zone {
+				all = append(all, d)
+			}
+		}
+		return all
+	}
+	silentTo := func(w *town, from ...string) {
+		w.sees = func(f, of string) Sight {
+			s := Sight{Zone: of, Members: 4, Reads: 100}
+			if of == "b" && slices.Contains(from, f) {
+				s.Silent = 4
+			}
+			return s
+		}
+	}
+	for name, x := range map[string]struct {
+		fault func(w *town)
+		want  func(p *Plan) bool
+	}{
+		"a zone lost": {func(w *town) {
+			silentTo(w, "a", "c")
+			for _, d := range drivers("b", w) {
+				w.kill(d)
+			}
+		}, is("b", Away, Lost)},
+		"members lost": {func(w *town) { silentTo(w, "a", "b", "c") }, is("b", Away, MembersLost)},
+		"drivers lost": {func(w *town) {
+			for _, d := range drivers("b", w) {
+				w.kill(d)
+			}
+		}, is("b", Serving, DriversLost)},
+		"isolated": {func(w *town) { silentTo(w, "a", "c") }, is("b", Away, Isolated)},
+		"cut one way": {func(w *town) { silentTo(w, "a") }, func(p *Plan) bool {
+			return p.cut("a", "b") && !p.cut("c", "b") && !p.cut("b", "a") && p.zone("b").State == Serving
+		}},
+		"slow": {func(w *town) {
+			w.sees = func(f, of string) Sight {
+				s := Sight{Zone: of, Members: 4, Reads: 100, Slow: 1}
+				if of == "b" {
+					s.Slow = 4
+				}
+				return s
+			}
+		}, is("b", Away, Slow)},
+		"one driver says that all is lost": {func(w *town) {
+			w.lies = func(d *resident, all []Sight) {
+				if d.i == 4 {
+					for i := range all {
+						all[i].Silent = all[i].Members
+					}
+				}
+			}
+		}, calm},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTown(1, nine...)
+			if w.until(60000, func() bool { return w.all(calm) }) < 0 {
+				w.dump(t)
+				t.Fatal("no first plan")
+			}
+			x.fault(w)
+			took := w.until(60000, func() bool { return w.all(x.want) })
+			if w.run(5000); took < 0 || w.until(5000, func() bool { return w.all(x.want) }) < 0 {
+				w.dump(t)
+				t.Fatal("not so, or not for long")
+			}
+			t.Logf("%.0f ms", took)
+			silentTo(w)
+			w.lies = nil
+			for _, d := range w.ds {
+				if d.z == nil {
+					w.start(d)
+				}
+			}
+			if w.until(120000, func() bool { return w.all(calm) }) < 0 || len(w.broken) > 0 {
+				w.dump(t)
+				t.Fatal("not as before")
+			}
+		})
+	}
+}
+
+// Any faults between drivers: no two plans of one epoch in force, none for longer than its lease beside a later one, and
+// after the last fault all go by one plan.
+func TestAnyFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(3, 7).Draw(r, "drivers")
+		var zones []string
+		for i := range n {
+			zones = append(zones, string(rune('a'+i%3)))
+		}
+		w := newTown(rapid.Uint64().Draw(r, "seed"), zones...)
+		w.keeps = rapid.Bool().Draw(r, "keeps")
+		for _, d := range w.ds {
+			w.start(d)
+		}
+		w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(r, "loss")
+		if w.until(120000, func() bool { return w.all(func(*Plan) bool { return true }) }) < 0 {
+			r.Fatal("no first plan")
+		}
+		down := map[string]bool{}
+		w.sees = func(from, of string) Sight {
+			s := Sight{Zone: of, Members: 4, Reads: 100}
+			if down[of] || down[from+of] {
+				s.Silent = 4
+			}
+			return s
+		}
+		for range rapid.IntRange(1, 6).Draw(r, "faults") {
+			d := w.ds[rapid.IntRange(0, n-1).Draw(r, "at")]
+			switch rapid.IntRange(0, 7).Draw(r, "fault") {
+			case 0:
+				w.kill(d)
+			case 1:
+				if d.z == nil {
+					w.start(d)
+				}
+			case 2:
+				d.frozen = w.now + 20000*w.draw.Float64()
+			case 3:
+				side := rapid.Uint64().Draw(r, "sides")
+				w.cut = func(a, b int) bool { return side>>a&1 != side>>b&1 }
+			case 4:
+				a, b := d.i, rapid.IntRange(0, n-1).Draw(r, "to")
+				w.cut = func(x, y int) bool { return x == a && y == b }
+			case 5:
+				w.cut = nil
+			case 6:
+				down[d.zone] = !down[d.zone]
+			case 7:
+				to := w.ds[rapid.IntRange(0, n-1).Draw(r, "to")].zone
+				down[d.zone+to] = !down[d.zone+to]
+			}
+			w.run(15000 * w.draw.Float64())
+		}
+		w.cut, w.loss = nil, 0
+		clear(down)
+		for _, d := range w.ds {
+			if d.z == nil {
+				w.start(d)
+			}
+		}
+		took := w.until(400000, func() bool { return w.all(serving) })
+		if took < 0 || len(w.broken) > 0 {
+			for _, b := range w.broken {
+				r.Log(b)
+			}
+			for _, d := range w.ds {
+				r.Logf("%s %s orders %v lives %v", d.name, describe(d.z.plan), d.z.orders, d.z.fleet.Living)
+			}
+			r.Fatal("after the last fault")
+		}
+	})
+}
