--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -35,8 +35,9 @@
 	Seed    uint64
 	Cluster *lab.Cluster
 
-	Zones []string // of the drivers, in turn, which decide on zones in common; nil: they do not
-	Keep  bool     // each place has a folder in which its drivers keep their votes
+	Webhook string   // of the topology manager, for moves of primaries
+	Zones   []string // of the drivers, in turn, which decide on zones in common; nil: they do not
+	Keep    bool     // each place has a folder in which its drivers keep their votes
 
 	Secret func(i int) string // its own secret; nil: the same for all
 	Lists  func(i int) string // its own address of discovery; nil: the cluster's
@@ -185,7 +186,7 @@
 	}
 	if len(o.Zones) > 0 {
 		operators = strings.Replace(operators, "  period ", fmt.Sprintf("  zone      = %q\n  period ", o.Zones[d.i%len(o.Zones)]), 1)
-		operators += "zones {\n  region \"r\" {\n    zones = [\"a\", \"b\", \"c\"]\n  }\n  beat  = \"200ms\"\n  lease = \"3s\"\n  doubt = \"400ms\"\n  away  = \"1s\"\n}\n"
+		operators += "zones {\n  region \"r\" {\n    zones = [\"a\", \"b\", \"c\"]\n  }\n  beat  = \"200ms\"\n  lease = \"3s\"\n  doubt = \"400ms\"\n  away  = \"1s\"\n  webhook = " + fmt.Sprintf("%q", o.Webhook) + "\n}\n"
 	}
 	for kind, text := range map[string][]byte{"json": config, "hcl": []byte(operators), "token": []byte(secret)} {
 		if err := os.WriteFile(file(kind), text, 0o600); err != nil {
--- a/internal/zones/machine.go
+++ b/internal/zones/machine.go
@@ -19,12 +19,19 @@
 type course struct {
 	Zone
 	since float64 // in its state
-	cause Cause   // that lasts, for the state doubted
 	well  float64 // since when nothing was wrong; +Inf: something is
+	eased float64 // since when it was slow or not, as it is now
+	slow  bool
 }
 
-// stops says whether a cause takes a zone out.
-func (c Cause) stops() bool { return c != None && c != DriversLost }
+// stops says whether a cause takes a zone out. A slow zone, or one whose replicas lag, still carries some: to shut it costs
+// more than it saves (docs/zones.md), so that it keeps a part.
+func (c Cause) stops() bool { return c != None && c != DriversLost && !c.eases() }
+
+// eases says whether a cause leaves a zone a part of its room.
+func (c Cause) eases() bool { return c == Slow || c == Behind }
+
+const easedPart = 0.5
 
 // step lets one zone go on. may says that no other one returns now.
 func (c *course) step(now float64, p Pace, cause Cause, ordered, may bool) {
@@ -59,7 +66,15 @@
 	switch c.State {
 	case Serving:
 		if !stops {
-			c.Part, c.Cause = 1, cause
+			if c.slow != cause.eases() {
+				c.slow, c.eased = !c.slow, now
+			}
+			if c.Cause = cause; now-c.eased >= p.SlowFor {
+				c.Part = 1
+				if c.slow {
+					c.Part = easedPart
+				}
+			}
 			if c.Flaps > 0 && now-c.since > p.Calm {
 				c.Flaps, c.since = c.Flaps-1, now
 			}
@@ -72,14 +87,10 @@
 		to(Doubted, cause)
 	case Doubted:
 		c.Cause = cause
-		lasts := p.Doubt
-		if cause == Slow || cause == Behind {
-			lasts = p.SlowFor
-		}
 		switch {
 		case !stops:
 			to(Serving, cause)
-		case ordered || now-c.since >= lasts:
+		case ordered || now-c.since >= p.Doubt:
 			out(cause)
 		}
 	case Leaving: // shares follow by their own pace; it is away when none is left
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -478,7 +478,7 @@
 	places := z.places(p, names, reports)
 	disturbed := len(p.Cuts) > 0
 	for i := range p.Zones {
-		disturbed = disturbed || p.Zones[i].State != Serving && p.Zones[i].State != Doubted
+		disturbed = disturbed || p.Zones[i].Part < 1 || p.Zones[i].State != Serving && p.Zones[i].State != Doubted
 	}
 	if !disturbed { // near first
 		for _, pl := range places {
