--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -53,6 +53,24 @@
 #   period     = "500ms"                    # between two probes of one driver
 #   expect     = 0                          # drivers before they first agree; 0: the platform's figure
 #   yield      = "15s"                      # the share of lost ones is taken over after so long
+#   folder     = ""                         # keeps the roster and votes for the next process
+# }
+
+# Drivers agree on which zones serve whose reads; wants membership. docs/zones.md. Off on the platform, which allows no such talk.
+#
+# zones {
+#   region "north" {
+#     zones = ["a", "b", "c"]
+#   }
+#   voters   = 5
+#   beat     = "1s"
+#   lease    = "15s"                        # a plan holds for so long after it was certainly the newest
+#   headroom = 15                           # percent
+#   budget   = 100                          # percent of reads that may cross
+#   load     = 60                           # percent
+#   doubt    = "1s"
+#   away     = "10s"
+#   webhook  = ""                           # for moves of primaries that are asked for
 # }
 
 # Outcomes of writes that carry key=...; docs/switchover.md. Off on the platform, which has no disk that persists.
