--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -36,6 +36,7 @@
 	f.Ledger = &Ledger{"/var/lib/ledger", time.Minute, 7, 9}
 	f.Control = &Control{"/run/w.sock", "a:1", []string{"b:2", "c:3"}, "secret", time.Second, 2 * time.Second, 3 * time.Second}
 	f.Membership = &Membership{"10.0.0.5:1", "10.0.0.6:2", []string{"10.0.0.7:3", "[::1]:4"}, "t", "z", time.Second, 7, 20 * time.Second, "v"}
+	f.Zones = &Zones{[]Region{{"north", []string{"a", "b"}}, {"south", []string{"c"}}}, 3, 200 * time.Millisecond, 3 * time.Second, 20, 50, 70, time.Second, 5 * time.Second, "http://t:1/move"}
 	f.Registry = &Registry{"consul", []string{"https://a:1", "http://b:2"}, "p/", "db", "secret", "ca", time.Minute, time.Second, "d/", 20 * time.Second, 5 * time.Second}
 	again, err := Parse("again", []byte(f.String()))
 	if err == nil && (!reflect.DeepEqual(again.Registry, f.Registry) || !reflect.DeepEqual(again.Membership, f.Membership) || !reflect.DeepEqual(again.Control, f.Control) || *again.Ledger != *f.Ledger) {
@@ -49,17 +50,20 @@
 // Each mistake is told with file, line and column, and all of a file at once.
 func TestMistakes(t *testing.T) {
 	for text, want := range map[string]string{
-		"log {\n  colour = true\n}":                                     "x.hcl:2,3: Unsupported argument",
-		"logs {\n}":                                                     "x.hcl:1,1: Unsupported block type",
-		"log \"a\" {\n}":                                                "x.hcl:1,5: ",
-		"log {\n  format = \"xml\"\n}":                                  `x.hcl:2,12: Bad value: format is "xml"; it may be text, json.`,
-		"log {\n  level = [1]\n}":                                       "x.hcl:2,11: Bad value: level wants a string.",
-		"log {\n}\nlog {\n}":                                            `x.hcl:3,1: Bad value: The block "log" stands twice; it stands already at line 1.`,
-		"peers {\n  messages_per_second = -1\n}":                        "x.hcl:2,25: Bad value: messages_per_second is -1; it may be a whole number, 0 to 10000.",
-		"membership {\n token_file = \"t\"\n}":                          "x.hcl:1,1: Bad value: membership wants listen.",
-		"membership {\n listen = \"10.0.0.1:1\"\n}":                     "x.hcl:1,1: Bad value: membership wants a token_file",
-		"membership {\n token_file = \"t\"\n listen = \"0.0.0.0:1\"\n}": `x.hcl:1,1: Bad value: membership that listens at "0.0.0.0:1" wants advertise.`,
-		"membership {\n token_file = \"t\"\n listen = \"a:1\"\n}":       `x.hcl:3,11: Bad value: listen: "a:1" is no IP:port, such as 10.0.0.5:7434.`,
+		"log {\n  colour = true\n}":              "x.hcl:2,3: Unsupported argument",
+		"logs {\n}":                              "x.hcl:1,1: Unsupported block type",
+		"log \"a\" {\n}":                         "x.hcl:1,5: ",
+		"log {\n  format = \"xml\"\n}":           `x.hcl:2,12: Bad value: format is "xml"; it may be text, json.`,
+		"log {\n  level = [1]\n}":                "x.hcl:2,11: Bad value: level wants a string.",
+		"log {\n}\nlog {\n}":                     `x.hcl:3,1: Bad value: The block "log" stands twice; it stands already at line 1.`,
+		"peers {\n  messages_per_second = -1\n}": "x.hcl:2,25: Bad value: messages_per_second is -1; it may be a whole number, 0 to 10000.",
+		"zones {\n}":                             "x.hcl:1,1: Bad value: zones want membership",
+		"membership {\n token_file = \"t\"\n listen = \"1.1.1.1:1\"\n}\nzones {\n beat = \"10s\"\n}":                                                              "x.hcl:5,1: Bad value: zones: a lease of 15s is under three beats of 10s.",
+		"membership {\n token_file = \"t\"\n listen = \"1.1.1.1:1\"\n}\nzones {\n region \"r\" {\n zones = [\"a\"]\n }\n region \"s\" {\n zones = [\"a\"]\n }\n}": `x.hcl:10,10: Bad value: zones: "a" stands in region "r" already.`,
+		"membership {\n token_file = \"t\"\n}":                                                    "x.hcl:1,1: Bad value: membership wants listen.",
+		"membership {\n listen = \"10.0.0.1:1\"\n}":                                               "x.hcl:1,1: Bad value: membership wants a token_file",
+		"membership {\n token_file = \"t\"\n listen = \"0.0.0.0:1\"\n}":                           `x.hcl:1,1: Bad value: membership that listens at "0.0.0.0:1" wants advertise.`,
+		"membership {\n token_file = \"t\"\n listen = \"a:1\"\n}":                                 `x.hcl:3,11: Bad value: listen: "a:1" is no IP:port, such as 10.0.0.5:7434.`,
 		"membership {\n token_file = \"t\"\n listen = \"1.1.1.1:1\"\n seeds = [\"1.1.1.1:0\"]\n}": `x.hcl:4,10: Bad value: seeds: nobody can be reached at "1.1.1.1:0".`,
 		"ledger {\n}":  "x.hcl:1,1: Bad value: ledger wants a folder.",
 		"control {\n}": "x.hcl:1,1: Bad value: control wants a socket.",
