One ballot and one majority for both agreements, one watch loop, dead fields out

Read once more: internal/zones had written membership's Ballot, its order and majority again; both watch commands had one loop each; a driver's zone was worked out in two places; with most drivers was spelt out in three. Taken out as nobody used it: two fields of Zones, a no-op in New, zoning's name, a reason of crossings that nothing gave (docs said it). Behaviour is the same.

--- a/cmd/weirwind/membership.go
+++ b/cmd/weirwind/membership.go
@@ -35,6 +35,35 @@
 	return do(ctx, client)
 }
 
+// watchFlags are of commands that look at the driver again and again.
+type watchFlags struct {
+	socketFlag
+	Every time.Duration `help:"Between two looks." default:"200ms"`
+	Times int           `help:"End after so many looks; 0: never." default:"0"`
+}
+
+// look looks until interrupted, as often as is said at most.
+func (f *watchFlags) look(at func(context.Context, *control.Client) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	client := control.NewClient(f.Socket, "")
+	defer client.Close()
+	for n := 0; f.Times == 0 || n < f.Times; n++ {
+		if err := at(ctx, client); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(f.Every):
+		}
+	}
+	return nil
+}
+
 func printJSON(out io.Writer, x any) error {
 	e := json.NewEncoder(out)
 	return e.Encode(x)
@@ -93,24 +122,15 @@
 }
 
 type watchCommand struct {
-	socketFlag
-	JSON  bool          `help:"As JSON, a view a line." name:"json"`
-	Every time.Duration `help:"Between two looks." default:"200ms"`
-	Times int           `help:"End after so many looks; 0: never." default:"0"`
+	watchFlags
+	JSON bool `help:"As JSON, a view a line." name:"json"`
 }
 
 // Run prints what has changed from look to look.
 func (c *watchCommand) Run(out io.Writer) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	client := control.NewClient(c.Socket, "")
-	defer client.Close()
 	said := map[string]string{}
-	for n := 0; c.Times == 0 || n < c.Times; n++ {
+	return c.look(func(ctx context.Context, client *control.Client) error {
 		s, err := client.Fellows(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
 			return err
 		}
@@ -129,17 +149,10 @@
 			say(v.Name, fmt.Sprint(v.State, v.Heard, v.Listed, v.Run, v.Deaf), fellowLine(v))
 		}
 		if c.JSON && changed {
-			if err := printJSON(out, s); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(c.Every):
+			return printJSON(out, s)
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 type leaveCommand struct{ socketFlag }
--- a/cmd/weirwind/zones.go
+++ b/cmd/weirwind/zones.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"slices"
 	"time"
 
@@ -147,45 +145,29 @@
 }
 
 type zonesWatch struct {
-	socketFlag
-	JSON  bool          `help:"As JSON, a plan a line." name:"json"`
-	Every time.Duration `help:"Between two looks." default:"200ms"`
-	Times int           `help:"End after so many looks; 0: never." default:"0"`
+	watchFlags
+	JSON bool `help:"As JSON, a plan a line." name:"json"`
 }
 
 // Run prints plans as they change, and moves of primaries that are asked for.
 func (c *zonesWatch) Run(out io.Writer) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	client := control.NewClient(c.Socket, "")
-	defer client.Close()
 	epoch, force := uint64(0), false
 	var moves []zones.Move
-	for n := 0; c.Times == 0 || n < c.Times; n++ {
+	return c.look(func(ctx context.Context, client *control.Client) error {
 		s, err := client.Zones(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
 			return err
 		}
-		if p := s.Plan; p != nil && (p.Epoch != epoch || force != s.InForce || !slices.Equal(p.Moves, moves)) {
-			epoch, force, moves = p.Epoch, s.InForce, p.Moves
-			if c.JSON {
-				err = printJSON(out, s)
-			} else {
-				fmt.Fprintln(out, time.Now().Format("15:04:05.000"))
-				printPlan(out, &s)
-			}
-			if err != nil {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
+		p := s.Plan
+		if p == nil || p.Epoch == epoch && force == s.InForce && slices.Equal(p.Moves, moves) {
 			return nil
-		case <-time.After(c.Every):
 		}
-	}
-	return nil
+		epoch, force, moves = p.Epoch, s.InForce, p.Moves
+		if c.JSON {
+			return printJSON(out, s)
+		}
+		fmt.Fprintln(out, time.Now().Format("15:04:05.000"))
+		printPlan(out, &s)
+		return nil
+	})
 }
--- a/internal/driver/fellows.go
+++ b/internal/driver/fellows.go
@@ -5,6 +5,7 @@
 // word or a standing itself, or keep a hook or an op waiting for a fellow.
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -98,14 +99,11 @@
 		return fmt.Errorf("membership: listen: %v", err)
 	}
 	f.drains, f.seeds, f.period = membership.NewDrains(mostDrains, milliseconds(drainKeep)), o.Seeds, o.Period
-	zone, expect := o.Zone, o.Expect
-	if zone == "" {
-		zone = a.told.Opening.Zone
-	}
+	expect := o.Expect
 	if expect == 0 {
 		expect = max(a.told.Opening.Drivers, expected(o))
 	}
-	opts := mesh.Options{Name: a.Name, Zone: zone, Listen: listen, Advertise: o.Advertise, Seeds: o.Seeds, Secret: token, Period: o.Period,
+	opts := mesh.Options{Name: a.Name, Zone: zoneOf(o, a), Listen: listen, Advertise: o.Advertise, Seeds: o.Seeds, Secret: token, Period: o.Period,
 		Expect: expect, Yield: o.Yield, Seed: a.told.Opening.Seed + 2, Run: uint64(v.decide.clock.unixMs), Now: v.decide.clock.now, Log: v.log,
 		Folder: o.Folder, Words: f.words, Told: f.told, Stand: f.stand}
 	if v.zoning != nil {
@@ -131,6 +129,11 @@
 	return nil
 }
 
+// zoneOf is the driver's zone: the operators' word, or the platform's.
+func zoneOf(o operator.Membership, a *file) string {
+	return cmp.Or(o.Zone, a.told.Opening.Zone)
+}
+
 // expected is how many drivers the seeds tell of, this one included.
 func expected(o operator.Membership) int {
 	all := append(slices.Clone(o.Seeds), o.Advertise)
--- a/internal/driver/zoning.go
+++ b/internal/driver/zoning.go
@@ -44,7 +44,6 @@
 // zoning is a driver's part in deciding on zones.
 type zoning struct {
 	v       *Service
-	name    string
 	zone    string
 	beat    time.Duration
 	keep    *durable.Last // nil where votes do not outlive the process
@@ -72,11 +71,8 @@
 
 // openZones makes a driver's part in deciding on zones.
 func (v *Service) openZones(o operator.Zones, m operator.Membership, a *file) error {
-	z := &zoning{v: v, name: a.Name, zone: m.Zone, beat: o.Beat, out: make(chan zones.Send, zoneQueue), webhook: o.Webhook,
+	z := &zoning{v: v, zone: zoneOf(m, a), beat: o.Beat, out: make(chan zones.Send, zoneQueue), webhook: o.Webhook,
 		usual: map[string]*zones.Usual{}, applied: map[string]told{}, asked: map[int64]time.Time{}, sentAt: v.decide.clock.now()}
-	if z.zone == "" {
-		z.zone = a.told.Opening.Zone
-	}
 	for _, t := range a.told.Opening.OpTypes {
 		if t.Need == logic.Bounded && (z.bound == 0 || t.MaxAge < z.bound) {
 			z.bound = t.MaxAge
@@ -135,8 +131,7 @@
 
 // look puts what is seen before the decisions, and lets time pass.
 func (z *zoning) look(ctx context.Context) {
-	now := z.v.decide.clock.now()
-	sights, homes, sent := z.sights(now)
+	sights, homes, sent := z.sights(z.v.decide.clock.now())
 	fleet := z.fleet()
 	z.do(func(now float64) zones.Out { return z.z.See(now, sights, homes, sent) })
 	z.do(func(now float64) zones.Out { return z.z.Tick(now, fleet) })
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -55,7 +55,8 @@
 	Name string `cbor:"2,keyasint"`
 }
 
-func (b Ballot) compare(o Ballot) int {
+// Compare orders ballots, as cmp.Compare does.
+func (b Ballot) Compare(o Ballot) int {
 	return cmp.Or(cmp.Compare(b.Turn, o.Turn), strings.Compare(b.Name, o.Name))
 }
 
@@ -250,7 +251,8 @@
 	f.send(address, Message{Kind: Gossip, To: name, Vote: &v})
 }
 
-func majority(of []string, who map[string]bool) bool {
+// Majority says whether more than half of these names are among who.
+func Majority(of []string, who map[string]bool) bool {
 	n := 0
 	for _, name := range of {
 		if who[name] {
@@ -282,13 +284,13 @@
 	f.turn = max(f.turn, min(v.Ballot.Turn, 1<<30))
 	back := Vote{Version: v.Version, Base: v.Base, Ballot: v.Ballot}
 	r := f.round
-	mine := r != nil && v.Ballot.compare(r.ballot) == 0
+	mine := r != nil && v.Ballot.Compare(r.ballot) == 0
 	switch v.Step {
 	case Prepare:
 		switch {
 		case !f.mayVote() || !f.roster.has(f.self.Name):
 			return
-		case v.Ballot.compare(f.promised) < 0:
+		case v.Ballot.Compare(f.promised) < 0:
 			back.Step, back.Ballot = Refuse, f.promised
 		default:
 			f.promised, f.unsaved = v.Ballot, true
@@ -300,10 +302,10 @@
 			return
 		}
 		r.promised[name] = true
-		if v.Change != nil && v.Taken.compare(r.taken) > 0 {
+		if v.Change != nil && v.Taken.Compare(r.taken) > 0 {
 			r.taken, r.change = v.Taken, v.Change
 		}
-		if majority(f.roster.Names, r.promised) {
+		if Majority(f.roster.Names, r.promised) {
 			r.accept = true
 			f.poll(f.voters(r.change), Vote{Step: Accept, Version: v.Version, Base: v.Base, Ballot: r.ballot, Change: r.change})
 		}
@@ -311,7 +313,7 @@
 		switch {
 		case v.Change == nil || v.Change.Base != f.roster.sum || !f.mayVote():
 			return
-		case v.Ballot.compare(f.promised) < 0:
+		case v.Ballot.Compare(f.promised) < 0:
 			back.Step, back.Ballot = Refuse, f.promised
 		default:
 			f.promised, f.taken, f.change, f.takenAt, f.unsaved = v.Ballot, v.Ballot, v.Change, f.now, true
@@ -324,12 +326,12 @@
 		}
 		r.accepted[name] = true
 		next := f.after(r.change)
-		if majority(f.roster.Names, r.accepted) && majority(next.Names, r.accepted) {
+		if Majority(f.roster.Names, r.accepted) && Majority(next.Names, r.accepted) {
 			f.round = nil
 			f.decide(*r.change)
 		}
 	case Refuse:
-		if r != nil && v.Ballot.compare(r.ballot) > 0 {
+		if r != nil && v.Ballot.Compare(r.ballot) > 0 {
 			f.round, f.retry = nil, f.now+2*f.r.Period*(0.5+f.draw.Float64())
 		}
 	}
--- a/internal/membership/standing.go
+++ b/internal/membership/standing.go
@@ -153,7 +153,7 @@
 	for _, n := range names {
 		who[n] = true
 	}
-	return majority(next.Names, who)
+	return Majority(next.Names, who)
 }
 
 // Standing is this driver's, why, and since when.
--- a/internal/zones/account.go
+++ b/internal/zones/account.go
@@ -22,14 +22,13 @@
 	ByWrite     = "primary"     // the group's primary is there, and it is a write or needs it
 	ByRepeat    = "repeat"      // a send before it failed
 	ByNoNear    = "no_near"     // the group has no member near that could
-	ByBehind    = "near_behind" // the near ones are too far behind
-	ByLoad      = "near_loaded" // or have more to do
+	ByLoad      = "near_loaded" // the near ones have more to do, or are too far behind
 	mostEntries = 4096
 )
 
 // Facts are what is known of a send.
 type Facts struct {
-	Repeat, Primary, NoNear, Behind bool
+	Repeat, Primary, NoNear bool
 }
 
 // Account counts crossings.
@@ -59,8 +58,6 @@
 		reason = ByPlan
 	case f.NoNear:
 		reason = ByNoNear
-	case f.Behind:
-		reason = ByBehind
 	}
 	key := Crossing{To: to, Type: opType, Reason: reason}
 	n := a.counts[key]
--- a/internal/zones/council.go
+++ b/internal/zones/council.go
@@ -10,7 +10,6 @@
 // only shortens a lease.
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -18,16 +17,6 @@
 	"weirwind/internal/membership"
 )
 
-// Ballot orders attempts at one plan.
-type Ballot struct {
-	Turn uint32 `cbor:"1,keyasint"`
-	Name string `cbor:"2,keyasint"`
-}
-
-func (b Ballot) compare(o Ballot) int {
-	return cmp.Or(cmp.Compare(b.Turn, o.Turn), strings.Compare(b.Name, o.Name))
-}
-
 // Step of a word between drivers.
 type Step uint8
 
@@ -49,17 +38,17 @@
 
 // Word goes between two drivers.
 type Word struct {
-	Step   Step     `cbor:"1,keyasint"`
-	Epoch  uint64   `cbor:"2,keyasint,omitempty"` // of the plan in question; in Prepare to Refuse of the one before
-	Sum    uint64   `cbor:"3,keyasint,omitempty"` // and its sum
-	Ballot Ballot   `cbor:"4,keyasint"`
-	Taken  Ballot   `cbor:"5,keyasint"`
-	Plan   *Plan    `cbor:"6,keyasint,omitempty"`
-	Nonce  uint64   `cbor:"7,keyasint,omitempty"`
-	Roster uint64   `cbor:"8,keyasint,omitempty"`
-	Report *Report  `cbor:"9,keyasint,omitempty"`
-	Order  *Saying  `cbor:"10,keyasint,omitempty"`
-	Held   *Summary `cbor:"11,keyasint,omitempty"`
+	Step   Step              `cbor:"1,keyasint"`
+	Epoch  uint64            `cbor:"2,keyasint,omitempty"` // of the plan in question; in Prepare to Refuse of the one before
+	Sum    uint64            `cbor:"3,keyasint,omitempty"` // and its sum
+	Ballot membership.Ballot `cbor:"4,keyasint"`
+	Taken  membership.Ballot `cbor:"5,keyasint"`
+	Plan   *Plan             `cbor:"6,keyasint,omitempty"`
+	Nonce  uint64            `cbor:"7,keyasint,omitempty"`
+	Roster uint64            `cbor:"8,keyasint,omitempty"`
+	Report *Report           `cbor:"9,keyasint,omitempty"`
+	Order  *Saying           `cbor:"10,keyasint,omitempty"`
+	Held   *Summary          `cbor:"11,keyasint,omitempty"`
 }
 
 // Send is a word that is to go to a driver.
@@ -87,7 +76,7 @@
 
 // complete says that all of the roster live, as far as is seen here. Some may be suspected: among many there always is one.
 func (f *Fleet) complete() bool {
-	return (f.Standing == membership.Whole || f.Standing == membership.Larger) && len(f.Names) > 0 &&
+	return most(f.Standing) && len(f.Names) > 0 &&
 		!slices.ContainsFunc(f.Names, func(n string) bool { return !f.lives(n) })
 }
 
@@ -107,25 +96,25 @@
 
 // round is a ballot that this driver leads.
 type round struct {
-	ballot   Ballot
+	ballot   membership.Ballot
 	until    float64
 	found    bool
 	again    float64 // those that did not answer are asked
 	accept   bool
 	promised map[string]bool
 	accepted map[string]bool
-	taken    Ballot
+	taken    membership.Ballot
 	plan     *Plan
 }
 
 // Kept is what must outlive the process for its votes to count when it comes back.
 type Kept struct {
-	Name     string `cbor:"1,keyasint"`
-	Plan     *Plan  `cbor:"2,keyasint,omitempty"`
-	Promised Ballot `cbor:"3,keyasint"`
-	Taken    Ballot `cbor:"4,keyasint"`
-	Offer    *Plan  `cbor:"5,keyasint,omitempty"`
-	Turn     uint32 `cbor:"6,keyasint,omitempty"`
+	Name     string            `cbor:"1,keyasint"`
+	Plan     *Plan             `cbor:"2,keyasint,omitempty"`
+	Promised membership.Ballot `cbor:"3,keyasint"`
+	Taken    membership.Ballot `cbor:"4,keyasint"`
+	Offer    *Plan             `cbor:"5,keyasint,omitempty"`
+	Turn     uint32            `cbor:"6,keyasint,omitempty"`
 }
 
 // council is a driver's part in agreeing.
@@ -138,9 +127,9 @@
 	planSum   uint64
 	confirmed float64 // the latest time at which that was certainly the newest, on the own clock
 
-	votesAt  float64 // may have forgotten a vote: none before
-	promised Ballot  // for the plan behind it
-	taken    Ballot
+	votesAt  float64           // may have forgotten a vote: none before
+	promised membership.Ballot // for the plan behind it
+	taken    membership.Ballot
 	offer    *Plan // taken, not known to be decided
 	takenAt  float64
 	turn     uint32
@@ -238,7 +227,7 @@
 		c.found(now, f, first)
 		return
 	}
-	done := c.renewed == nil || majority(c.plan.Voters, c.renewed) || now-c.asked > roundBeats*c.beat // a late answer counts from when it was asked for
+	done := c.renewed == nil || membership.Majority(c.plan.Voters, c.renewed) || now-c.asked > roundBeats*c.beat // a late answer counts from when it was asked for
 	if c.lead(now, f) && now >= c.renewAt && done {
 		c.renewAt = now + c.beat
 		c.nonce++
@@ -295,7 +284,7 @@
 		return
 	}
 	c.turn++
-	c.round = &round{ballot: Ballot{c.turn, c.name}, until: now + foundBeats*c.beat, found: true, accepted: map[string]bool{}, plan: p}
+	c.round = &round{ballot: membership.Ballot{Turn: c.turn, Name: c.name}, until: now + foundBeats*c.beat, found: true, accepted: map[string]bool{}, plan: p}
 	c.poll(now, f.Names, Word{Step: Found, Roster: f.Roster, Ballot: c.round.ballot, Plan: p})
 }
 
@@ -305,23 +294,13 @@
 		return
 	}
 	c.turn++
-	c.round = &round{ballot: Ballot{c.turn, c.name}, until: now + roundBeats*c.beat, promised: map[string]bool{}, accepted: map[string]bool{}, plan: p}
+	c.round = &round{ballot: membership.Ballot{Turn: c.turn, Name: c.name}, until: now + roundBeats*c.beat, promised: map[string]bool{}, accepted: map[string]bool{}, plan: p}
 	c.poll(now, c.plan.Voters, Word{Step: Prepare, Epoch: c.plan.Epoch, Sum: c.planSum, Ballot: c.round.ballot})
 }
 
 // pending is a plan that this driver took and does not know to be decided: it is brought to an end before another is begun.
 func (c *council) pending() *Plan { return c.offer }
 
-func majority(of []string, who map[string]bool) bool {
-	n := 0
-	for _, name := range of {
-		if who[name] {
-			n++
-		}
-	}
-	return 2*n > len(of)
-}
-
 // got takes a word. f is the fleet as it is seen; nil where the word is this driver's own.
 func (c *council) got(now float64, from string, w *Word, f *Fleet) {
 	answer := func(back Word) {
@@ -362,13 +341,13 @@
 	c.turn = max(c.turn, min(w.Ballot.Turn, 1<<30))
 	back := Word{Epoch: w.Epoch, Sum: w.Sum, Ballot: w.Ballot}
 	r := c.round
-	mine := r != nil && !r.found && w.Ballot.compare(r.ballot) == 0
+	mine := r != nil && !r.found && w.Ballot.Compare(r.ballot) == 0
 	switch w.Step {
 	case Prepare:
 		switch {
 		case !c.mayVote(now) || !c.voter():
 			return
-		case w.Ballot.compare(c.promised) < 0:
+		case w.Ballot.Compare(c.promised) < 0:
 			back.Step, back.Ballot = Refuse, c.promised
 		default:
 			c.promised, c.unsaved = w.Ballot, true
@@ -380,10 +359,10 @@
 			return
 		}
 		r.promised[from] = true
-		if w.Plan != nil && w.Taken.compare(r.taken) > 0 {
+		if w.Plan != nil && w.Taken.Compare(r.taken) > 0 {
 			r.taken, r.plan = w.Taken, w.Plan
 		}
-		if majority(c.plan.Voters, r.promised) {
+		if membership.Majority(c.plan.Voters, r.promised) {
 			r.accept = true
 			c.poll(now, union(c.plan.Voters, r.plan.Voters), Word{Step: Accept, Epoch: w.Epoch, Sum: w.Sum, Ballot: r.ballot, Plan: r.plan})
 		}
@@ -391,7 +370,7 @@
 		switch {
 		case w.Plan == nil || w.Plan.Epoch != c.plan.Epoch+1 || w.Plan.Base != c.planSum || !c.mayVote(now):
 			return
-		case w.Ballot.compare(c.promised) < 0:
+		case w.Ballot.Compare(c.promised) < 0:
 			back.Step, back.Ballot = Refuse, c.promised
 		default:
 			c.promised, c.taken, c.offer, c.takenAt, c.unsaved = w.Ballot, w.Ballot, w.Plan, now, true
@@ -403,7 +382,7 @@
 			return
 		}
 		r.accepted[from] = true
-		if majority(c.plan.Voters, r.accepted) && majority(r.plan.Voters, r.accepted) {
+		if membership.Majority(c.plan.Voters, r.accepted) && membership.Majority(r.plan.Voters, r.accepted) {
 			c.round = nil
 			told := union(c.plan.Voters, r.plan.Voters)
 			began := r.until - roundBeats*c.beat
@@ -421,7 +400,7 @@
 			c.send(from, Word{Step: Newest, Plan: c.plan})
 			return
 		}
-		if r != nil && w.Ballot.compare(r.ballot) > 0 {
+		if r != nil && w.Ballot.Compare(r.ballot) > 0 {
 			c.round, c.retry = nil, now+c.beat*(0.5+float64(c.rankName()%7)/7)
 		}
 	case Renew:
@@ -435,7 +414,7 @@
 		if w.Nonce != c.renewal || c.renewed == nil || !slices.Contains(c.plan.Voters, from) {
 			return
 		}
-		if c.renewed[from] = true; majority(c.plan.Voters, c.renewed) {
+		if c.renewed[from] = true; membership.Majority(c.plan.Voters, c.renewed) {
 			c.confirmed = max(c.confirmed, c.asked)
 		}
 	}
@@ -457,7 +436,7 @@
 	}
 	switch w.Step {
 	case Found:
-		if w.Plan == nil || w.Plan.Epoch != 1 || !c.mayVote(now) || w.Ballot.compare(c.promised) < 0 ||
+		if w.Plan == nil || w.Plan.Epoch != 1 || !c.mayVote(now) || w.Ballot.Compare(c.promised) < 0 ||
 			f != nil && (!f.complete() || f.Roster != w.Roster || f.Names[0] != from) {
 			return
 		}
@@ -466,7 +445,7 @@
 		answer(Word{Step: Founded, Ballot: w.Ballot, Roster: w.Roster})
 	case Founded:
 		r := c.round
-		if r == nil || !r.found || w.Ballot.compare(r.ballot) != 0 {
+		if r == nil || !r.found || w.Ballot.Compare(r.ballot) != 0 {
 			return
 		}
 		r.accepted[from] = true
@@ -496,7 +475,7 @@
 // hold makes a plan the one that is held. It is in force once it is confirmed.
 func (c *council) hold(now float64, p *Plan) {
 	c.plan, c.planSum, c.confirmed = p, p.sum(), math.Inf(-1)
-	c.promised, c.taken, c.offer, c.round, c.renewed = Ballot{}, Ballot{}, nil, nil, nil
+	c.promised, c.taken, c.offer, c.round, c.renewed = membership.Ballot{}, membership.Ballot{}, nil, nil, nil
 	c.unsaved, c.leadFrom, c.renewAt = true, 0, now
 	c.note("plan", c.name, describe(p))
 }
--- a/internal/zones/council_test.go
+++ b/internal/zones/council_test.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"testing"
+
+	"weirwind/internal/membership"
 )
 
 // decided is a council that holds a first plan of three voters.
@@ -47,7 +49,7 @@
 	if s := c.said(); len(s) != 1 || s[0].Word.Step != Renewed {
 		t.Fatalf("%+v", s)
 	}
-	c.got(20, "a", &Word{Step: Accept, Epoch: 1, Sum: c.planSum, Ballot: Ballot{1, "a"}, Plan: c.next("x")}, nil)
+	c.got(20, "a", &Word{Step: Accept, Epoch: 1, Sum: c.planSum, Ballot: membership.Ballot{Turn: 1, Name: "a"}, Plan: c.next("x")}, nil)
 	c.said()
 	c.got(30, "a", renew, nil)
 	if s := c.said(); len(s) != 0 {
@@ -70,7 +72,7 @@
 	if c.got(20, "b", &old, nil); c.round.accept {
 		t.Fatal("a stranger's promise, or one to another ballot, counts")
 	}
-	promise.Taken, promise.Plan = Ballot{0, "b"}, c.next("before")
+	promise.Taken, promise.Plan = membership.Ballot{Turn: 0, Name: "b"}, c.next("before")
 	c.got(30, "b", &promise, nil)
 	s := c.said()
 	if len(s) != 2 || s[0].Word.Step != Accept || s[0].Word.Plan.Binds[0] != "before" {
@@ -89,13 +91,13 @@
 func TestVotesThatAreNotKept(t *testing.T) {
 	c := decided("b")
 	c.keeps = true
-	c.got(10, "a", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: Ballot{1, "a"}}, nil)
+	c.got(10, "a", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: membership.Ballot{Turn: 1, Name: "a"}}, nil)
 	if c.save(10) == nil {
 		t.Fatal("nothing to keep")
 	}
 	c.said() // not sent
 	c.saved(10, false)
-	if c.got(20, "a", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: Ballot{2, "a"}}, nil); len(c.said()) != 0 {
+	if c.got(20, "a", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: membership.Ballot{Turn: 2, Name: "a"}}, nil); len(c.said()) != 0 {
 		t.Error("it votes")
 	}
 	k := c.save(300)
@@ -103,12 +105,12 @@
 		t.Fatalf("%+v", k)
 	}
 	c.saved(300, true)
-	if c.got(310, "a", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: Ballot{3, "a"}}, nil); len(c.said()) != 1 {
+	if c.got(310, "a", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: membership.Ballot{Turn: 3, Name: "a"}}, nil); len(c.said()) != 1 {
 		t.Error("it votes no more")
 	}
 	again := &council{name: "b", beat: 100, keeps: true, confirmed: math.Inf(-1)}
 	again.restore(k)
-	if again.got(400, "c", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: Ballot{0, "c"}}, nil); again.said()[0].Word.Step != Refuse {
+	if again.got(400, "c", &Word{Step: Prepare, Epoch: 1, Sum: c.planSum, Ballot: membership.Ballot{Turn: 0, Name: "c"}}, nil); again.said()[0].Word.Step != Refuse {
 		t.Error("it forgot its promise")
 	}
 }
--- a/internal/zones/follow.go
+++ b/internal/zones/follow.go
@@ -6,13 +6,9 @@
 import (
 	"math"
 
-	"gonum.org/v1/gonum/mat"
-
 	"weirwind/internal/membership"
 )
 
-func dense(rows, columns int, a []float64) *mat.Dense { return mat.NewDense(rows, columns, a) }
-
 // Act is something that a driver could do to others' harm by itself.
 type Act uint8
 
@@ -24,13 +20,15 @@
 	RenewPlan              // lead, and confirm the plan that holds
 )
 
+// most says that a driver is with most of them.
+func most(s membership.Standing) bool { return s == membership.Whole || s == membership.Larger }
+
 // Allowed is the table of what a driver may do in its standing among its fellows, with the plan in force or not
 // (docs/zones.md).
 func Allowed(s membership.Standing, inForce bool, a Act) bool {
-	most := s == membership.Whole || s == membership.Larger
 	switch a {
 	case MovePrimary: // once only: with most drivers, under a plan that is the newest
-		return most && inForce
+		return most(s) && inForce
 	case FillZone, KeepPlan: // for a lease: a majority of voters confirmed it
 		return inForce
 	case AvoidZone: // sending less breaks no rule; it lasts beyond the lease
--- a/internal/zones/solve.go
+++ b/internal/zones/solve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 
+	"gonum.org/v1/gonum/mat"
 	"gonum.org/v1/gonum/optimize/convex/lp"
 )
 
@@ -120,6 +121,6 @@
 			x, ok = nil, false
 		}
 	}()
-	_, x, err := lp.Simplex(cost, dense(rows, columns, a), b, 1e-9, nil)
+	_, x, err := lp.Simplex(cost, mat.NewDense(rows, columns, a), b, 1e-9, nil)
 	return x, err == nil
 }
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -10,8 +10,6 @@
 	"math"
 	"slices"
 	"strings"
-
-	"weirwind/internal/membership"
 )
 
 // Region is one with its zones.
@@ -83,13 +81,11 @@
 	tolls    map[string]float64
 
 	courses map[string]*course // while it leads
-	drivers float64            // who reports, over all
 	unit    float64            // reads a second that a member does, as far as seen
 	orders  map[string]float64 // until when, on the own clock
 	takenO  map[uint64]bool
 	frozen  bool
 	begins  float64 // it has led since
-	stale   float64 // flows have been off since
 	judged  Judgement
 	moved   float64 // when flows changed last
 	goal    []Flow  // to which they move
@@ -107,12 +103,9 @@
 
 // New makes the part of a driver that starts.
 func New(now float64, r Rules, self Fellow, run uint64) *Zones {
-	z := &Zones{r: r, self: self, run: run, reports: map[string]*seen{}, regionOf: map[string]string{}, courses: nil,
+	z := &Zones{r: r, self: self, run: run, reports: map[string]*seen{}, regionOf: map[string]string{},
 		orders: map[string]float64{}, takenO: map[uint64]bool{}, follower: follower{zone: self.Zone, last: now}}
 	z.council = council{name: self.Name, beat: r.Beat, lease: r.Lease, confirmed: math.Inf(-1), keeps: r.Keeps}
-	if !r.Keeps {
-		z.votesAt = 0
-	}
 	for _, g := range r.Regions {
 		for _, name := range g.Zones {
 			z.regionOf[name] = g.Name
@@ -421,7 +414,7 @@
 	next.sort()
 	lapsing := now-z.confirmed > 4*z.beat && !math.IsInf(z.confirmed, -1) // a plan that some took keeps this one from being confirmed
 	if !next.same(z.plan) || lapsing {
-		if allowed := z.fleet.Standing == membership.Whole || z.fleet.Standing == membership.Larger; allowed {
+		if most(z.fleet.Standing) {
 			z.propose(now, next)
 		}
 	}
