--- /dev/null
+++ b/internal/bertol/bertol.go
@@ -0,0 +1,111 @@
+// Package bertol is the system's log: numbered events. It is named after the Cabane de Bertol, which sees both ways from its
+// rock.
+//
+// This file owns the catalogue: every event that a process of the system may log, its number and its meaning, as docs/events.md
+// prints it; a test holds the two together.
+package bertol
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+)
+
+// Event is a number of the catalogue.
+type Event int
+
+// Events by concern: 1xx process, 2xx agreement, 3xx configuration, 4xx members and drivers, 5xx slots, 6xx succession, 7xx
+// sessions, 8xx links.
+const (
+	Started      Event = 101
+	Stopping     Event = 102
+	Stopped      Event = 103
+	Reloaded     Event = 104
+	BadSettings  Event = 105
+	Leads        Event = 201
+	LedOver      Event = 202
+	Founded      Event = 203
+	VotersChange Event = 204
+	DiskFailed   Event = 205
+	Joining      Event = 206
+	ConfigTaken  Event = 301
+	ConfigNot    Event = 302
+	ConfigSeen   Event = 303
+	MemberNew    Event = 401
+	MemberDrains Event = 402
+	MemberGone   Event = 403
+	MemberRole   Event = 404
+	DriverNew    Event = 405
+	DriverLapsed Event = 406
+	SlotFilled   Event = 501
+	SlotEmptied  Event = 502
+	Succession   Event = 601
+	SuccessStep  Event = 602
+	PlatformCall Event = 603
+	SessionBad   Event = 701
+	LinkUp       Event = 801
+	LinkDown     Event = 802
+)
+
+// Catalogue says what each event means.
+var Catalogue = map[Event]string{
+	Started:      "a process has read its settings and serves",
+	Stopping:     "SIGTERM: it takes nothing new and lets what is open end",
+	Stopped:      "it has ended in order",
+	Reloaded:     "the settings file was read again; what changed is named",
+	BadSettings:  "the settings file can't be read; what held before holds on",
+	Leads:        "this machine of the core leads from now on, with the term that is also its fence",
+	LedOver:      "it leads no longer",
+	Founded:      "the core was founded by these voters",
+	VotersChange: "the core agreed on other voters",
+	DiskFailed:   "the disk refused or failed; this machine gives no vote until it works",
+	Joining:      "an empty machine asks the core to become a voter",
+	ConfigTaken:  "a configuration is on a majority of disks and was acknowledged",
+	ConfigNot:    "a configuration was refused, with the reason",
+	ConfigSeen:   "a proxy goes by this configuration from now on",
+	MemberNew:    "a member was heard of for the first time",
+	MemberDrains: "a member says that it is draining",
+	MemberGone:   "a member left, or was silent for so long that it is let go",
+	MemberRole:   "a member says that its role is another",
+	DriverNew:    "a driver has taken a lease",
+	DriverLapsed: "a driver's lease has lapsed",
+	SlotFilled:   "a group's writer slot names this member from now on, and by what evidence",
+	SlotEmptied:  "a group's writer slot is empty, and why; its writes are held",
+	Succession:   "a service is to get another primary, and why",
+	SuccessStep:  "a step of a succession was taken, or what it waits for",
+	PlatformCall: "a call to the platform, with its answer",
+	SessionBad:   "a client's bytes were no message; its connection was closed",
+	LinkUp:       "a link to another process of the system stands",
+	LinkDown:     "a link broke",
+}
+
+// Log writes numbered events.
+type Log struct{ l logr.Logger }
+
+// New writes to w, one line an event, with milliseconds of the steady clock.
+func New(w io.Writer, name string) Log {
+	var mu sync.Mutex
+	start := time.Now()
+	l := funcr.New(func(prefix, args string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintf(w, "%d %s %s\n", time.Since(start).Milliseconds(), prefix, strings.TrimPrefix(args, `"level"=0 `))
+	}, funcr.Options{})
+	return Log{l.WithName(name)}
+}
+
+// Nothing logs nowhere.
+func Nothing() Log { return Log{logr.Discard()} }
+
+// Event logs one with pairs of keys and values.
+func (l Log) Event(e Event, pairs ...any) { l.l.Info(fmt.Sprintf("E%d", int(e)), pairs...) }
+
+// Error logs one with an error, which carries the step and the peer.
+func (l Log) Error(e Event, err error, pairs ...any) {
+	l.l.Info(fmt.Sprintf("E%d", int(e)), append(pairs, "error", err.Error())...)
+}
--- /dev/null
+++ b/internal/britannia/britannia.go
@@ -0,0 +1,346 @@
+// Package britannia is the agent beside each proxy: it holds the driver's lease at the core, takes news from there and from a few
+// fellow agents, passes it on to them, and feeds the proxy on its machine over loopback. It is named after the Britanniahütte,
+// from which supplies go on to the huts around.
+//
+// This file owns the agent's tables, in one goroutine with a queue of commands. It decides nothing about traffic: what it has
+// not heard, its proxy doesn't know, and what it heard once holds until it hears better.
+package britannia
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"weirwind/internal/bertol"
+	"weirwind/internal/kungsleden"
+	"weirwind/internal/monterosa"
+	"weirwind/internal/tuckett"
+	"weirwind/internal/viaalpina"
+)
+
+type link = viaalpina.Link[tuckett.Frame]
+
+const (
+	renewEvery  = time.Second
+	digestEvery = 3 * time.Second
+	fellowsFew  = 2
+	linkIdle    = 3500 * time.Millisecond
+	memberKeep  = 90 * time.Second
+)
+
+// Agent is one.
+type Agent struct {
+	set  *kungsleden.Settings
+	log  bertol.Log
+	ctx  context.Context
+	cmds chan func()
+	at   time.Time
+
+	self    monterosa.Driver
+	gen     uint64
+	config  []byte
+	members *monterosa.Members
+	drivers []monterosa.Driver
+	cores   []string
+
+	core    *link
+	proxies map[*link]bool
+	fellows map[string]*fellow // by address
+	nth     int
+}
+
+type fellow struct {
+	l    *link
+	stop context.CancelFunc
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, s *kungsleden.Settings, log bertol.Log) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	a := &Agent{set: s, log: log, ctx: inner, cmds: make(chan func(), 1024), at: time.Now(), members: monterosa.NewMembers(),
+		proxies: map[*link]bool{}, fellows: map[string]*fellow{}, cores: s.Peers}
+	a.self = monterosa.Driver{Name: s.Hostname, Addr: s.Port(s.IP, 0), Zone: s.Zone, Life: uint64(time.Now().UnixMilli())}
+	mesh, err := net.Listen("tcp4", a.self.Addr)
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	loop, err := net.Listen("tcp4", s.Port("127.0.0.1", 1))
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	go viaalpina.Serve(mesh, 3*digestEvery, func(*link) {}, a.take, func(*link) {})
+	go viaalpina.Serve(loop, 0, func(l *link) { a.do(func() { a.proxyUp(l) }) }, a.fromProxy, func(l *link) { a.do(func() { delete(a.proxies, l) }) })
+	go a.holdCore()
+	log.Event(bertol.Started, "agent", a.self.Name, "mesh", a.self.Addr)
+	renew, digest := time.NewTicker(renewEvery), time.NewTicker(digestEvery)
+	defer renew.Stop()
+	defer digest.Stop()
+	term, last := ctx.Done(), (<-chan time.Time)(nil)
+	for {
+		if term == nil && len(a.proxies) == 0 { // the proxy is fed to its end
+			a.leave()
+			return nil
+		}
+		select {
+		case <-term:
+			term, last = nil, time.After(s.Grace-600*time.Millisecond)
+			log.Event(bertol.Stopping)
+		case <-last:
+			a.leave()
+			return nil
+		case f := <-a.cmds:
+			f()
+		case <-renew.C:
+			a.renew()
+			a.members.Expire(a.now(), float64(memberKeep.Milliseconds()))
+		case <-digest.C:
+			d := a.digest()
+			for _, f := range a.fellows {
+				if f.l != nil {
+					f.l.Send(&tuckett.Frame{Digest: &d})
+				}
+			}
+		}
+	}
+}
+
+// leave gives the lease back, and lets the word of it go out.
+func (a *Agent) leave() {
+	if a.core != nil {
+		a.core.Send(&tuckett.Frame{Renew: &tuckett.Renew{Driver: a.self, End: true}})
+		select {
+		case <-a.core.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	a.log.Event(bertol.Stopped)
+}
+
+func (a *Agent) now() float64 { return float64(time.Since(a.at)) / 1e6 }
+
+func (a *Agent) do(f func()) {
+	select {
+	case a.cmds <- f:
+	case <-a.ctx.Done():
+	}
+}
+
+// holdCore keeps a link to one machine of the core, the nearest that answers.
+func (a *Agent) holdCore() {
+	pause := 50 * time.Millisecond
+	for a.ctx.Err() == nil {
+		ch := make(chan string, 1)
+		a.do(func() { ch <- a.nextCore() })
+		var ctl string
+		select {
+		case ctl = <-ch:
+		case <-a.ctx.Done():
+			return
+		}
+		began := time.Now()
+		_ = viaalpina.Dial(ctl, linkIdle, func(l *link) {
+			l.Send(&tuckett.Frame{Hello: &tuckett.Hello{Kind: "agent", Name: a.self.Name, Addr: a.self.Addr}})
+			a.do(func() {
+				a.core = l
+				a.renew()
+			})
+			a.log.Event(bertol.LinkUp, "core", ctl)
+		}, a.take)
+		a.do(func() {
+			if a.core != nil {
+				a.log.Event(bertol.LinkDown, "core", ctl)
+			}
+			a.core = nil
+		})
+		if time.Since(began) > 5*time.Second {
+			pause = 50 * time.Millisecond
+		}
+		select {
+		case <-time.After(time.Duration(float64(pause) * (0.5 + rand.Float64()))):
+		case <-a.ctx.Done():
+			return
+		}
+		pause = min(2*pause, time.Second)
+	}
+}
+
+// nextCore goes through the known core machines, those of the own /16 (a region's machines, where addresses say so) first.
+func (a *Agent) nextCore() string {
+	var near, far []string
+	for _, c := range a.cores {
+		host, _, _ := net.SplitHostPort(c)
+		addr := net.JoinHostPort(host, strconv.Itoa(a.set.Ports[0]))
+		if sameNet(host, a.set.IP) {
+			near = append(near, addr)
+		} else {
+			far = append(far, addr)
+		}
+	}
+	for _, p := range a.set.Peers { // what the file says is tried too, at the end
+		host, _, _ := net.SplitHostPort(p)
+		far = append(far, net.JoinHostPort(host, strconv.Itoa(a.set.Ports[0])))
+	}
+	h := fnv.New32a()
+	h.Write([]byte(a.self.Name))
+	turn := int(h.Sum32() % 97)
+	all := near
+	for i := range far {
+		all = append(all, far[(i+turn)%len(far)])
+	}
+	if len(all) == 0 {
+		return a.set.Port(a.set.IP, 0)
+	}
+	a.nth++
+	return all[(a.nth-1)%len(all)]
+}
+
+func sameNet(x, y string) bool {
+	a, b := net.ParseIP(x).To4(), net.ParseIP(y).To4()
+	return a != nil && b != nil && a[0] == b[0] && a[1] == b[1]
+}
+
+func (a *Agent) digest() tuckett.Digest {
+	h := fnv.New64a()
+	for _, d := range a.drivers {
+		h.Write([]byte(d.Name + " " + d.Addr + "\n"))
+	}
+	return tuckett.Digest{Gen: a.gen, Members: a.members.Digest(), Drivers: h.Sum64()}
+}
+
+func (a *Agent) renew() {
+	if a.core != nil {
+		a.core.Send(&tuckett.Frame{Renew: &tuckett.Renew{Driver: a.self, Has: a.digest()}})
+	}
+}
+
+// take takes what the core or a fellow says.
+func (a *Agent) take(l *link, f *tuckett.Frame) {
+	a.do(func() {
+		switch {
+		case f.News != nil:
+			a.news(f.News)
+		case f.Digest != nil:
+			a.compare(l, f.Digest)
+		}
+	})
+}
+
+// compare mends the gap that a fellow's digest shows, both ways.
+func (a *Agent) compare(l *link, d *tuckett.Digest) {
+	mine := a.digest()
+	n := &tuckett.News{}
+	if a.gen > d.Gen {
+		n.Gen, n.Config = a.gen, a.config
+	}
+	if mine.Members != d.Members {
+		n.Members = a.members.List()
+	}
+	if n.Gen > 0 || n.Members != nil {
+		l.Send(&tuckett.Frame{News: n})
+	}
+	if !d.Quiet && (mine.Gen < d.Gen || mine.Members != d.Members) {
+		mine.Quiet = true
+		l.Send(&tuckett.Frame{Digest: &mine})
+	}
+}
+
+// news takes what is new and passes it on: to the proxy, and to a few fellows.
+func (a *Agent) news(n *tuckett.News) {
+	on := &tuckett.News{}
+	if n.Gen > a.gen {
+		a.gen, a.config = n.Gen, n.Config
+		on.Gen, on.Config = n.Gen, n.Config
+	}
+	if n.Members != nil {
+		on.Members = a.members.Merge(n.Members, a.now())
+	}
+	if n.Cores != nil {
+		a.cores = n.Cores
+	}
+	if n.Drivers != nil {
+		a.drivers = n.Drivers
+		a.choose()
+	}
+	if on.Gen > 0 || on.Members != nil {
+		raw := viaalpina.Encode(&tuckett.Frame{News: on})
+		for _, f := range a.fellows {
+			if f.l != nil {
+				f.l.SendRaw(raw)
+			}
+		}
+	}
+	if on.Gen > 0 || on.Members != nil || n.Drivers != nil {
+		on.Count = max(len(a.drivers), 1)
+		raw := viaalpina.Encode(&tuckett.Frame{News: on})
+		for p := range a.proxies {
+			p.SendRaw(raw)
+		}
+	}
+}
+
+// choose keeps links to a few fellows.
+func (a *Agent) choose() {
+	want := map[string]bool{}
+	for _, d := range monterosa.Fellows(a.drivers, a.self.Name, fellowsFew) {
+		want[d.Addr] = true
+		if a.fellows[d.Addr] == nil {
+			ctx, stop := context.WithCancel(a.ctx)
+			a.fellows[d.Addr] = &fellow{stop: stop}
+			go a.holdFellow(ctx, d.Addr)
+		}
+	}
+	for addr, f := range a.fellows {
+		if !want[addr] {
+			f.stop()
+			if f.l != nil {
+				f.l.Close()
+			}
+			delete(a.fellows, addr)
+		}
+	}
+}
+
+func (a *Agent) holdFellow(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		_ = viaalpina.Dial(addr, 0, func(l *link) {
+			a.do(func() {
+				if f := a.fellows[addr]; f != nil && ctx.Err() == nil {
+					f.l = l
+				} else {
+					l.Close()
+				}
+			})
+		}, a.take)
+		a.do(func() {
+			if f := a.fellows[addr]; f != nil {
+				f.l = nil
+			}
+		})
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// proxyUp tells a proxy that has just come all that is known.
+func (a *Agent) proxyUp(l *link) {
+	a.proxies[l] = true
+	l.Send(&tuckett.Frame{News: &tuckett.News{Gen: a.gen, Config: a.config, Members: a.members.List(), Count: max(len(a.drivers), 1)}})
+}
+
+// fromProxy passes on what a proxy sees of primaries.
+func (a *Agent) fromProxy(_ *link, f *tuckett.Frame) {
+	a.do(func() {
+		if f.Report != nil && a.core != nil {
+			f.Report.Driver = a.self.Name
+			a.core.Send(f)
+		}
+	})
+}
--- /dev/null
+++ b/internal/gr20/gr20.go
@@ -0,0 +1,247 @@
+// Package gr20 is the line wire that clients, members and the system share. It is named after the GR 20, the trail over
+// Corsica: one long line from end to end.
+//
+// This file owns how a message is told from bytes: a word and fields with blanks between them, CR LF at the end, at most
+// Most bytes. It must never keep more than that of a peer that doesn't end its line.
+package gr20
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+)
+
+// Most is the longest message, in bytes.
+const Most = 1 << 20
+
+// ErrLong is the error of a message that is longer.
+var ErrLong = errors.New("message longer than 1 MiB")
+
+// ErrLine is the error of bytes that are no line of text.
+var ErrLine = errors.New("not a line of text")
+
+// Words that start a message.
+const (
+	Attach = "ATTACH"
+	Ready  = "READY"
+	Fail   = "FAIL"
+	Query  = "QUERY"
+	Row    = "ROW"
+	Done   = "DONE"
+	Bye    = "BYE"
+)
+
+// States of a session.
+const (
+	Idle   = "I"
+	Open   = "T" // inside a transaction
+	Broken = "E" // in one that failed
+)
+
+// Codes of FAIL. Those up to Full promise that nothing of the try is kept.
+const (
+	Retry     = "RETRY"
+	Aborted   = "ABORTED"
+	Lagging   = "LAGGING"
+	ReadOnly  = "RDONLY"
+	WrongHost = "WRONGHOST"
+	Full      = "FULL"
+	NoStmt    = "NOSTMT"
+	Malformed = "MALFORMED"
+	NoDB      = "NODB"
+	Failed    = "FAILED"
+	Timeout   = "TIMEOUT"
+	Unknown   = "UNKNOWN"
+)
+
+// Reader reads messages.
+type Reader struct {
+	b    *bufio.Reader
+	long []byte
+}
+
+// NewReader reads from r with a small buffer, as most sessions are idle.
+func NewReader(r io.Reader) *Reader { return &Reader{b: bufio.NewReaderSize(r, 1024)} }
+
+// Buffered is how many bytes have come that no message was made of yet.
+func (r *Reader) Buffered() int { return r.b.Buffered() }
+
+// Wait returns when there is something to read, or an error.
+func (r *Reader) Wait() error {
+	_, err := r.b.Peek(1)
+	return err
+}
+
+// Line reads one message without its end. What it returns stays as it is.
+func (r *Reader) Line() (string, error) {
+	part, err := r.b.ReadSlice('\n')
+	if err == nil {
+		return clean(part)
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return "", err
+	}
+	r.long = append(r.long[:0], part...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		part, err = r.b.ReadSlice('\n')
+		if len(r.long)+len(part) > Most {
+			r.long = nil
+			return "", ErrLong
+		}
+		r.long = append(r.long, part...)
+	}
+	line := r.long
+	if cap(r.long) > 16<<10 {
+		r.long = nil // a long one is rare: its room is not kept
+	}
+	if err != nil {
+		return "", err
+	}
+	return clean(line)
+}
+
+func clean(line []byte) (string, error) {
+	n := len(line)
+	if n < 2 || line[n-2] != '\r' {
+		return "", ErrLine
+	}
+	for _, b := range line[:n-2] {
+		if b < ' ' && b != '\t' {
+			return "", ErrLine
+		}
+	}
+	return string(line[:n-2]), nil
+}
+
+// Cut takes the next field off: what is before the first blank, and the rest.
+func Cut(s string) (field, rest string) {
+	field, rest, _ = strings.Cut(s, " ")
+	return field, rest
+}
+
+// Text is a query's text, taken apart.
+type Text struct {
+	Verb  string // BEGIN, COMMIT, ABORT, FETCH, STORE, SET, PREP, EXEC, UNPREP or none of them
+	Name  string // of a value, a prepared statement, or the thing
+	Rest  string // what follows the name
+	Kind  string // PREP: FETCH or STORE
+	Fetch bool   // BEGIN FETCH
+	Valid bool
+}
+
+// Parse takes a query's text apart. Texts that no client may send are not valid.
+func Parse(text string) Text {
+	verb, rest := Cut(text)
+	t := Text{Verb: verb}
+	switch verb {
+	case "BEGIN":
+		t.Fetch = rest == "FETCH"
+		t.Valid = rest == "" && !strings.HasSuffix(text, " ") || t.Fetch
+	case "COMMIT", "ABORT":
+		t.Valid = text == verb
+	case "FETCH":
+		t.Name, t.Rest = Cut(rest)
+		t.Valid = t.Name != "" && t.Rest == ""
+	case "STORE":
+		t.Name, t.Rest = Cut(rest)
+		t.Valid = t.Name != ""
+	case "SET":
+		t.Name, t.Rest = Cut(rest)
+		t.Valid = t.Name != ""
+	case "PREP":
+		t.Name, rest = Cut(rest)
+		t.Kind, t.Rest = Cut(rest)
+		t.Valid = t.Name != "" && (t.Kind == "FETCH" || t.Kind == "STORE") && t.Rest != ""
+	case "EXEC":
+		t.Name, t.Rest = Cut(rest)
+		t.Valid = t.Name != "" && t.Rest != ""
+	case "UNPREP":
+		t.Name = rest
+		t.Valid = rest != "" && !strings.Contains(rest, " ")
+	}
+	return t
+}
+
+// Position is how far a log goes: TERM.NUMBER. Zero is none.
+type Position struct {
+	Term   uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// ParsePosition reads one; "-" and what is none give false.
+func ParsePosition(s string) (Position, bool) {
+	term, number, ok := strings.Cut(s, ".")
+	t, ok1 := digits(term)
+	n, ok2 := digits(number)
+	return Position{t, n}, ok && ok1 && ok2
+}
+
+func digits(s string) (uint64, bool) {
+	n := uint64(0)
+	for _, c := range s {
+		if c < '0' || c > '9' || n > 1<<59 {
+			return 0, false
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	return n, s != ""
+}
+
+// Less orders positions by term, then by number.
+func (p Position) Less(q Position) bool {
+	return p.Term < q.Term || p.Term == q.Term && p.Number < q.Number
+}
+
+// None says whether it is no position.
+func (p Position) None() bool { return p == Position{} }
+
+func (p Position) String() string {
+	if p.None() {
+		return "-"
+	}
+	return utoa(p.Term) + "." + utoa(p.Number)
+}
+
+func utoa(n uint64) string {
+	var b [20]byte
+	i := len(b)
+	for {
+		i--
+		b[i] = byte('0' + n%10)
+		if n /= 10; n == 0 {
+			return string(b[i:])
+		}
+	}
+}
+
+// Status is a member's row for STAT, PAUSE, CONT and STEPDOWN.
+type Status struct {
+	Primary   bool
+	Term      uint64 // newest that it knows
+	Received  Position
+	Held      uint64 // term that it holds the lead for
+	LagMillis uint64
+	Busy      uint64
+	Conns     uint64
+}
+
+// ParseStatus reads the row's fields.
+func ParseStatus(row string) (Status, bool) {
+	f := strings.Fields(row)
+	if len(f) < 7 || f[0] != "primary" && f[0] != "replica" {
+		return Status{}, false
+	}
+	s := Status{Primary: f[0] == "primary"}
+	var ok [6]bool
+	s.Term, ok[0] = digits(f[1])
+	s.Received, ok[1] = ParsePosition(f[2])
+	s.Held, ok[2] = digits(f[3])
+	s.LagMillis, ok[3] = digits(f[4])
+	s.Busy, ok[4] = digits(f[5])
+	s.Conns, ok[5] = digits(f[6])
+	if f[2] == "-" {
+		ok[1] = true
+	}
+	return s, ok == [6]bool{true, true, true, true, true, true}
+}
--- /dev/null
+++ b/internal/hauteroute/desk.go
@@ -0,0 +1,368 @@
+package hauteroute
+
+// This file owns the desk: the goroutine that holds the groups, the pools of member connections and who waits for one. Sessions
+// ask it by commands and never touch its tables. It does no I/O.
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"weirwind/internal/bertol"
+	"weirwind/internal/cosmiques"
+	"weirwind/internal/gr20"
+	"weirwind/internal/hornli"
+	"weirwind/internal/monterosa"
+	"weirwind/internal/tuckett"
+)
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	mostWaiters = 2000 // of a group; more are refused at once
+	idleLeast   = 2    // connections of a member that are kept however long they rest
+	idleFor     = 20 * time.Second
+	capLeast    = 2
+	reportEvery = 400.0 // milliseconds between two reports on one group
+)
+
+// waiter is a session that waits for a member connection.
+type waiter struct {
+	need  hornli.Need
+	sum   uint64 // of the session's values: a connection that holds them is preferred
+	at    float64
+	until float64
+	avoid []string
+	reply chan grant
+}
+
+// grant is what it gets.
+type grant struct {
+	group  *group
+	member *hornli.Member
+	rec    monterosa.Member
+	conn   *conn // nil: it is to be made
+	after  gr20.Position
+	prove  bool
+	sent   float64
+	held   bool   // it waited because no primary was known
+	fail   string // code; no connection comes
+}
+
+type pool struct {
+	idle []*conn
+	open int // all of this driver: idle, in use and being made
+}
+
+type group struct {
+	g        *hornli.Group
+	waiting  []*waiter
+	pools    map[string]*pool
+	max      int // connections at each member, from all drivers
+	slot     string
+	reported float64
+	accused  bool
+}
+
+type desk struct {
+	p      *Proxy
+	cmds   chan func()
+	groups map[string]*group
+	cfg    *cosmiques.Config
+	table  *monterosa.Members
+	count  int
+	asked  chan struct{} // closed when a configuration is there
+}
+
+func newDesk(p *Proxy) *desk {
+	return &desk{p: p, cmds: make(chan func(), 4096), groups: map[string]*group{}, table: monterosa.NewMembers(), count: 1, asked: make(chan struct{})}
+}
+
+func (d *desk) do(f func()) {
+	select {
+	case d.cmds <- f:
+	case <-d.p.ctx.Done():
+	}
+}
+
+func (d *desk) run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-d.cmds:
+			f()
+		case <-tick.C:
+			d.tick()
+		}
+	}
+}
+
+// news takes what the agent says.
+func (d *desk) news(n *tuckett.News) {
+	now := d.p.now()
+	if n.Count > 0 {
+		d.count = n.Count
+	}
+	if n.Config != nil && (d.cfg == nil || n.Gen > d.cfg.Gen) { // never back
+		cfg, err := cosmiques.Read(n.Config)
+		if err != nil {
+			d.p.log.Error(bertol.ConfigNot, err)
+		} else {
+			first := d.cfg == nil
+			d.cfg = cfg
+			d.p.cfg.Store(cfg)
+			d.p.log.Event(bertol.ConfigSeen, "gen", cfg.Gen, "routes", len(cfg.Routes))
+			for i := range cfg.Svcs {
+				d.group(cfg.Svcs[i].Name).max = cfg.Svcs[i].MaxConns
+			}
+			if first {
+				close(d.asked)
+			}
+		}
+	}
+	touched := map[string]*group{}
+	for _, m := range d.table.Merge(n.Members, now) {
+		g := d.group(m.Svc)
+		g.g.Learn(m, now)
+		touched[m.Svc] = g
+		if m.Gone || m.Draining {
+			g.shed(m.ID)
+		}
+	}
+	for _, g := range touched {
+		d.look(g)
+		d.pump(g)
+	}
+}
+
+func (d *desk) group(svc string) *group {
+	g := d.groups[svc]
+	if g == nil {
+		g = &group{g: hornli.NewGroup(svc, d.p.near), pools: map[string]*pool{}}
+		d.groups[svc] = g
+	}
+	return g
+}
+
+func (g *group) pool(id string) *pool {
+	p := g.pools[id]
+	if p == nil {
+		p = &pool{}
+		g.pools[id] = p
+	}
+	return p
+}
+
+// shed closes a member's idle connections.
+func (g *group) shed(id string) {
+	p := g.pools[id]
+	if p == nil {
+		return
+	}
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.open -= len(p.idle)
+	p.idle = nil
+	if p.open <= 0 {
+		delete(g.pools, id)
+	}
+}
+
+// share is how many connections this driver may have at one member of the group.
+func (d *desk) share(g *group) int {
+	if g.max == 0 {
+		return 64
+	}
+	return max((g.max-g.max/10)/max(d.count, 1), capLeast)
+}
+
+func (d *desk) room(g *group) func(*hornli.Member) bool {
+	share := d.share(g)
+	return func(m *hornli.Member) bool {
+		p := g.pools[m.ID]
+		return p == nil || len(p.idle) > 0 || p.open < share
+	}
+}
+
+// want queues a session, or grants at once.
+func (d *desk) want(svc string, w *waiter) {
+	g := d.group(svc)
+	if len(g.waiting) >= mostWaiters {
+		w.reply <- grant{fail: gr20.Retry}
+		return
+	}
+	g.waiting = append(g.waiting, w)
+	d.pump(g)
+}
+
+// pump grants what can be granted, in order of arrival.
+func (d *desk) pump(g *group) {
+	if len(g.waiting) == 0 {
+		return
+	}
+	now := d.p.now()
+	room := d.room(g)
+	kept := g.waiting[:0]
+	for _, w := range g.waiting {
+		if now >= w.until {
+			w.reply <- grant{fail: gr20.Retry}
+			continue
+		}
+		c := g.g.Choose(&w.need, now, room, func(id string) bool { return slices.Contains(w.avoid, id) })
+		if c.Member == nil {
+			kept = append(kept, w)
+			continue
+		}
+		w.reply <- d.grant(g, w, c, now)
+	}
+	clear(g.waiting[len(kept):])
+	g.waiting = kept
+	d.probe(g)
+}
+
+func (d *desk) grant(g *group, w *waiter, c hornli.Choice, now float64) grant {
+	m := c.Member
+	p := g.pool(m.ID)
+	m.InFlight++
+	g.g.Sent(m, now)
+	out := grant{group: g, member: m, rec: m.Member, after: c.After, prove: c.Prove, sent: now}
+	if n := len(p.idle); n > 0 {
+		i := n - 1
+		for k := n - 1; k >= 0; k-- {
+			if p.idle[k].carrier.Sum() == w.sum {
+				i = k
+				break
+			}
+		}
+		out.conn = p.idle[i]
+		p.idle = slices.Delete(p.idle, i, i+1)
+	} else {
+		p.open++
+	}
+	return out
+}
+
+// heard takes the end of a send, on a connection that is kept by its session.
+func (d *desk) heard(gr *grant, sent float64, w hornli.Word, pos gr20.Position) {
+	g := gr.group
+	g.g.Heard(gr.member, sent, d.p.now(), w, pos)
+	d.look(g)
+}
+
+// back takes a connection back; nil: it is no more.
+func (d *desk) back(gr *grant, c *conn) {
+	g, m := gr.group, gr.member
+	m.InFlight--
+	p := g.pool(m.ID)
+	now := d.p.now()
+	switch {
+	case c == nil:
+		p.open--
+	case m.Gone || m.Draining || g.g.Members[m.ID] != m || p.open > d.share(g):
+		c.close()
+		p.open--
+	default:
+		c.rested = now
+		p.idle = append(p.idle, c)
+	}
+	if p.open <= 0 && p.idle == nil {
+		delete(g.pools, m.ID)
+	}
+	d.pump(g)
+}
+
+// look logs the slot's changes.
+func (d *desk) look(g *group) {
+	if s := g.g.Slot.Holder; s != g.slot {
+		if g.slot = s; s == "" {
+			d.p.log.Event(bertol.SlotEmptied, "svc", g.g.Svc, "why", g.g.Why, "held", len(g.waiting))
+		} else {
+			d.p.log.Event(bertol.SlotFilled, "svc", g.g.Svc, "by", g.g.Why, "held", len(g.waiting))
+		}
+	}
+}
+
+func (d *desk) tick() {
+	now := d.p.now()
+	for _, g := range d.groups {
+		g.g.Doubt(now)
+		d.pump(g)
+		d.probe(g)
+		d.tell(g, now)
+		for id, p := range g.pools {
+			for len(p.idle) > idleLeast && now-p.idle[0].rested > float64(idleFor.Milliseconds()) {
+				p.idle[0].close()
+				p.idle = slices.Delete(p.idle, 0, 1)
+				p.open--
+			}
+			if p.open <= 0 && len(p.idle) == 0 {
+				delete(g.pools, id)
+			}
+		}
+	}
+}
+
+// probe asks members where something waits for a primary.
+func (d *desk) probe(g *group) {
+	if len(g.waiting) == 0 {
+		return
+	}
+	now := d.p.now()
+	for _, m := range g.g.Probes(now) {
+		rec, m := m.Member, m
+		go func() {
+			st, err := probe(rec)
+			d.do(func() {
+				if err != nil {
+					g.g.Unprobed(m)
+				} else {
+					g.g.Probed(m, now, d.p.now(), st)
+				}
+				d.look(g)
+				d.pump(g)
+			})
+		}()
+	}
+}
+
+// tell reports to the core what this driver sees of the primary: that it owes answers, and that it speaks again.
+func (d *desk) tell(g *group, now float64) {
+	p := g.g.Primary()
+	bad := p != nil && p.Doubted || p == nil && g.g.Slot.Silent && g.g.Slot.Last != ""
+	if !bad && !g.accused || now < g.reported+reportEvery {
+		return
+	}
+	g.reported = now
+	r := &tuckett.Report{Svc: g.g.Svc}
+	switch {
+	case p == nil && bad:
+		r.ID, r.Dead = g.g.Slot.Last, true
+	case p != nil:
+		r.ID = p.ID
+		if bad {
+			r.Silent = max(g.g.Owing(now), 1)
+		}
+	}
+	g.accused = bad
+	d.p.report(r)
+}
+
+// status is what the desk knows, for operators.
+func (d *desk) status() map[string]any {
+	groups := map[string]any{}
+	for svc, g := range d.groups {
+		pools := map[string]int{}
+		for id, p := range g.pools {
+			pools[id] = p.open
+		}
+		groups[svc] = map[string]any{"slot": g.g.Slot.Holder, "why": g.g.Why, "waiting": len(g.waiting), "connections": pools, "share": d.share(g)}
+	}
+	out := map[string]any{"groups": groups, "drivers": d.count}
+	if d.cfg != nil {
+		out["gen"] = d.cfg.Gen
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hauteroute/hauteroute.go
@@ -0,0 +1,215 @@
+// Package hauteroute is the proxy: clients' sessions on one side, member connections on the other. It is named after the Haute
+// Route, walked from hut to hut with one guide.
+//
+// Decisions are in hornli (where a statement goes) and altavia (what a connection must be told first). Three kinds of
+// goroutines: the desk owns groups, pools and who waits; each session does its own I/O, with its client and with the member
+// connection that the desk granted it; the feed takes the agent's news.
+package hauteroute
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"encoding/json"
+
+	"github.com/samber/oops"
+
+	"weirwind/internal/bertol"
+	"weirwind/internal/cosmiques"
+	"weirwind/internal/kungsleden"
+	"weirwind/internal/tuckett"
+	"weirwind/internal/viaalpina"
+)
+
+// Proxy is one.
+type Proxy struct {
+	set   *kungsleden.Settings
+	log   bertol.Log
+	ctx   context.Context
+	start time.Time
+	desk  *desk
+	cfg   atomic.Pointer[cosmiques.Config]
+
+	phase    atomic.Int32 // of the end
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	conns    atomic.Int32
+	agent    atomic.Pointer[viaalpina.Link[tuckett.Frame]]
+}
+
+// Phases of an end.
+const (
+	serving   int32 = iota
+	leaving         // not ready; sessions close behind what they asked
+	closing         // resting sessions are closed too
+	lastCalls       // open transactions are ended
+)
+
+// Times of an end.
+const (
+	seenGone = 2300 * time.Millisecond // the platform has seen that it is not ready
+	lastOf   = 500 * time.Millisecond  // before the platform kills
+)
+
+// Run serves until ctx ends and what was open is answered.
+func Run(ctx context.Context, s *kungsleden.Settings, log bertol.Log) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	p := &Proxy{set: s, log: log, ctx: inner, start: time.Now(), sessions: map[*session]struct{}{}}
+	p.desk = newDesk(p)
+	front, err := net.Listen("tcp4", s.Front)
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	ready, err := net.Listen("tcp4", s.Ready)
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}
+	go server.Serve(ready)
+	go p.desk.run(inner)
+	go p.feed()
+	go p.accept(front)
+	log.Event(bertol.Started, "front", s.Front, "ready", s.Ready)
+	<-ctx.Done()
+	p.end(front)
+	server.Close()
+	log.Event(bertol.Stopped)
+	return nil
+}
+
+func (p *Proxy) now() float64 { return float64(time.Since(p.start)) / 1e6 }
+
+// at turns a moment of now into one of the runtime's clock.
+func (p *Proxy) at(ms float64) time.Time { return p.start.Add(time.Duration(ms * 1e6)) }
+
+// near says how far a zone is: 0 the same, 1 in the same region, 2 elsewhere.
+func (p *Proxy) near(zone string) float64 {
+	switch {
+	case zone == p.set.Zone:
+		return 0
+	case p.set.Regions[zone] != "" && p.set.Regions[zone] == p.set.Region:
+		return 1
+	}
+	return 2
+}
+
+func (p *Proxy) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if p.phase.Load() != serving || p.cfg.Load() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		ch := make(chan map[string]any, 1)
+		p.desk.do(func() { ch <- p.desk.status() })
+		select {
+		case all := <-ch:
+			all["sessions"] = p.conns.Load()
+			e := json.NewEncoder(w)
+			e.SetIndent("", "  ")
+			e.Encode(all)
+		case <-p.ctx.Done():
+		}
+	})
+	return mux
+}
+
+// feed takes the agent's news over loopback.
+func (p *Proxy) feed() {
+	pause := 20 * time.Millisecond
+	for p.ctx.Err() == nil {
+		_ = viaalpina.Dial(p.set.Port("127.0.0.1", 1), 0, func(l *viaalpina.Link[tuckett.Frame]) {
+			p.agent.Store(l)
+			pause = 20 * time.Millisecond
+		}, func(_ *viaalpina.Link[tuckett.Frame], f *tuckett.Frame) {
+			if f.News != nil {
+				p.desk.do(func() { p.desk.news(f.News) })
+			}
+		})
+		p.agent.Store(nil)
+		select {
+		case <-time.After(pause):
+		case <-p.ctx.Done():
+			return
+		}
+		pause = min(2*pause, 500*time.Millisecond)
+	}
+}
+
+func (p *Proxy) report(r *tuckett.Report) {
+	if l := p.agent.Load(); l != nil {
+		l.Send(&tuckett.Frame{Report: r})
+	}
+}
+
+func (p *Proxy) accept(ln net.Listener) {
+	most := int32(max(p.set.Files-600, 64))
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if p.ctx.Err() != nil || p.phase.Load() >= closing {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		if p.conns.Add(1) > most {
+			p.conns.Add(-1)
+			c.Close()
+			continue
+		}
+		s := &session{p: p, c: c}
+		p.mu.Lock()
+		p.sessions[s] = struct{}{}
+		p.mu.Unlock()
+		go func() {
+			s.run()
+			p.mu.Lock()
+			delete(p.sessions, s)
+			p.mu.Unlock()
+			p.conns.Add(-1)
+		}()
+	}
+}
+
+// end lets go of clients in order: new ones still come for as long as the platform hasn't seen that it is not ready.
+func (p *Proxy) end(front net.Listener) {
+	p.log.Event(bertol.Stopping, "sessions", p.conns.Load())
+	began := time.Now()
+	p.phase.Store(leaving)
+	step := func(until time.Duration) bool {
+		for time.Since(began) < until {
+			time.Sleep(25 * time.Millisecond)
+			if p.phase.Load() >= closing && p.conns.Load() == 0 {
+				return true
+			}
+			if p.phase.Load() >= closing {
+				p.kick()
+			}
+		}
+		return false
+	}
+	step(min(seenGone, p.set.Grace/2))
+	p.phase.Store(closing)
+	front.Close()
+	if step(p.set.Grace / 2) {
+		return
+	}
+	p.phase.Store(lastCalls)
+	step(p.set.Grace - lastOf)
+}
+
+// kick wakes sessions that rest, so that they see the phase.
+func (p *Proxy) kick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		s.kick()
+	}
+}
--- /dev/null
+++ b/internal/hauteroute/session.go
@@ -0,0 +1,367 @@
+package hauteroute
+
+// This file owns a client's session: its messages, its state, and what it is answered.
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"weirwind/internal/altavia"
+	"weirwind/internal/bertol"
+	"weirwind/internal/cosmiques"
+	"weirwind/internal/gr20"
+	"weirwind/internal/hornli"
+)
+
+const (
+	attachTime  = 10 * time.Second
+	configWait  = 1500 * time.Millisecond
+	writeTime   = 5 * time.Second
+	margin      = 25.0  // milliseconds before a deadline at which what was held is refused
+	readCut     = 450.0 // a read's answer is waited for so long before another member is asked
+	comeBack    = "come back after 200 ms"
+	mostTries   = 5
+	txIdleElse  = 60000.0
+	stmtElse    = 10000.0
+	bytesMostly = 4096
+)
+
+type session struct {
+	p      *Proxy
+	c      net.Conn
+	r      *gr20.Reader
+	host   string
+	out    []byte
+	kept   altavia.Session
+	at     float64 // of its start
+	commit gr20.Position
+	comAt  float64
+	tx     *transaction
+
+	mu      sync.Mutex
+	resting bool
+}
+
+// transaction is one that the client has open.
+type transaction struct {
+	id, text string // of its BEGIN
+	fetch    bool
+	at       float64 // of its first byte
+	route    *cosmiques.Route
+	lease    *grant
+	conn     *conn
+	ran      bool // a statement went to a member
+	wrote    bool
+	failed   bool
+}
+
+func (s *session) kick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.resting {
+		s.c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// line waits for the client's next message. ok false with a nil error: there is none, and the session's state is to be looked at.
+func (s *session) line(wait time.Duration) (string, bool, error) {
+	if s.r.Buffered() == 0 {
+		s.mu.Lock()
+		s.resting = true
+		if wait > 0 {
+			s.c.SetReadDeadline(time.Now().Add(wait))
+		} else {
+			s.c.SetReadDeadline(time.Time{})
+		}
+		s.mu.Unlock()
+		err := s.r.Wait()
+		s.mu.Lock()
+		s.resting = false
+		s.mu.Unlock()
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				return "", false, nil
+			}
+			return "", false, err
+		}
+	}
+	s.c.SetReadDeadline(time.Now().Add(attachTime)) // a message that was begun is to be ended
+	line, err := s.r.Line()
+	return line, err == nil, err
+}
+
+func (s *session) run() {
+	defer s.c.Close()
+	defer s.drop()
+	s.r = gr20.NewReader(s.c)
+	s.at = s.p.now()
+	if !s.attach() {
+		return
+	}
+	for {
+		wait := time.Duration(0)
+		if s.tx != nil {
+			idle := txIdleElse
+			if cfg := s.p.cfg.Load(); cfg != nil && cfg.Limits.TxIdle > 0 {
+				idle = cfg.Limits.TxIdle
+			}
+			wait = time.Duration(idle * 1e6)
+		} else if s.p.phase.Load() >= leaving && s.r.Buffered() == 0 && s.quiet() {
+			return
+		}
+		line, ok, err := s.line(wait)
+		switch {
+		case err == gr20.ErrLine || err == gr20.ErrLong:
+			s.p.log.Event(bertol.SessionBad, "peer", s.c.RemoteAddr().String(), "why", err.Error())
+			s.fail(gr20.Malformed, err.Error(), "")
+			s.flush()
+			return
+		case err != nil:
+			return
+		case !ok:
+			if s.tx != nil && s.p.phase.Load() < closing || s.tx != nil && s.p.phase.Load() >= lastCalls {
+				s.abandon() // it rested for too long, or this process ends
+			}
+			continue
+		}
+		if !s.message(line) || !s.flush() {
+			return
+		}
+	}
+}
+
+// quiet says whether nothing has come from the client that was not read yet.
+func (s *session) quiet() bool { return (&conn{c: s.c, r: s.r}).alive() }
+
+// drop lets go of a transaction whose client is gone.
+func (s *session) drop() {
+	if s.tx != nil {
+		s.rollback(s.tx)
+	}
+}
+
+func (s *session) attach() bool {
+	s.mu.Lock()
+	s.c.SetReadDeadline(time.Now().Add(attachTime))
+	s.mu.Unlock()
+	line, err := s.r.Line()
+	if err != nil {
+		if err == gr20.ErrLine || err == gr20.ErrLong {
+			s.fail(gr20.Malformed, err.Error(), "")
+			s.flush()
+		}
+		return false
+	}
+	word, rest := gr20.Cut(line)
+	host, user := gr20.Cut(rest)
+	if word != gr20.Attach || host == "" || user == "" {
+		s.fail(gr20.Malformed, "ATTACH database who begins a session", "")
+		s.flush()
+		return false
+	}
+	cfg := s.p.cfg.Load()
+	if cfg == nil {
+		select {
+		case <-s.p.desk.asked:
+		case <-time.After(configWait):
+		case <-s.p.ctx.Done():
+		}
+		if cfg = s.p.cfg.Load(); cfg == nil {
+			s.fail(gr20.Retry, "no configuration is known yet", "")
+			s.flush()
+			return false
+		}
+	}
+	s.host = host
+	if cfg.Route(host) == nil {
+		s.fail(gr20.NoDB, host, "")
+		s.flush()
+		return false
+	}
+	s.say(gr20.Ready + " I -")
+	return s.flush()
+}
+
+func (s *session) say(line string) { s.out = append(append(s.out, line...), '\r', '\n') }
+
+func (s *session) flush() bool {
+	if len(s.out) == 0 {
+		return true
+	}
+	s.c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := s.c.Write(s.out)
+	if cap(s.out) > bytesMostly {
+		s.out = nil
+	}
+	s.out = s.out[:0]
+	return err == nil
+}
+
+// fail answers with a code; state "" sends no READY, as before a close.
+func (s *session) fail(code, text, state string) {
+	s.say(strings.TrimRight(gr20.Fail+" "+code+" "+text, " "))
+	if state != "" {
+		s.say(gr20.Ready + " " + state + " -")
+	}
+}
+
+// own answers what the system answers itself.
+func (s *session) own() {
+	s.say(gr20.Done + " -")
+	s.say(gr20.Ready + " " + s.state() + " -")
+}
+
+func (s *session) state() string {
+	switch {
+	case s.tx == nil:
+		return gr20.Idle
+	case s.tx.failed:
+		return gr20.Broken
+	}
+	return gr20.Open
+}
+
+// message takes one. False: the session ends.
+func (s *session) message(line string) bool {
+	word, rest := gr20.Cut(line)
+	if word == gr20.Bye {
+		return false
+	}
+	id, text := gr20.Cut(rest)
+	if word != gr20.Query || id == "" || text == "" {
+		s.fail(gr20.Malformed, "QUERY id text, or BYE", "")
+		s.flush()
+		return false
+	}
+	t := gr20.Parse(text)
+	if !t.Valid || id == "-" {
+		s.fail(gr20.Malformed, "no such text", s.state())
+		return true
+	}
+	if s.tx != nil && s.tx.failed {
+		switch t.Verb {
+		case "ABORT":
+			s.tx = nil
+			s.own()
+		case "COMMIT":
+			s.tx = nil
+			s.fail(gr20.Aborted, "the transaction had failed", gr20.Idle)
+		default:
+			s.fail(gr20.Malformed, "the transaction has failed and is to be ended", gr20.Broken)
+		}
+		return true
+	}
+	switch t.Verb {
+	case "SET":
+		if !s.kept.Set(t.Name, t.Rest) {
+			s.fail(gr20.Malformed, "too many values", s.state())
+			return true
+		}
+		s.own()
+	case "PREP":
+		if !s.kept.Prepare(t.Name, altavia.Shape{Kind: t.Kind, Text: t.Rest}) {
+			s.fail(gr20.Malformed, "too many prepared statements", s.state())
+			return true
+		}
+		s.own()
+	case "UNPREP":
+		if !s.kept.Unprepare(t.Name) {
+			s.fail(gr20.NoStmt, t.Name, s.state())
+			return true
+		}
+		s.own()
+	case "BEGIN":
+		s.begin(id, text, t)
+	case "ABORT":
+		if s.tx == nil {
+			s.fail(gr20.Malformed, "no transaction is open", gr20.Idle)
+			return true
+		}
+		s.rollback(s.tx)
+		s.tx = nil
+		s.own()
+	case "COMMIT":
+		if s.tx == nil {
+			s.fail(gr20.Malformed, "no transaction is open", gr20.Idle)
+			return true
+		}
+		s.statement(id, text, t)
+	default:
+		if t.Verb == "EXEC" {
+			if _, ok := s.kept.Shape(t.Name); !ok {
+				s.fail(gr20.NoStmt, t.Name, s.state())
+				return true
+			}
+		}
+		s.statement(id, text, t)
+	}
+	return true
+}
+
+func (s *session) begin(id, text string, t gr20.Text) {
+	if s.tx != nil {
+		s.fail(gr20.Malformed, "a transaction is open", gr20.Open)
+		return
+	}
+	r := s.route()
+	if r == nil {
+		s.fail(gr20.NoDB, s.host, gr20.Idle)
+		return
+	}
+	s.tx = &transaction{id: id, text: text, fetch: t.Fetch, at: s.p.now(), route: r}
+	s.own()
+}
+
+// route is the host's now; it binds a single statement or a whole transaction.
+func (s *session) route() *cosmiques.Route {
+	if cfg := s.p.cfg.Load(); cfg != nil {
+		return cfg.Route(s.host)
+	}
+	return nil
+}
+
+// need is what a read or a transaction that reads demands.
+func (s *session) need(r *cosmiques.Route, at float64) hornli.Need {
+	switch r.Type {
+	case cosmiques.StaleOK:
+		return hornli.Need{Since: at - r.MaxStale}
+	case cosmiques.Self:
+		// What the client wrote before this session began, perhaps at another driver, was acknowledged before it.
+		return hornli.Need{Since: max(at-r.MaxStale, s.at), Commit: s.commit, CommitAt: s.comAt}
+	}
+	return hornli.Need{Fresh: true}
+}
+
+// writes says whether a statement writes.
+func (s *session) writes(t gr20.Text) bool {
+	if t.Verb == "EXEC" {
+		shape, _ := s.kept.Shape(t.Name)
+		return shape.Kind == "STORE"
+	}
+	return t.Verb == "STORE"
+}
+
+func (s *session) statement(id, text string, t gr20.Text) {
+	now := s.p.now()
+	if s.tx != nil {
+		s.inside(id, text, t, now)
+		return
+	}
+	r := s.route()
+	if r == nil {
+		s.fail(gr20.NoDB, s.host, gr20.Idle)
+		return
+	}
+	s.single(id, text, t, r, now)
+}
+
+// abandon ends a transaction whose client rests in it.
+func (s *session) abandon() {
+	if s.tx.failed {
+		return
+	}
+	s.rollback(s.tx)
+	s.tx.failed = true
+}
--- /dev/null
+++ b/internal/hauteroute/statement.go
@@ -0,0 +1,465 @@
+package hauteroute
+
+// This file owns how one statement is carried out: tried, tried again where that is harmless, and answered truthfully. What was
+// sent and not answered is never promised to be undone, unless its connection's end rolls it back.
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"weirwind/internal/altavia"
+	"weirwind/internal/cosmiques"
+	"weirwind/internal/gr20"
+	"weirwind/internal/hornli"
+)
+
+// acquire asks the desk for a member connection, and makes it where it is to be made.
+func (s *session) acquire(svc string, w *waiter) (*grant, *conn, string) {
+	for tries := 0; ; tries++ {
+		w.reply = make(chan grant, 1)
+		s.p.desk.do(func() { s.p.desk.want(svc, w) })
+		var g grant
+		select {
+		case g = <-w.reply:
+		case <-s.p.ctx.Done():
+			return nil, nil, gr20.Retry
+		}
+		if g.fail != "" {
+			return nil, nil, g.fail
+		}
+		c := g.conn
+		if c != nil && !c.alive() {
+			c.close()
+			c = nil // its place is kept for the new one
+		}
+		if c != nil {
+			return &g, c, ""
+		}
+		c, err := dial(g.rec, s.p.at(w.until))
+		if err == nil {
+			return &g, c, ""
+		}
+		word := hornli.CutOff
+		if errors.Is(err, errRefused) {
+			word = hornli.Answered
+			w.avoid = append(w.avoid, g.rec.ID)
+		}
+		s.p.desk.do(func() {
+			s.p.desk.heard(&g, g.sent, word, gr20.Position{})
+			s.p.desk.back(&g, nil)
+		})
+		if tries >= mostTries {
+			return nil, nil, gr20.Retry
+		}
+		if word == hornli.Answered && (w.need.Write || w.need.Fresh) {
+			time.Sleep(30 * time.Millisecond) // it is full: others let go
+		}
+	}
+}
+
+func (s *session) done(g *grant, c *conn, sent float64, word hornli.Word, pos gr20.Position) {
+	s.p.desk.do(func() {
+		s.p.desk.heard(g, sent, word, pos)
+		s.p.desk.back(g, c)
+	})
+}
+
+// prepare adds what a connection must be told first, and gives the statement's text as it goes there.
+func (s *session) prepare(b *strings.Builder, c *conn, text string, t gr20.Text) (string, int) {
+	var shape *altavia.Shape
+	if t.Verb == "EXEC" {
+		sh, _ := s.kept.Shape(t.Name)
+		shape = &sh
+	}
+	texts, name := c.carrier.Ready(&s.kept, shape)
+	for _, x := range texts {
+		query(b, "-", x)
+	}
+	if shape != nil {
+		text = "EXEC " + name + " " + t.Rest
+	}
+	return text, len(texts)
+}
+
+// skip reads the answers of what went before a statement.
+func skip(c *conn, n int) error {
+	for range n {
+		a, err := c.read(nil)
+		if err != nil {
+			return err
+		}
+		if !a.done || a.text != "-" {
+			return errors.New("a member refused what goes before a statement: " + a.text)
+		}
+	}
+	return nil
+}
+
+// answer passes a member's answer on.
+func (s *session) answer(a *reply, state string) {
+	for _, r := range a.rows {
+		s.say(r)
+	}
+	if a.done {
+		s.say(gr20.Done + " " + a.text)
+	} else {
+		s.say(gr20.Fail + " " + a.text)
+	}
+	s.say(gr20.Ready + " " + state + " " + a.pos.String())
+}
+
+// single carries out a statement outside a transaction.
+func (s *session) single(id, text string, t gr20.Text, r *cosmiques.Route, at float64) {
+	until := at + r.Timeout - margin
+	write := s.writes(t)
+	w := &waiter{at: at, until: until, sum: s.kept.Sum()}
+	if write {
+		w.need = hornli.Need{Write: true}
+	} else {
+		w.need = s.need(r, at)
+	}
+	last := ""
+	for try := 0; try < mostTries; try++ {
+		g, c, fail := s.acquire(r.Svc, w)
+		if fail != "" {
+			break
+		}
+		a, word, err := s.attempt(g, c, id, text, t, write, until)
+		if err == nil && !write && word == hornli.Led {
+			// the read ran in a transaction of its own, whose end was answered too
+		}
+		switch {
+		case err != nil:
+			c.close()
+			s.done(g, nil, g.sent, hornli.NoAnswer, gr20.Position{})
+			if write {
+				s.fail(gr20.Unknown, "no answer came from "+g.rec.ID, gr20.Idle)
+				return
+			}
+			w.avoid = append(w.avoid, g.rec.ID)
+			if w.need.Fresh {
+				w.avoid = nil
+			}
+			continue
+		case a.done:
+			s.done(g, c, g.sent, word, a.pos)
+			if write {
+				s.commit, s.comAt = a.pos, s.p.now()
+			}
+			s.answer(a, gr20.Idle)
+			return
+		}
+		last = a.text
+		if a.state != gr20.Idle { // what it left open is rolled back with its connection
+			c.close()
+			c = nil
+		}
+		s.done(g, c, g.sent, word, a.pos)
+		switch a.code {
+		case gr20.ReadOnly, gr20.Lagging:
+			continue
+		case gr20.Retry, gr20.Full, gr20.WrongHost, gr20.NoStmt:
+			w.avoid = append(w.avoid, g.rec.ID)
+			if s.p.now()+60 < until && try < 2 {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			s.fail(gr20.Retry, comeBack, gr20.Idle)
+			return
+		case gr20.Failed, gr20.Timeout:
+			if !write && try == 0 && !w.need.Fresh {
+				w.avoid = append(w.avoid, g.rec.ID)
+				continue
+			}
+		}
+		s.answer(a, gr20.Idle)
+		return
+	}
+	_ = last
+	s.fail(gr20.Retry, comeBack, gr20.Idle)
+}
+
+// attempt sends a single statement and reads its answer. A read that must be fresh runs in a transaction of the system's own,
+// as a member that has lost the lead refuses to begin one; it is rolled back, and nothing of it is kept.
+func (s *session) attempt(g *grant, c *conn, id, text string, t gr20.Text, write bool, until float64) (*reply, hornli.Word, error) {
+	var b strings.Builder
+	if !write {
+		until = min(until, max(s.p.now()+readCut, s.p.now()))
+	}
+	text, before := s.prepare(&b, c, text, t)
+	prove := g.prove && !write
+	if prove {
+		query(&b, "-", "BEGIN")
+		before++
+	}
+	after := ""
+	if !write && !prove && !g.after.None() {
+		after = "AFTER " + g.after.String()
+	}
+	if prove { // whether it leads is known before the read runs
+		if err := c.write(b.String(), s.p.at(until)); err != nil {
+			return nil, 0, err
+		}
+		if err := skip(c, before-1); err != nil {
+			return nil, 0, err
+		}
+		a, err := c.read(nil)
+		if err != nil {
+			return nil, 0, err
+		}
+		if !a.done {
+			return &a, wordOf(&a), nil
+		}
+		b.Reset()
+		before = 0
+	}
+	query(&b, id, after, text)
+	if prove {
+		query(&b, "-", "ABORT")
+	}
+	if err := c.write(b.String(), s.p.at(until)); err != nil {
+		return nil, 0, err
+	}
+	if err := skip(c, before); err != nil {
+		return nil, 0, err
+	}
+	spilled := false
+	a, err := c.read(func(rows []string) error {
+		if write {
+			return nil
+		}
+		spilled = true
+		for _, r := range rows {
+			s.say(r)
+		}
+		if !s.flush() {
+			return errors.New("the client is gone")
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	_ = spilled
+	word := wordOf(&a)
+	if prove {
+		e, err := c.read(nil)
+		if err != nil {
+			return nil, 0, err
+		}
+		a.state = e.state
+		if a.done {
+			word = hornli.Led
+		}
+	} else if write && a.done {
+		word = hornli.Led
+	}
+	return &a, word, nil
+}
+
+func wordOf(a *reply) hornli.Word {
+	switch a.code {
+	case gr20.ReadOnly:
+		return hornli.NotLeader
+	case gr20.Lagging:
+		return hornli.Lagged
+	}
+	return hornli.Answered
+}
+
+// inside carries out a statement of an open transaction.
+func (s *session) inside(id, text string, t gr20.Text, at float64) {
+	x := s.tx
+	until := at + x.route.Timeout - margin
+	for try := 0; try < mostTries; try++ {
+		if x.conn == nil {
+			if code, why := s.open(x, until); code != "" {
+				s.lost(code, why, t)
+				return
+			}
+		}
+		g, c := x.lease, x.conn
+		var b strings.Builder
+		said, before := s.prepare(&b, c, text, t)
+		query(&b, id, said)
+		sent := s.p.now()
+		s.p.desk.do(func() { g.group.g.Sent(g.member, sent) })
+		err := c.write(b.String(), s.p.at(until))
+		if err == nil {
+			err = skip(c, before)
+		}
+		var a reply
+		if err == nil {
+			a, err = c.read(func(rows []string) error {
+				for _, r := range rows {
+					s.say(r)
+				}
+				if !s.flush() {
+					return errors.New("the client is gone")
+				}
+				return nil
+			})
+		}
+		if err != nil {
+			s.p.desk.do(func() { s.p.desk.heard(g, sent, hornli.NoAnswer, gr20.Position{}) })
+			s.leave(x, nil)
+			if t.Verb == "COMMIT" && x.wrote {
+				s.tx = nil
+				s.fail(gr20.Unknown, "no answer to the commit came from "+g.rec.ID, gr20.Idle)
+				return
+			}
+			s.lost(gr20.Aborted, "no answer came from "+g.rec.ID, t)
+			return
+		}
+		word := wordOf(&a)
+		if a.done && !x.fetch {
+			word = hornli.Led
+		}
+		s.p.desk.do(func() { s.p.desk.heard(g, sent, word, a.pos) })
+		if a.code == gr20.ReadOnly && !x.ran && !x.fetch { // its first statement met a member without the lead: it joins those held
+			s.leave(x, nil)
+			continue
+		}
+		x.ran = true
+		if a.done && s.writes(t) {
+			x.wrote = true
+		}
+		if t.Verb == "COMMIT" {
+			s.tx = nil
+			if a.done && x.wrote {
+				s.commit, s.comAt = a.pos, s.p.now()
+			}
+			if a.state == gr20.Idle {
+				s.leave(x, c)
+			} else {
+				s.leave(x, nil)
+			}
+			s.answer(&a, gr20.Idle)
+			return
+		}
+		if a.state != gr20.Open {
+			x.failed = true
+			s.leave(x, nil)
+			s.answer(&a, gr20.Broken)
+			return
+		}
+		s.answer(&a, gr20.Open)
+		return
+	}
+	s.lost(gr20.Retry, comeBack, t)
+}
+
+// lost answers a statement whose transaction is no more, with nothing of it kept.
+func (s *session) lost(code, why string, t gr20.Text) {
+	if t.Verb == "COMMIT" {
+		s.tx = nil
+		s.fail(code, why, gr20.Idle)
+		return
+	}
+	s.tx.failed = true
+	s.fail(code, why, gr20.Broken)
+}
+
+// open begins the transaction at a member, before its first statement.
+func (s *session) open(x *transaction, until float64) (code, why string) {
+	w := &waiter{at: x.at, until: until, sum: s.kept.Sum()}
+	if x.fetch {
+		w.need = s.need(x.route, x.at)
+	} else {
+		w.need = hornli.Need{Write: true}
+	}
+	for try := 0; try < mostTries; try++ {
+		g, c, fail := s.acquire(x.route.Svc, w)
+		if fail != "" {
+			return fail, comeBack
+		}
+		var b strings.Builder
+		texts, _ := c.carrier.Ready(&s.kept, nil)
+		for _, t := range texts {
+			query(&b, "-", t)
+		}
+		text := x.text
+		if g.prove {
+			text = "BEGIN" // only who leads takes a plain one
+		}
+		after := ""
+		if x.fetch && !g.prove && !g.after.None() {
+			after = "AFTER " + g.after.String()
+		}
+		query(&b, x.id, after, text)
+		err := c.write(b.String(), s.p.at(until))
+		if err == nil {
+			err = skip(c, len(texts))
+		}
+		var a reply
+		if err == nil {
+			a, err = c.read(nil)
+		}
+		if err != nil {
+			c.close()
+			s.done(g, nil, g.sent, hornli.NoAnswer, gr20.Position{})
+			if !w.need.Write && !w.need.Fresh {
+				w.avoid = append(w.avoid, g.rec.ID)
+			}
+			continue
+		}
+		word := wordOf(&a)
+		if a.done && text == "BEGIN" {
+			word = hornli.Led
+		}
+		if a.done && a.state == gr20.Open {
+			x.lease, x.conn = g, c
+			s.p.desk.do(func() { s.p.desk.heard(g, g.sent, word, a.pos) })
+			return "", ""
+		}
+		if a.state != gr20.Idle {
+			c.close()
+			c = nil
+		}
+		s.done(g, c, g.sent, word, a.pos)
+		if a.code != gr20.ReadOnly && a.code != gr20.Lagging {
+			w.avoid = append(w.avoid, g.rec.ID)
+			if s.p.now()+60 >= until {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return gr20.Retry, comeBack
+}
+
+// leave gives a transaction's connection back; nil: it is closed, which rolls back.
+func (s *session) leave(x *transaction, c *conn) {
+	if x.conn == nil {
+		return
+	}
+	if c == nil {
+		x.conn.close()
+	}
+	g := x.lease
+	x.conn, x.lease = nil, nil
+	s.p.desk.do(func() { s.p.desk.back(g, c) })
+}
+
+// rollback ends a transaction at its member without waiting: the connection comes back once the member has answered.
+func (s *session) rollback(x *transaction) {
+	c, g := x.conn, x.lease
+	if c == nil {
+		return
+	}
+	x.conn, x.lease = nil, nil
+	go func() {
+		until := time.Now().Add(time.Second)
+		err := c.write("QUERY - ABORT\r\n", until)
+		var a reply
+		if err == nil {
+			a, err = c.read(nil)
+		}
+		if err != nil || a.state != gr20.Idle {
+			c.close()
+			c = nil
+		}
+		s.p.desk.do(func() { s.p.desk.back(g, c) })
+	}()
+}
--- /dev/null
+++ b/internal/hornli/hornli.go
@@ -0,0 +1,368 @@
+// Package hornli decides, for one replication group in one driver, where statements go. It is named after the Hörnlihütte, from
+// which only one rope at a time leads up the ridge.
+//
+// This file owns a group's members as a driver sees them: who may be sent what, what a read must have seen, who is doubted and
+// who is to be probed. It does no I/O and reads no clock. docs/system.md tells what comes from the design.
+package hornli
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"weirwind/internal/gr20"
+	"weirwind/internal/monterosa"
+)
+
+// Tuned values, in milliseconds unless said otherwise.
+const (
+	ProbeEvery  = 200.0 // design: probes while the slot is empty and something waits
+	probeMost   = 800.0 // they grow to this
+	doubtLeast  = 220.0 // nothing heard of the primary for so long while it owes answers: it is asked, and writes wait
+	doubtTimes  = 6.0   // and so many usual times
+	lagPause    = 400.0 // a replica that lacked a position is left out for so long
+	asideFirst  = 250.0 // a member whose connections fail is left out for so long, then longer
+	asideMost   = 2000.0
+	youngCommit = 250.0  // a session's commit so young is looked for at the primary, unless a replica is known to have it
+	sampleGap   = 50.0   // samples are kept no closer
+	sampleKeep  = 5000.0 // and no longer
+	smooth      = 0.1
+)
+
+// Need is what a statement or a transaction demands.
+type Need struct {
+	Write bool // it goes to the primary
+	Fresh bool // it reads, and must see all that was acknowledged before it began
+	// Else it must see what was acknowledged before Since, and the session's own commit.
+	Since    float64
+	Commit   gr20.Position
+	CommitAt float64
+}
+
+// Choice is where it may go.
+type Choice struct {
+	Member *Member
+	After  gr20.Position // the member is asked to refuse if its log lacks this; none: not asked
+	Prove  bool          // the member must prove that it leads, by a transaction round the read
+}
+
+// Member is one as this driver sees it.
+type Member struct {
+	monterosa.Member
+	Position  gr20.Position
+	replicaAt float64
+	InFlight  int
+	heard     float64   // its last word here
+	owes      []float64 // when what is unanswered was sent, oldest first
+	took      float64   // smoothed time of answers
+	laggedAt  float64
+	lagged    gr20.Position
+	aside     float64 // until when
+	pause     float64
+	distance  float64 // 0 same zone, 1 same region, 2 elsewhere
+	probing   bool
+	Doubted   bool
+}
+
+type sample struct {
+	asked float64
+	pos   gr20.Position
+}
+
+// Group is a replication group in one driver.
+type Group struct {
+	Svc     string
+	Members map[string]*Member
+	Slot    Slot[string]
+	Why     string // of the slot's last change
+	samples []sample
+	probeAt float64
+	pauseP  float64
+	near    func(zone string) float64
+}
+
+// NewGroup knows no member yet. near says how far a zone is: 0, 1 or 2.
+func NewGroup(svc string, near func(zone string) float64) *Group {
+	return &Group{Svc: svc, Members: map[string]*Member{}, Slot: NewSlot[string](), near: near, pauseP: ProbeEvery}
+}
+
+// Learn takes a member's record as the list has it. known is false for what an own start found in the table, which says nothing
+// of when it was said.
+func (g *Group) Learn(r monterosa.Member, now float64) {
+	m := g.Members[r.ID]
+	if r.Gone {
+		if m != nil {
+			delete(g.Members, r.ID)
+			g.drop(r.ID, now, "gone")
+		}
+		return
+	}
+	if m == nil {
+		m = &Member{replicaAt: math.Inf(-1), laggedAt: math.Inf(-1), heard: now, distance: g.near(r.Zone), took: 20}
+		g.Members[r.ID] = m
+	}
+	restarted := r.Life > m.Life && m.Life > 0
+	m.Member = r
+	if restarted {
+		m.aside = 0
+	}
+	switch {
+	case r.Draining:
+		g.drop(r.ID, now, "draining")
+	case r.Role == monterosa.RolePrimary:
+		g.primary(m, now, "beat", true)
+	case r.Role == monterosa.RoleReplica:
+		m.replicaAt = now
+		g.drop(r.ID, now, "replica")
+	}
+}
+
+// Forget lets go of members that the list no longer has.
+func (g *Group) Forget(kept func(id string) bool, now float64) {
+	for id := range g.Members {
+		if !kept(id) {
+			delete(g.Members, id)
+			g.drop(id, now, "gone")
+		}
+	}
+}
+
+func (g *Group) drop(id string, now float64, why string) {
+	if g.Slot.Holder == id {
+		g.Slot.Clear(now, false)
+		g.Why, g.probeAt, g.pauseP = id+" "+why, now, ProbeEvery
+	}
+}
+
+func (g *Group) primary(m *Member, when float64, by string, spoke bool) {
+	if g.Slot.Takes(m.ID, when, m.replicaAt, m.Draining, spoke) {
+		g.Slot.Fill(m.ID, when)
+		g.Why = m.ID + " by " + by
+		m.Doubted, m.aside = false, 0
+		g.samples = nil // what another primary said covers nothing that this one acknowledges
+	}
+}
+
+// Primary gives the slot's holder, nil for none.
+func (g *Group) Primary() *Member {
+	if g.Slot.Empty() {
+		return nil
+	}
+	return g.Members[g.Slot.Holder]
+}
+
+// Choose says where a need may go now; nil member: it is held. avoid names members that it met trouble at.
+func (g *Group) Choose(n *Need, now float64, room func(*Member) bool, avoid func(string) bool) Choice {
+	p := g.Primary()
+	if n.Write || n.Fresh {
+		if p == nil || p.Doubted || !room(p) {
+			return Choice{}
+		}
+		return Choice{Member: p, Prove: n.Fresh}
+	}
+	after, covered := g.cover(n.Since)
+	if covered && after.Less(n.Commit) {
+		after = n.Commit
+	}
+	if covered {
+		young := now-n.CommitAt < youngCommit && !n.Commit.None()
+		if m := g.companion(after, young, now, room, avoid); m != nil {
+			return Choice{Member: m, After: after}
+		}
+	}
+	if p == nil || p.Doubted || !room(p) {
+		return Choice{}
+	}
+	if covered {
+		return Choice{Member: p, After: after}
+	}
+	return Choice{Member: p, Prove: true}
+}
+
+// companion is the replica with fewest own requests in flight among those that are fresh enough as far as is known; distance
+// counts as requests in flight, as what crosses regions is slow and dear.
+func (g *Group) companion(after gr20.Position, young bool, now float64, room func(*Member) bool, avoid func(string) bool) *Member {
+	var best *Member
+	cost, ties := 0.0, 0
+	for _, m := range g.Members {
+		if m.ID == g.Slot.Holder || m.Draining || now < m.aside || avoid(m.ID) || !room(m) {
+			continue
+		}
+		if m.Position.Less(after) { // not known to have it: its check tells, unless it just did
+			if young || now-m.laggedAt < lagPause {
+				continue
+			}
+		}
+		c := float64(m.InFlight) + []float64{0, 1, 3}[int(m.distance)]
+		if m.Doubted {
+			c += 8
+		}
+		switch {
+		case best == nil || c < cost:
+			best, cost, ties = m, c, 1
+		case c == cost:
+			if ties++; rand.IntN(ties) == 0 {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+// cover gives a position that all acknowledged before since lies at or before.
+func (g *Group) cover(since float64) (gr20.Position, bool) {
+	for _, s := range g.samples {
+		if s.asked >= since {
+			return s.pos, true
+		}
+	}
+	return gr20.Position{}, false
+}
+
+// Sampled is the age of the newest position that the primary is known by.
+func (g *Group) Sampled(now float64) float64 {
+	if len(g.samples) == 0 {
+		return math.Inf(1)
+	}
+	return now - g.samples[len(g.samples)-1].asked
+}
+
+// Sample takes a position that the primary had when it was asked.
+func (g *Group) Sample(asked float64, pos gr20.Position) {
+	if pos.None() {
+		return
+	}
+	if n := len(g.samples); n > 0 {
+		if asked <= g.samples[n-1].asked || pos.Less(g.samples[n-1].pos) {
+			return
+		}
+		if n > 1 && asked-g.samples[n-2].asked < sampleGap {
+			g.samples = g.samples[:n-1]
+		}
+	}
+	g.samples = append(g.samples, sample{asked, pos})
+	for len(g.samples) > 1 && asked-g.samples[0].asked > sampleKeep {
+		g.samples = g.samples[1:]
+	}
+}
+
+// Sent notes a send.
+func (g *Group) Sent(m *Member, now float64) {
+	m.owes = append(m.owes, now)
+}
+
+// Word is what a member's answer says.
+type Word uint8
+
+const (
+	Answered  Word = iota // as a member of any role may
+	Led                   // as only a primary does
+	NotLeader             // a read-only refusal: the design's miss
+	Lagged                // its log lacks the position
+	NoAnswer              // the connection ended or the time ran out
+	CutOff                // no connection could be made
+)
+
+// Heard takes the end of a send.
+func (g *Group) Heard(m *Member, sent, now float64, w Word, pos gr20.Position) {
+	for i, at := range m.owes {
+		if at == sent {
+			m.owes = append(m.owes[:i], m.owes[i+1:]...)
+			break
+		}
+	}
+	if w == NoAnswer {
+		return
+	}
+	if w == CutOff {
+		m.pause = min(max(asideFirst, 2*m.pause), asideMost)
+		m.aside = now + m.pause
+		if g.Slot.Holder == m.ID {
+			g.Slot.Clear(now, true)
+			g.Why, g.probeAt, g.pauseP = m.ID+" takes no connection", now, ProbeEvery
+		}
+		return
+	}
+	m.heard, m.Doubted, m.aside, m.pause = now, false, 0, 0
+	m.took += (now - sent - m.took) * smooth
+	if m.Position.Less(pos) {
+		m.Position = pos
+	}
+	switch w {
+	case Led:
+		g.primary(m, sent, "answer", true)
+		if g.Slot.Holder == m.ID {
+			g.Sample(sent, pos)
+		}
+	case NotLeader:
+		m.replicaAt = now
+		if g.Slot.Holder == m.ID && sent >= g.Slot.Seen {
+			g.drop(m.ID, now, "miss")
+		} else if g.Slot.Holder == m.ID {
+			g.drop(m.ID, now, "miss, late")
+		}
+	case Lagged:
+		m.laggedAt = now
+	}
+}
+
+// Probed takes an answer to a probe.
+func (g *Group) Probed(m *Member, sent, now float64, s gr20.Status) {
+	m.probing = false
+	m.heard, m.Doubted, m.aside, m.pause = now, false, 0, 0
+	if m.Position.Less(s.Received) && s.Primary {
+		m.Position = s.Received
+	}
+	if !s.Primary {
+		m.replicaAt = now
+		g.drop(m.ID, now, "replica by probe")
+		return
+	}
+	g.primary(m, sent, "probe", true)
+	if g.Slot.Holder == m.ID {
+		g.Sample(sent, s.Received)
+	}
+}
+
+// Unprobed takes a probe that came to nothing.
+func (g *Group) Unprobed(m *Member) { m.probing = false }
+
+// Doubt looks whether the primary owes answers for too long. True: it is doubted from now on.
+func (g *Group) Doubt(now float64) bool {
+	p := g.Primary()
+	if p == nil || p.Doubted || len(p.owes) == 0 {
+		return false
+	}
+	if now-max(p.owes[0], p.heard) < max(doubtLeast, doubtTimes*p.took) {
+		return false
+	}
+	p.Doubted = true
+	g.probeAt, g.pauseP = now, ProbeEvery
+	return true
+}
+
+// Owing says how long the oldest send is unanswered with nothing heard since, over all members that owe one; 0 for none.
+func (g *Group) Owing(now float64) float64 {
+	if p := g.Primary(); p != nil && len(p.owes) > 0 {
+		return now - max(p.owes[0], p.heard)
+	}
+	return 0
+}
+
+// Probes gives whom to ask now, where something waits: the design's probes of a group with an empty slot, and of a primary
+// that is doubted.
+func (g *Group) Probes(now float64) []*Member {
+	p := g.Primary()
+	if now < g.probeAt || p != nil && !p.Doubted {
+		return nil
+	}
+	g.probeAt = now + g.pauseP
+	g.pauseP = min(g.pauseP*1.5, probeMost)
+	var out []*Member
+	for _, m := range g.Members {
+		if !m.Draining && !m.probing && (p == nil || m == p) {
+			m.probing = true
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/konkordia/calls.go
@@ -0,0 +1,154 @@
+package konkordia
+
+// This file owns the calls of members and operators: one handler object for each resource.
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"weirwind/internal/monterosa"
+	"weirwind/internal/tuckett"
+)
+
+const (
+	mostBeat   = 4 << 10
+	mostConfig = 4 << 20
+)
+
+func (h *Hut) routes() http.Handler {
+	mux := http.NewServeMux()
+	m, c := &members{h}, &config{h}
+	mux.HandleFunc("POST /members/{id}/heartbeat", m.heartbeat)
+	mux.HandleFunc("POST /members/{id}/leave", m.leave)
+	mux.HandleFunc("POST /config/replace", c.replace)
+	mux.HandleFunc("POST /config/amend", c.amend)
+	mux.HandleFunc("GET /config/show", c.show)
+	mux.Handle("GET /status", &status{h})
+	return mux
+}
+
+// members is the resource of members.
+type members struct{ h *Hut }
+
+type beat struct {
+	Svc   string `json:"svc"`
+	Addr  string `json:"addr"`
+	Zone  string `json:"zone"`
+	Gen   string `json:"gen"`
+	Slots int    `json:"slots"`
+	State string `json:"state"`
+	Role  string `json:"dbRole"`
+	Seq   uint64 `json:"seq"`
+}
+
+func (m *members) heartbeat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBeat))
+	var b beat
+	if err == nil {
+		err = json.Unmarshal(body, &b)
+	}
+	if err != nil || b.Svc == "" || b.Addr == "" {
+		http.Error(w, "a beat names its svc and addr", http.StatusBadRequest)
+		return
+	}
+	rec := monterosa.Member{ID: r.PathValue("id"), Svc: b.Svc, Addr: b.Addr, Zone: b.Zone, Gen: b.Gen, Slots: b.Slots,
+		Leaving: b.State == "draining", Seq: b.Seq}
+	switch b.Role {
+	case "primary":
+		rec.Role = monterosa.RolePrimary
+	case "replica":
+		rec.Role = monterosa.RoleReplica
+	}
+	done := make(chan struct{})
+	m.h.tables.do(func() {
+		m.h.tables.beat(rec)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-m.h.ctx.Done():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	io.WriteString(w, "{}\n")
+}
+
+func (m *members) leave(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	m.h.tables.do(func() { m.h.tables.leave(id) })
+	w.Header().Set("Content-Type", "application/json")
+	io.WriteString(w, "{}\n")
+}
+
+// config is the resource of the operator's word.
+type config struct{ h *Hut }
+
+func (c *config) change(w http.ResponseWriter, r *http.Request, amend bool) {
+	base, err := strconv.ParseUint(r.Header.Get("Weirwind-Base-Version"), 10, 64)
+	if err != nil {
+		http.Error(w, "Weirwind-Base-Version must be the version that the change is built on", http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostConfig))
+	if err != nil {
+		status := http.StatusBadRequest
+		if _, long := err.(*http.MaxBytesError); long {
+			status = http.StatusRequestEntityTooLarge
+		}
+		http.Error(w, "the body did not come whole: "+err.Error(), status)
+		return
+	}
+	status, answer := c.h.call(tuckett.Ask{Amend: amend, Base: base, Body: body})
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	w.Write(answer)
+}
+
+func (c *config) replace(w http.ResponseWriter, r *http.Request) { c.change(w, r, false) }
+func (c *config) amend(w http.ResponseWriter, r *http.Request)   { c.change(w, r, true) }
+
+func (c *config) show(w http.ResponseWriter, _ *http.Request) {
+	status, body := c.h.call(tuckett.Ask{Show: true})
+	if status == http.StatusOK {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	w.WriteHeader(status)
+	w.Write(body)
+}
+
+// status is what this machine knows, for operators.
+type status struct{ h *Hut }
+
+func (s *status) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	ch := make(chan map[string]any, 2)
+	s.h.tables.do(func() { ch <- s.h.tables.status() })
+	s.h.council.do(func() { ch <- s.h.council.status() })
+	all := map[string]any{"machine": s.h.set.Hostname}
+	for range 2 {
+		select {
+		case part := <-ch:
+			for k, v := range part {
+				all[k] = v
+			}
+		case <-s.h.ctx.Done():
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.Encode(all)
+}
+
+func (c *council) status() map[string]any {
+	leader, _ := c.node.Leading()
+	e, committed := c.node.Committed()
+	out := map[string]any{"id": c.node.Hard.ID, "leader": leader.Addr, "term": c.node.Hard.Term, "voters": e.Voters, "index": e.Index, "committed": committed}
+	if c.book != nil {
+		out["gen"], out["changes"] = c.book.Gen, len(c.book.Past)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/konkordia/succession.go
@@ -0,0 +1,252 @@
+package konkordia
+
+// This file owns what a leader does about successions: it gives torino its view and carries out what it says.
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"weirwind/internal/bertol"
+	"weirwind/internal/gr20"
+	"weirwind/internal/monterosa"
+	"weirwind/internal/torino"
+	"weirwind/internal/viaalpina"
+)
+
+const (
+	statTime = 700 * time.Millisecond
+	callTime = 2 * time.Second
+)
+
+// lead begins or ends this machine's lead.
+func (t *tables) lead(leads bool, term uint64) {
+	t.leading, t.term = leads, term
+	t.hands, t.reports = map[string]*torino.Service{}, map[string]map[string]report{}
+	t.asker.forget()
+}
+
+func (t *tables) step(now float64) {
+	if t.config == nil {
+		return
+	}
+	bySvc := map[string][]monterosa.Member{}
+	for _, m := range t.members.List() {
+		if !m.Gone {
+			bySvc[m.Svc] = append(bySvc[m.Svc], m)
+		}
+	}
+	for i := range t.config.Svcs {
+		cs := &t.config.Svcs[i]
+		s := t.hands[cs.Name]
+		if s == nil {
+			s = torino.New(now)
+			t.hands[cs.Name] = s
+		}
+		v := &torino.View{Svc: cs.Name, SyncN: cs.SyncN}
+		for _, m := range bySvc[cs.Name] {
+			v.Members = append(v.Members, torino.Member{ID: m.ID, Gen: m.Gen, Leaving: m.Leaving, Silent: t.members.Silent(m.ID, now),
+				Primary: m.Role == monterosa.RolePrimary, Replica: m.Role == monterosa.RoleReplica})
+		}
+		for _, r := range t.reports[cs.Name] {
+			if now-r.at < accuseFor {
+				if r.r.Silent > 0 || r.r.Dead {
+					v.Accused++
+				} else {
+					v.Cleared++
+				}
+			}
+		}
+		t.carry(s, v, now)
+	}
+}
+
+func (t *tables) carry(s *torino.Service, v *torino.View, now float64) {
+	for _, a := range s.Step(v, now) {
+		switch a.Kind {
+		case torino.Note:
+			t.h.log.Event(bertol.Succession, "svc", v.Svc, "member", a.ID, "what", a.Why)
+		case torino.Handed:
+			t.bind(a.ID)
+		case torino.Failover:
+			t.h.log.Event(bertol.SuccessStep, "svc", v.Svc, "step", "failover", "to", a.ID, "from", a.Why)
+			go t.failover(s, v.Svc, a.ID, t.term)
+		default:
+			if m, ok := t.members.Get(a.ID); ok {
+				text := [...]string{torino.Stat: "STAT", torino.Pause: "PAUSE " + strconv.FormatUint(a.Term+1, 10), torino.Cont: "CONT"}[a.Kind]
+				if a.Kind != torino.Stat {
+					t.h.log.Event(bertol.SuccessStep, "svc", v.Svc, "step", text, "member", a.ID)
+				}
+				go t.question(s, m, a.Kind, text)
+			} else {
+				s.Unanswered(a.ID, false)
+			}
+		}
+	}
+}
+
+func (t *tables) question(s *torino.Service, m monterosa.Member, k torino.ActKind, text string) {
+	sent := t.h.now()
+	st, refused, err := t.asker.ask(m, text)
+	t.do(func() {
+		if err != nil {
+			s.Unanswered(m.ID, refused)
+			return
+		}
+		s.Answered(m.ID, k, sent, t.h.now(), st)
+	})
+}
+
+// failover calls the platform, with this machine as holder and its term as fence.
+func (t *tables) failover(s *torino.Service, svc, id string, fence uint64) {
+	body, _ := json.Marshal(map[string]string{"svc": svc, "id": id})
+	status := 0
+	req, err := http.NewRequestWithContext(t.h.ctx, http.MethodPost, "http://"+t.h.set.Platform+"/failover", bytes.NewReader(body))
+	if err == nil {
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Weirwind-Holder", t.h.set.Hostname)
+		req.Header.Set("Weirwind-Fence", strconv.FormatUint(fence, 10))
+		client := http.Client{Timeout: callTime}
+		var resp *http.Response
+		if resp, err = client.Do(req); err == nil {
+			io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
+			resp.Body.Close()
+			status = resp.StatusCode
+		}
+	}
+	if err != nil {
+		t.h.log.Error(bertol.PlatformCall, oops.In("failover").With("peer", t.h.set.Platform).Wrap(err), "svc", svc, "member", id)
+	} else {
+		t.h.log.Event(bertol.PlatformCall, "svc", svc, "member", id, "fence", fence, "status", status)
+	}
+	t.do(func() { s.Called(id, status, t.h.now()) })
+}
+
+// asker keeps a connection to each member that is asked.
+type asker struct {
+	h     *Hut
+	conns chan map[string]*asking
+}
+
+type asking struct {
+	c net.Conn
+	r *gr20.Reader
+}
+
+func newAsker(h *Hut) *asker {
+	a := &asker{h: h, conns: make(chan map[string]*asking, 1)}
+	a.conns <- map[string]*asking{}
+	return a
+}
+
+func (a *asker) forget() {
+	all := <-a.conns
+	a.conns <- map[string]*asking{}
+	for _, c := range all {
+		c.c.Close()
+	}
+}
+
+func (a *asker) get(id string) *asking {
+	all := <-a.conns
+	defer func() { a.conns <- all }()
+	c := all[id]
+	delete(all, id)
+	return c
+}
+
+func (a *asker) put(id string, c *asking) {
+	all := <-a.conns
+	defer func() { a.conns <- all }()
+	if old := all[id]; old != nil {
+		old.c.Close()
+	}
+	all[id] = c
+}
+
+// ask puts one question; refused: the member takes no connection.
+func (a *asker) ask(m monterosa.Member, text string) (gr20.Status, bool, error) {
+	until := time.Now().Add(statTime)
+	c := a.get(m.ID)
+	kept := c != nil
+	if c == nil {
+		var refused bool
+		var err error
+		if c, refused, err = attach(m, until); err != nil {
+			return gr20.Status{}, refused, err
+		}
+	}
+	st, err := c.stat(text, until)
+	if err != nil && kept && time.Now().Before(until) { // it may have been closed while it rested
+		c.c.Close()
+		var refused bool
+		if c, refused, err = attach(m, until); err != nil {
+			return gr20.Status{}, refused, err
+		}
+		st, err = c.stat(text, until)
+	}
+	if err != nil {
+		c.c.Close()
+		return gr20.Status{}, false, oops.In("stat").With("peer", m.Addr).Wrap(err)
+	}
+	a.put(m.ID, c)
+	return st, false, nil
+}
+
+func attach(m monterosa.Member, until time.Time) (*asking, bool, error) {
+	nc, err := net.DialTimeout("tcp4", m.Addr, time.Until(until))
+	if err != nil {
+		ne, ok := err.(net.Error)
+		return nil, !(ok && ne.Timeout()), oops.In("stat dial").With("peer", m.Addr).Wrap(err)
+	}
+	viaalpina.Dark(nc, 3*time.Second)
+	c := &asking{nc, gr20.NewReader(nc)}
+	nc.SetDeadline(until)
+	_, err = io.WriteString(nc, gr20.Attach+" "+m.Svc+" weirwind "+m.ID+"\r\n")
+	if err == nil {
+		var line string
+		if line, err = c.r.Line(); err == nil {
+			if word, rest := gr20.Cut(line); word != gr20.Ready {
+				err = oops.Errorf("%s", rest)
+			}
+		}
+	}
+	if err != nil {
+		nc.Close()
+		return nil, false, oops.In("stat attach").With("peer", m.Addr).Wrap(err)
+	}
+	return c, false, nil
+}
+
+func (c *asking) stat(text string, until time.Time) (gr20.Status, error) {
+	c.c.SetDeadline(until)
+	var st gr20.Status
+	if _, err := io.WriteString(c.c, "QUERY - "+text+"\r\n"); err != nil {
+		return st, err
+	}
+	ok := false
+	why := "no row"
+	for {
+		line, err := c.r.Line()
+		if err != nil {
+			return st, err
+		}
+		switch word, rest := gr20.Cut(line); word {
+		case gr20.Row:
+			st, ok = gr20.ParseStatus(rest)
+		case gr20.Fail:
+			why = rest
+		case gr20.Ready:
+			if !ok {
+				return st, oops.Errorf("%s", why)
+			}
+			return st, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/konkordia/tables.go
@@ -0,0 +1,318 @@
+package konkordia
+
+// This file owns the tables: members, drivers' leases, the links of agents, and the successions while this machine leads.
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"weirwind/internal/bertol"
+	"weirwind/internal/cosmiques"
+	"weirwind/internal/monterosa"
+	"weirwind/internal/torino"
+	"weirwind/internal/tuckett"
+	"weirwind/internal/viaalpina"
+)
+
+// Times of the soft state.
+const (
+	leaseFor   = 4 * time.Second
+	memberKeep = 60 * time.Second
+	bindMost   = 3500.0 // milliseconds after which a drain binds, its lead handed over or not
+	accuseFor  = 1500.0
+	tickEvery  = 50 * time.Millisecond
+	beatsEvery = 300.0
+	syncEvery  = 1000.0
+)
+
+type tables struct {
+	h       *Hut
+	cmds    chan func()
+	members *monterosa.Members
+	leases  *monterosa.Leases
+	agents  map[*link]string // by the driver's name
+	book    *cosmiques.Book
+	config  *cosmiques.Config
+	cores   []string
+	beats   []tuckett.Beat
+	beatsAt float64
+	syncAt  float64
+	leaving map[string]float64
+
+	leading bool
+	term    uint64
+	hands   map[string]*torino.Service
+	reports map[string]map[string]report // by service and driver
+	asker   *asker
+}
+
+type report struct {
+	r  tuckett.Report
+	at float64
+}
+
+func newTables(h *Hut) *tables {
+	t := &tables{h: h, cmds: make(chan func(), 1024), members: monterosa.NewMembers(), leases: monterosa.NewLeases(),
+		agents: map[*link]string{}, leaving: map[string]float64{}, hands: map[string]*torino.Service{}, reports: map[string]map[string]report{}}
+	t.asker = newAsker(h)
+	return t
+}
+
+func (t *tables) do(f func()) {
+	select {
+	case t.cmds <- f:
+	case <-t.h.ctx.Done():
+	}
+}
+
+func (t *tables) run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-t.cmds:
+			f()
+		case <-tick.C:
+			t.tick()
+		}
+	}
+}
+
+func (t *tables) tick() {
+	now := t.h.now()
+	for _, m := range t.members.Expire(now, ms(memberKeep)) {
+		t.h.log.Event(bertol.MemberGone, "member", m.ID, "why", "silent")
+		t.spread([]monterosa.Member{m})
+	}
+	if lapsed := t.leases.Lapse(now); lapsed != nil {
+		for _, d := range lapsed {
+			t.h.log.Event(bertol.DriverLapsed, "driver", d.Name)
+		}
+		t.push(&tuckett.News{Drivers: t.leases.List()})
+	}
+	for id, since := range t.leaving {
+		m, ok := t.members.Get(id)
+		switch {
+		case !ok || !m.Leaving || m.Draining:
+			delete(t.leaving, id)
+		case m.Role != monterosa.RolePrimary || now-since > bindMost:
+			t.bind(id)
+		}
+	}
+	if now >= t.beatsAt {
+		t.beatsAt = now + beatsEvery
+		if t.beats != nil {
+			t.h.sendCores(&tuckett.Frame{Beats: t.beats})
+			t.beats = nil
+		}
+	}
+	if now >= t.syncAt {
+		t.syncAt = now + syncEvery
+		d := t.digest()
+		f := &tuckett.Frame{Digest: &d}
+		for _, dr := range t.leases.List() {
+			f.Leases = append(f.Leases, tuckett.Lease{Driver: dr, Left: t.leases.Until(dr.Name) - now})
+		}
+		t.h.sendCores(f)
+	}
+	if t.leading {
+		t.step(now)
+	}
+}
+
+func driversDigest(ds []monterosa.Driver) uint64 {
+	h := fnv.New64a()
+	for _, d := range ds {
+		h.Write([]byte(d.Name + " " + d.Addr + "\n"))
+	}
+	return h.Sum64()
+}
+
+func (t *tables) digest() tuckett.Digest {
+	d := tuckett.Digest{Members: t.members.Digest(), Drivers: driversDigest(t.leases.List())}
+	if t.book != nil {
+		d.Gen = t.book.Gen
+	}
+	return d
+}
+
+// agreed takes the operator's word as the council knows it committed.
+func (t *tables) agreed(book *cosmiques.Book, news bool, cores []string) {
+	t.cores = cores
+	if t.book != nil && book.Gen < t.book.Gen {
+		return
+	}
+	t.book = book
+	if !news {
+		return
+	}
+	if cfg, err := cosmiques.Read(book.Raw); err == nil {
+		t.config = cfg
+	}
+	t.push(&tuckett.News{Gen: book.Gen, Config: book.Raw, Cores: cores})
+}
+
+// push tells the agents that are linked here.
+func (t *tables) push(n *tuckett.News) {
+	if len(t.agents) == 0 {
+		return
+	}
+	raw := viaalpina.Encode(&tuckett.Frame{News: n})
+	for l := range t.agents {
+		l.SendRaw(raw)
+	}
+}
+
+// spread tells agents and the other core machines of members.
+func (t *tables) spread(ms []monterosa.Member) {
+	n := &tuckett.News{Members: ms}
+	t.push(n)
+	t.h.sendCores(&tuckett.Frame{News: n})
+}
+
+// beat takes a member's own word.
+func (t *tables) beat(rec monterosa.Member) {
+	now := t.h.now()
+	old, known := t.members.Get(rec.ID)
+	m, fresh, changed := t.members.Beat(rec, now, 3*ms(t.h.set.Beat))
+	if !fresh {
+		return
+	}
+	if !changed {
+		if len(t.beats) < 1024 {
+			t.beats = append(t.beats, tuckett.Beat{ID: m.ID, Life: m.Life, Seq: m.Seq})
+		}
+		return
+	}
+	if !known {
+		t.h.log.Event(bertol.MemberNew, "member", m.ID, "svc", m.Svc, "addr", m.Addr, "role", int(m.Role))
+	} else if old.Role != m.Role {
+		t.h.log.Event(bertol.MemberRole, "member", m.ID, "svc", m.Svc, "role", int(m.Role))
+	}
+	t.noteLeaving(m, now)
+	t.spread([]monterosa.Member{m})
+}
+
+// noteLeaving lets the drain of a member that does not lead bind at once; who leads hands over first.
+func (t *tables) noteLeaving(m monterosa.Member, now float64) {
+	if !m.Leaving || m.Draining || m.Gone {
+		return
+	}
+	if _, ok := t.leaving[m.ID]; !ok {
+		t.leaving[m.ID] = now
+		t.h.log.Event(bertol.MemberDrains, "member", m.ID, "svc", m.Svc, "role", int(m.Role))
+	}
+	if m.Role != monterosa.RolePrimary {
+		if b, ok := t.members.Bind(m.ID); ok {
+			t.spread([]monterosa.Member{b})
+		}
+	}
+}
+
+func (t *tables) bind(id string) {
+	if m, ok := t.members.Bind(id); ok {
+		t.spread([]monterosa.Member{m})
+	}
+}
+
+func (t *tables) leave(id string) {
+	if m, ok := t.members.Leave(id, t.h.now()); ok {
+		t.h.log.Event(bertol.MemberGone, "member", id, "why", "left")
+		t.spread([]monterosa.Member{m})
+	}
+}
+
+// lost notes that a link has ended.
+func (t *tables) lost(l *link) { delete(t.agents, l) }
+
+// take takes a frame of another core machine or of an agent.
+func (t *tables) take(l *link, f *tuckett.Frame) {
+	now := t.h.now()
+	switch {
+	case f.Renew != nil:
+		t.renew(l, f.Renew, now)
+	case f.News != nil:
+		t.merge(f.News.Members, now)
+	case f.Beats != nil:
+		for _, b := range f.Beats {
+			t.members.Heard(b.ID, b.Life, b.Seq, now)
+		}
+	case f.Report != nil:
+		t.report(f.Report, now)
+	case f.Digest != nil:
+		changed := false
+		for _, le := range f.Leases {
+			changed = t.leases.Renew(le.Driver, now+min(le.Left, ms(leaseFor))) || changed
+		}
+		if changed {
+			t.push(&tuckett.News{Drivers: t.leases.List()})
+		}
+		if f.Digest.Members != t.members.Digest() {
+			t.h.sendCores(&tuckett.Frame{News: &tuckett.News{Members: t.members.List()}})
+		}
+	}
+}
+
+func (t *tables) merge(ms []monterosa.Member, now float64) {
+	news := t.members.Merge(ms, now)
+	for _, m := range news {
+		t.noteLeaving(m, now)
+	}
+	if news != nil {
+		t.push(&tuckett.News{Members: news})
+	}
+}
+
+// renew prolongs a driver's lease and tells it what it lacks.
+func (t *tables) renew(l *link, r *tuckett.Renew, now float64) {
+	if r.End {
+		if t.leases.Drop(r.Driver.Name, r.Driver.Life) {
+			t.push(&tuckett.News{Drivers: t.leases.List()})
+		}
+		return
+	}
+	t.agents[l] = r.Driver.Name
+	if t.leases.Renew(r.Driver, now+ms(leaseFor)) {
+		t.h.log.Event(bertol.DriverNew, "driver", r.Driver.Name)
+		t.push(&tuckett.News{Drivers: t.leases.List()})
+		t.h.sendCores(&tuckett.Frame{Digest: &tuckett.Digest{Members: t.members.Digest()}, Leases: []tuckett.Lease{{Driver: r.Driver, Left: ms(leaseFor)}}})
+	}
+	n := &tuckett.News{Cores: t.cores}
+	d := t.digest()
+	if t.book != nil && r.Has.Gen < d.Gen {
+		n.Gen, n.Config = t.book.Gen, t.book.Raw
+	}
+	if r.Has.Members != d.Members {
+		n.Members = t.members.List()
+	}
+	if r.Has.Drivers != d.Drivers {
+		n.Drivers = t.leases.List()
+	}
+	l.Send(&tuckett.Frame{News: n})
+}
+
+func (t *tables) report(r *tuckett.Report, now float64) {
+	if !t.leading {
+		t.h.council.do(func() {
+			if leader, ok := t.h.council.node.Leading(); ok && leader.Addr != t.h.set.Ctl {
+				t.h.sendCore(leader.Addr, &tuckett.Frame{Report: r})
+			}
+		})
+		return
+	}
+	if t.reports[r.Svc] == nil {
+		t.reports[r.Svc] = map[string]report{}
+	}
+	t.reports[r.Svc][r.Driver] = report{*r, now}
+}
+
+func (t *tables) status() map[string]any {
+	hands := map[string]string{}
+	for svc, s := range t.hands {
+		hands[svc] = s.State()
+	}
+	return map[string]any{"members": t.members.List(), "drivers": t.leases.List(), "leads": t.leading, "successions": hands, "agents": len(t.agents)}
+}
--- /dev/null
+++ b/internal/monterosa/monterosa.go
@@ -0,0 +1,323 @@
+// Package monterosa is the soft state: which members and which drivers there are. It is named after the Monte Rosa Hütte, whose
+// book lists who is on the mountain, and who has come down.
+//
+// This file owns the tables, how two of them become one, and the digests by which two processes see whether theirs differ. It
+// does no I/O and reads no clock. Nothing here is ever written to disk: members and drivers tell it again.
+package monterosa
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
+	"slices"
+)
+
+// Role is what a member says that it is.
+type Role uint8
+
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+// Member is a record of one, as it told it last.
+type Member struct {
+	ID    string `cbor:"1,keyasint"`
+	Svc   string `cbor:"2,keyasint"`
+	Addr  string `cbor:"3,keyasint"`
+	Zone  string `cbor:"4,keyasint"`
+	Gen   string `cbor:"5,keyasint"`
+	Slots int    `cbor:"6,keyasint"`
+	Role  Role   `cbor:"7,keyasint"`
+
+	Draining bool   `cbor:"8,keyasint,omitempty"` // binds at drivers
+	Gone     bool   `cbor:"9,keyasint,omitempty"`
+	Leaving  bool   `cbor:"10,keyasint,omitempty"` // it says that it drains; its lead may still have to be handed over
+	Life     uint64 `cbor:"11,keyasint"`           // rises when its own count starts again
+	Seq      uint64 `cbor:"12,keyasint"`
+	Mark     uint64 `cbor:"13,keyasint"` // rises with what the core adds to its word
+}
+
+func (m *Member) newer(o *Member) bool {
+	if m.Life != o.Life {
+		return m.Life > o.Life
+	}
+	if m.Seq != o.Seq {
+		return m.Seq > o.Seq
+	}
+	return m.Mark > o.Mark
+}
+
+// same says whether nothing that matters differs.
+func (m *Member) same(o *Member) bool {
+	a, b := *m, *o
+	a.Seq, b.Seq, a.Mark, b.Mark = 0, 0, 0, 0
+	return a == b
+}
+
+// Members is a table of them.
+type Members struct {
+	all    map[string]*entry
+	digest uint64
+	valid  bool
+}
+
+type entry struct {
+	m     Member
+	heard float64 // when its own word came here or was passed on
+	gone  float64 // since when
+}
+
+// NewMembers is empty.
+func NewMembers() *Members { return &Members{all: map[string]*entry{}} }
+
+// Beat takes a member's own word at now; fresh is false for one that came late. changed says whether drivers must know.
+// A count that starts again is a new life where the member was silent for longer than silence.
+func (t *Members) Beat(m Member, now, silence float64) (cur Member, fresh, changed bool) {
+	old := t.all[m.ID]
+	if old == nil {
+		m.Life = 1
+		t.all[m.ID] = &entry{m: m, heard: now}
+		t.valid = false
+		return m, true, true
+	}
+	m.Life, m.Mark = old.m.Life, old.m.Mark
+	switch {
+	case m.Seq < old.m.Seq && (now-old.heard > silence || old.m.Gone):
+		m.Life++
+	case m.Seq <= old.m.Seq:
+		return old.m, false, false
+	}
+	if old.m.Gone && m.Life == old.m.Life {
+		return old.m, false, false
+	}
+	m.Draining = m.Leaving && old.m.Draining && m.Life == old.m.Life
+	changed = !m.same(&old.m)
+	old.m, old.heard, old.gone = m, now, 0
+	if changed {
+		t.valid = false
+	}
+	return m, true, changed
+}
+
+// Heard notes that the member's word number seq came in somewhere.
+func (t *Members) Heard(id string, life, seq uint64, now float64) {
+	if e := t.all[id]; e != nil && e.m.Life == life && seq >= e.m.Seq {
+		e.m.Seq, e.heard = seq, max(e.heard, now)
+	}
+}
+
+// Leave notes that a member has ended.
+func (t *Members) Leave(id string, now float64) (Member, bool) {
+	e := t.all[id]
+	if e == nil || e.m.Gone {
+		return Member{}, false
+	}
+	e.m.Gone, e.m.Draining, e.gone = true, true, now
+	e.m.Mark++
+	t.valid = false
+	return e.m, true
+}
+
+// Bind makes a leaving member's drain bind at drivers.
+func (t *Members) Bind(id string) (Member, bool) {
+	e := t.all[id]
+	if e == nil || e.m.Draining || !e.m.Leaving {
+		return Member{}, false
+	}
+	e.m.Draining = true
+	e.m.Mark++
+	t.valid = false
+	return e.m, true
+}
+
+// Merge takes records that another process had. It gives those that were news here.
+func (t *Members) Merge(records []Member, now float64) (news []Member) {
+	for _, m := range records {
+		e := t.all[m.ID]
+		if e == nil {
+			t.all[m.ID] = &entry{m: m, heard: now, gone: now}
+			news = append(news, m)
+			continue
+		}
+		if !m.newer(&e.m) {
+			continue
+		}
+		if !m.same(&e.m) {
+			news = append(news, m)
+		}
+		if m.Gone && !e.m.Gone {
+			e.gone = now
+		}
+		if m.Seq > e.m.Seq || m.Life > e.m.Life {
+			e.heard = now
+		}
+		e.m = m
+	}
+	if news != nil {
+		t.valid = false
+	}
+	return news
+}
+
+// Expire lets go of those that ended, or were silent, for longer than keep. It gives the silent ones.
+func (t *Members) Expire(now, keep float64) (gone []Member) {
+	for id, e := range t.all {
+		switch {
+		case e.m.Gone && now-e.gone > keep:
+			delete(t.all, id)
+		case !e.m.Gone && now-e.heard > keep:
+			if m, ok := t.Leave(id, now); ok {
+				gone = append(gone, m)
+			}
+		}
+	}
+	return gone
+}
+
+// Get gives one.
+func (t *Members) Get(id string) (Member, bool) {
+	if e := t.all[id]; e != nil {
+		return e.m, true
+	}
+	return Member{}, false
+}
+
+// Silent is for how long none of a member's own words has come.
+func (t *Members) Silent(id string, now float64) float64 {
+	if e := t.all[id]; e != nil {
+		return now - e.heard
+	}
+	return 0
+}
+
+// List gives all, by id.
+func (t *Members) List() []Member {
+	out := make([]Member, 0, len(t.all))
+	for _, id := range slices.Sorted(maps.Keys(t.all)) {
+		out = append(out, t.all[id].m)
+	}
+	return out
+}
+
+// Digest is the same for two tables in which nothing that matters differs. Members that are gone don't count.
+func (t *Members) Digest() uint64 {
+	if t.valid {
+		return t.digest
+	}
+	h := fnv.New64a()
+	for _, m := range t.List() {
+		if m.Gone {
+			continue
+		}
+		var b [11]byte
+		binary.BigEndian.PutUint64(b[:], m.Life)
+		b[8], b[9], b[10] = byte(m.Role), flag(m.Draining), flag(m.Leaving)
+		h.Write([]byte(m.ID + "\x00" + m.Svc + "\x00" + m.Addr))
+		h.Write(b[:])
+	}
+	t.digest, t.valid = h.Sum64(), true
+	return t.digest
+}
+
+func flag(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Driver is a machine that takes clients, by its agent.
+type Driver struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"` // where other agents reach it
+	Zone string `cbor:"3,keyasint"`
+	Life uint64 `cbor:"4,keyasint"` // of its process
+}
+
+// Leases are the drivers that the core knows: each is a member while it renews.
+type Leases struct {
+	all map[string]*lease
+}
+
+type lease struct {
+	d     Driver
+	until float64
+}
+
+// NewLeases is empty.
+func NewLeases() *Leases { return &Leases{all: map[string]*lease{}} }
+
+// Renew takes a driver's renewal, which holds until then. changed says whether others should know.
+func (l *Leases) Renew(d Driver, until float64) (changed bool) {
+	old := l.all[d.Name]
+	if old != nil && old.d.Life > d.Life {
+		return false
+	}
+	if old == nil || old.d != d {
+		l.all[d.Name] = &lease{d, until}
+		return true
+	}
+	old.until = max(old.until, until)
+	return false
+}
+
+// Drop ends a lease that its holder gave back.
+func (l *Leases) Drop(name string, life uint64) bool {
+	if old := l.all[name]; old == nil || old.d.Life != life {
+		return false
+	}
+	delete(l.all, name)
+	return true
+}
+
+// Lapse drops those that ran out, and gives them.
+func (l *Leases) Lapse(now float64) (out []Driver) {
+	for name, e := range l.all {
+		if now >= e.until {
+			delete(l.all, name)
+			out = append(out, e.d)
+		}
+	}
+	return out
+}
+
+// Until is when a driver's lease ends.
+func (l *Leases) Until(name string) float64 {
+	if e := l.all[name]; e != nil {
+		return e.until
+	}
+	return 0
+}
+
+// List gives the drivers that hold one, by name.
+func (l *Leases) List() []Driver {
+	out := make([]Driver, 0, len(l.all))
+	for _, e := range l.all {
+		out = append(out, e.d)
+	}
+	slices.SortFunc(out, func(a, b Driver) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Fellows picks the few that a driver passes news on to: those that follow it in the order of names, so that word from
+// anywhere reaches all even where each knows only these.
+func Fellows(all []Driver, self string, few int) []Driver {
+	i, found := slices.BinarySearchFunc(all, self, func(d Driver, name string) int { return cmp.Compare(d.Name, name) })
+	if found {
+		i++
+	}
+	var out []Driver
+	for k, step := 0, 1; len(out) < few && k < 64 && len(all) > 0; k++ {
+		d := all[(i+step-1)%len(all)]
+		if step *= 2; step > len(all) {
+			step = 1 + k
+		}
+		if d.Name != self && !slices.ContainsFunc(out, func(o Driver) bool { return o.Name == d.Name }) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/tuckett/tuckett.go
@@ -0,0 +1,95 @@
+// Package tuckett is the words that the system's processes say to each other. It is named after the Rifugio Tuckett, where the
+// ways of several groups of the Brenta cross.
+//
+// This file owns their form and nothing else: who says what when is decided elsewhere.
+package tuckett
+
+import (
+	"weirwind/internal/margherita"
+	"weirwind/internal/monterosa"
+)
+
+// Frame is what goes over a link; one of its fields is set, or several that belong together.
+type Frame struct {
+	Hello  *Hello              `cbor:"1,keyasint,omitempty"`
+	Agree  *margherita.Message `cbor:"2,keyasint,omitempty"`
+	Renew  *Renew              `cbor:"3,keyasint,omitempty"`
+	News   *News               `cbor:"4,keyasint,omitempty"`
+	Digest *Digest             `cbor:"5,keyasint,omitempty"`
+	Beats  []Beat              `cbor:"6,keyasint,omitempty"`
+	Report *Report             `cbor:"7,keyasint,omitempty"`
+	Ask    *Ask                `cbor:"8,keyasint,omitempty"`
+	Answer *Answer             `cbor:"9,keyasint,omitempty"`
+	Leases []Lease             `cbor:"10,keyasint,omitempty"`
+}
+
+// Hello opens a link: who dialled.
+type Hello struct {
+	Kind string `cbor:"1,keyasint"` // "core", "agent", "proxy"
+	Name string `cbor:"2,keyasint"`
+	Addr string `cbor:"3,keyasint"`
+}
+
+// Renew asks a core machine for the lease of a driver, and says what the driver has.
+type Renew struct {
+	Driver monterosa.Driver `cbor:"1,keyasint"`
+	Has    Digest           `cbor:"2,keyasint"`
+	End    bool             `cbor:"3,keyasint,omitempty"` // it gives the lease back
+}
+
+// Digest is what a process has, in short.
+type Digest struct {
+	Gen     uint64 `cbor:"1,keyasint"`
+	Members uint64 `cbor:"2,keyasint"`
+	Drivers uint64 `cbor:"3,keyasint"`
+	Quiet   bool   `cbor:"4,keyasint,omitempty"` // no digest is wanted back
+}
+
+// News is what is new, or all of it.
+type News struct {
+	Gen     uint64             `cbor:"1,keyasint,omitempty"`
+	Config  []byte             `cbor:"2,keyasint,omitempty"`
+	Members []monterosa.Member `cbor:"3,keyasint,omitempty"`
+	Drivers []monterosa.Driver `cbor:"4,keyasint,omitempty"`
+	Cores   []string           `cbor:"5,keyasint,omitempty"` // control addresses
+	Count   int                `cbor:"6,keyasint,omitempty"` // of drivers, for a proxy
+}
+
+// Beat says that a member's own word number Seq came in somewhere.
+type Beat struct {
+	ID   string `cbor:"1,keyasint"`
+	Life uint64 `cbor:"2,keyasint"`
+	Seq  uint64 `cbor:"3,keyasint"`
+}
+
+// Lease is a driver's, with what is left of it in milliseconds.
+type Lease struct {
+	Driver monterosa.Driver `cbor:"1,keyasint"`
+	Left   float64          `cbor:"2,keyasint"`
+}
+
+// Report is what a proxy sees of a group's primary.
+type Report struct {
+	Svc    string  `cbor:"1,keyasint"`
+	ID     string  `cbor:"2,keyasint"`
+	Silent float64 `cbor:"3,keyasint"` // milliseconds that an answer is owed, with nothing heard since; 0: it speaks
+	Driver string  `cbor:"4,keyasint"`
+	Dead   bool    `cbor:"5,keyasint,omitempty"` // it takes no connection
+}
+
+// Ask passes an operator's call on to who leads.
+type Ask struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Show   bool   `cbor:"2,keyasint,omitempty"`
+	Amend  bool   `cbor:"3,keyasint,omitempty"`
+	Base   uint64 `cbor:"4,keyasint,omitempty"`
+	Body   []byte `cbor:"5,keyasint,omitempty"`
+	Node   string `cbor:"6,keyasint"`
+}
+
+// Answer is its answer: an HTTP status and a body.
+type Answer struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Status int    `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/viaalpina/viaalpina.go
@@ -0,0 +1,197 @@
+// Package viaalpina carries frames between the system's own processes. It is named after the Via Alpina, which joins eight
+// countries from hut to hut.
+//
+// This file owns sockets and the form of frames: CBOR behind four bytes of length. It decides nothing; what a frame says is its
+// users'. A peer that doesn't read loses its link, never anybody's memory; a peer that goes dark loses it after Dark.
+package viaalpina
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+)
+
+const (
+	mostFrame = 8 << 20
+	mostQueue = 512     // frames that wait to be written
+	mostBytes = 4 << 20 // and their bytes, beyond the first
+	dialTime  = 1500 * time.Millisecond
+)
+
+// Link is a connection over which frames of one type go both ways.
+type Link[F any] struct {
+	Peer string // address that was dialled, or that it came from
+	c    net.Conn
+	mu   sync.Mutex
+	wake chan struct{}
+	out  [][]byte
+	size int
+	done chan struct{}
+	once sync.Once
+}
+
+// Send queues a frame. False: the link is down.
+func (l *Link[F]) Send(f *F) bool {
+	b, err := cbor.Marshal(f)
+	if err != nil {
+		return false
+	}
+	return l.SendRaw(b)
+}
+
+// SendRaw queues a frame that Encode made.
+func (l *Link[F]) SendRaw(b []byte) bool {
+	l.mu.Lock()
+	full := len(l.out) >= mostQueue || l.size > mostBytes
+	if !full {
+		l.out = append(l.out, b)
+		l.size += len(b)
+	}
+	l.mu.Unlock()
+	if full {
+		l.Close()
+		return false
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-l.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Encode makes a frame's bytes, for one that goes to many.
+func Encode[F any](f *F) []byte {
+	b, _ := cbor.Marshal(f)
+	return b
+}
+
+// Close ends the link.
+func (l *Link[F]) Close() {
+	l.once.Do(func() {
+		close(l.done)
+		l.c.Close()
+	})
+}
+
+// Done is closed when the link has ended.
+func (l *Link[F]) Done() <-chan struct{} { return l.done }
+
+// Dark sets how long a peer may leave bytes unacknowledged before the kernel gives the connection up.
+func Dark(c net.Conn, after time.Duration) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if raw, err := t.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, 18 /* TCP_USER_TIMEOUT */, int(after.Milliseconds()))
+		})
+	}
+}
+
+func start[F any](c net.Conn, peer string) *Link[F] {
+	l := &Link[F]{Peer: peer, c: c, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go l.write()
+	return l
+}
+
+func (l *Link[F]) write() {
+	defer l.Close()
+	var head [4]byte
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-l.wake:
+		}
+		l.mu.Lock()
+		out := l.out
+		l.out, l.size = nil, 0
+		l.mu.Unlock()
+		if len(out) == 0 {
+			continue
+		}
+		var all []byte
+		for _, b := range out {
+			binary.BigEndian.PutUint32(head[:], uint32(len(b)))
+			all = append(append(all, head[:]...), b...)
+		}
+		l.c.SetWriteDeadline(time.Now().Add(10 * time.Second))
+		if _, err := l.c.Write(all); err != nil {
+			return
+		}
+	}
+}
+
+// read hands frames on until the link ends; idle is how long nothing may come (0: for ever).
+func (l *Link[F]) read(idle time.Duration, take func(*F)) error {
+	defer l.Close()
+	var head [4]byte
+	for {
+		if idle > 0 {
+			l.c.SetReadDeadline(time.Now().Add(idle))
+		}
+		if _, err := io.ReadFull(l.c, head[:]); err != nil {
+			return err
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if n > mostFrame {
+			return errors.New("a frame too long")
+		}
+		b := make([]byte, n)
+		if _, err := io.ReadFull(l.c, b); err != nil {
+			return err
+		}
+		f := new(F)
+		if err := cbor.Unmarshal(b, f); err != nil {
+			return err
+		}
+		take(f)
+	}
+}
+
+// Serve takes links at a listener until it is closed. up is told of each before its frames come, down when it has ended.
+func Serve[F any](ln net.Listener, idle time.Duration, up func(*Link[F]), take func(*Link[F], *F), down func(*Link[F])) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		go func() {
+			Dark(c, 3*time.Second)
+			l := start[F](c, c.RemoteAddr().String())
+			up(l)
+			_ = l.read(idle, func(f *F) { take(l, f) })
+			down(l)
+		}()
+	}
+}
+
+// Dial makes one link and reads it until it ends. up is told when it stands.
+func Dial[F any](addr string, idle time.Duration, up func(*Link[F]), take func(*Link[F], *F)) error {
+	c, err := net.DialTimeout("tcp4", addr, dialTime)
+	if err != nil {
+		return oops.In("link").With("peer", addr).Wrapf(err, "dial")
+	}
+	Dark(c, 3*time.Second)
+	l := start[F](c, addr)
+	up(l)
+	err = l.read(idle, func(f *F) { take(l, f) })
+	return oops.In("link").With("peer", addr).Wrapf(err, "read")
+}
