--- a/internal/hauteroute/hauteroute.go
+++ b/internal/hauteroute/hauteroute.go
@@ -8,14 +8,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"encoding/json"
-
 	"github.com/samber/oops"
 
 	"weirwind/internal/bertol"
@@ -153,7 +153,7 @@
 	for {
 		c, err := ln.Accept()
 		if err != nil {
-			if p.ctx.Err() != nil || p.phase.Load() >= closing {
+			if p.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
 			time.Sleep(5 * time.Millisecond)
@@ -178,31 +178,42 @@
 	}
 }
 
-// end lets go of clients in order: new ones still come for as long as the platform hasn't seen that it is not ready.
+// end lets go of clients in order: new ones still come for as long as the platform hasn't seen that it is not ready, or has
+// nobody else in their zone, and are served to the end.
 func (p *Proxy) end(front net.Listener) {
 	p.log.Event(bertol.Stopping, "sessions", p.conns.Load())
 	began := time.Now()
 	p.phase.Store(leaving)
 	step := func(until time.Duration) bool {
 		for time.Since(began) < until {
+			p.kick()
 			time.Sleep(25 * time.Millisecond)
 			if p.phase.Load() >= closing && p.conns.Load() == 0 {
 				return true
 			}
-			if p.phase.Load() >= closing {
-				p.kick()
-			}
 		}
 		return false
 	}
 	step(min(seenGone, p.set.Grace/2))
 	p.phase.Store(closing)
+	if !step(p.set.Grace / 2) {
+		p.phase.Store(lastCalls)
+		step(p.set.Grace - lastOf)
+	}
 	front.Close()
-	if step(p.set.Grace / 2) {
-		return
+}
+
+// patience is how long a session may rest before it is closed: 0 for ever.
+func (p *Proxy) patience() time.Duration {
+	switch p.phase.Load() {
+	case leaving:
+		return 300 * time.Millisecond
+	case closing:
+		return 100 * time.Millisecond
+	case lastCalls:
+		return 40 * time.Millisecond
 	}
-	p.phase.Store(lastCalls)
-	step(p.set.Grace - lastOf)
+	return 0
 }
 
 // kick wakes sessions that rest, so that they see the phase.
--- a/internal/hauteroute/session.go
+++ b/internal/hauteroute/session.go
@@ -39,6 +39,7 @@
 	commit gr20.Position
 	comAt  float64
 	tx     *transaction
+	heard  float64 // when it was last answered
 
 	mu      sync.Mutex
 	resting bool
@@ -100,6 +101,7 @@
 	if !s.attach() {
 		return
 	}
+	s.heard = s.p.now()
 	for {
 		wait := time.Duration(0)
 		if s.tx != nil {
@@ -108,8 +110,8 @@
 				idle = cfg.Limits.TxIdle
 			}
 			wait = time.Duration(idle * 1e6)
-		} else if s.p.phase.Load() >= leaving && s.r.Buffered() == 0 && s.quiet() {
-			return
+		} else if w := s.p.patience(); w > 0 {
+			wait = w
 		}
 		line, ok, err := s.line(wait)
 		switch {
@@ -121,17 +123,27 @@
 		case err != nil:
 			return
 		case !ok:
-			if s.tx != nil && s.p.phase.Load() < closing || s.tx != nil && s.p.phase.Load() >= lastCalls {
+			if s.tx != nil && (s.p.now()-s.heard > ms(wait)-5 || s.p.phase.Load() >= lastCalls) {
 				s.abandon() // it rested for too long, or this process ends
 			}
+			if s.tx == nil && s.p.phase.Load() >= leaving && s.rested() && s.quiet() {
+				return // with nothing asked
+			}
 			continue
 		}
 		if !s.message(line) || !s.flush() {
 			return
 		}
+		s.heard = s.p.now()
 	}
 }
 
+func ms(d time.Duration) float64 { return float64(d) / 1e6 }
+
+// rested says whether the session has asked nothing for so long that its client is hardly about to: one that has just come, or
+// was just answered, may have its next message on the way.
+func (s *session) rested() bool { return s.p.now()-s.heard >= ms(s.p.patience())/2 }
+
 // quiet says whether nothing has come from the client that was not read yet.
 func (s *session) quiet() bool { return (&conn{c: s.c, r: s.r}).alive() }
 
