--- a/internal/hauteroute/desk.go
+++ b/internal/hauteroute/desk.go
@@ -22,17 +22,19 @@
 	idleLeast   = 2    // connections of a member that are kept however long they rest
 	idleFor     = 20 * time.Second
 	capLeast    = 2
+	dialsAll    = 24    // connections of all drivers that are made to a member at a time
 	reportEvery = 400.0 // milliseconds between two reports on one group
 )
 
 // waiter is a session that waits for a member connection.
 type waiter struct {
-	need  hornli.Need
-	sum   uint64 // of the session's values: a connection that holds them is preferred
-	at    float64
-	until float64
-	avoid []string
-	reply chan grant
+	need   hornli.Need
+	sum    uint64 // of the session's values: a connection that holds them is preferred
+	at     float64
+	until  float64
+	avoid  []string
+	commit bool // a single write: its answer waits for replicas
+	reply  chan grant
 }
 
 // grant is what it gets.
@@ -44,13 +46,14 @@
 	after  gr20.Position
 	prove  bool
 	sent   float64
-	held   bool   // it waited because no primary was known
+	dials  bool   // it is being made, and counts as such
 	fail   string // code; no connection comes
 }
 
 type pool struct {
-	idle []*conn
-	open int // all of this driver: idle, in use and being made
+	idle    []*conn
+	open    int // all of this driver: idle, in use and being made
+	dialing int
 }
 
 type group struct {
@@ -181,9 +184,10 @@
 
 func (d *desk) room(g *group) func(*hornli.Member) bool {
 	share := d.share(g)
+	dials := max(dialsAll/max(d.count, 1), 2) // each takes a slot of the member for a while, and all drivers come at once
 	return func(m *hornli.Member) bool {
 		p := g.pools[m.ID]
-		return p == nil || len(p.idle) > 0 || p.open < share
+		return p == nil || len(p.idle) > 0 || p.open < share && p.dialing < dials
 	}
 }
 
@@ -227,7 +231,7 @@
 	m := c.Member
 	p := g.pool(m.ID)
 	m.InFlight++
-	g.g.Sent(m, now)
+	g.g.Sent(m, now, w.commit)
 	out := grant{group: g, member: m, rec: m.Member, after: c.After, prove: c.Prove, sent: now}
 	if n := len(p.idle); n > 0 {
 		i := n - 1
@@ -241,10 +245,21 @@
 		p.idle = slices.Delete(p.idle, i, i+1)
 	} else {
 		p.open++
+		p.dialing++
+		out.dials = true
 	}
 	return out
 }
 
+// made notes that a granted connection has been made, or could not be.
+func (d *desk) made(gr *grant) {
+	if gr.dials {
+		gr.dials = false
+		gr.group.pool(gr.member.ID).dialing--
+		d.pump(gr.group)
+	}
+}
+
 // heard takes the end of a send, on a connection that is kept by its session.
 func (d *desk) heard(gr *grant, sent float64, w hornli.Word, pos gr20.Position) {
 	g := gr.group
@@ -331,7 +346,8 @@
 // tell reports to the core what this driver sees of the primary: that it owes answers, and that it speaks again.
 func (d *desk) tell(g *group, now float64) {
 	p := g.g.Primary()
-	bad := p != nil && p.Doubted || p == nil && g.g.Slot.Silent && g.g.Slot.Last != ""
+	stuck := g.g.Stuck(now)
+	bad := stuck || p != nil && p.Doubted || p == nil && g.g.Slot.Silent && g.g.Slot.Last != ""
 	if !bad && !g.accused || now < g.reported+reportEvery {
 		return
 	}
@@ -342,7 +358,7 @@
 		r.ID, r.Dead = g.g.Slot.Last, true
 	case p != nil:
 		r.ID = p.ID
-		if bad {
+		if r.Stuck = stuck; bad && !stuck {
 			r.Silent = max(g.g.Owing(now), 1)
 		}
 	}
--- a/internal/hauteroute/statement.go
+++ b/internal/hauteroute/statement.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"net"
 	"strings"
 	"time"
 
@@ -36,16 +37,25 @@
 		if c != nil {
 			return &g, c, ""
 		}
+		began := s.p.now()
 		c, err := dial(g.rec, s.p.at(w.until))
 		if err == nil {
+			if g.dials {
+				s.p.desk.do(func() { s.p.desk.made(&g) })
+			}
 			return &g, c, ""
 		}
 		word := hornli.CutOff
-		if errors.Is(err, errRefused) {
+		var ne net.Error
+		switch {
+		case errors.Is(err, errRefused):
 			word = hornli.Answered
 			w.avoid = append(w.avoid, g.rec.ID)
+		case errors.As(err, &ne) && ne.Timeout() && s.p.now()-began < ms(dialTime)/2:
+			word = hornli.NoAnswer // there was no time left for it: that says nothing of the member
 		}
 		s.p.desk.do(func() {
+			s.p.desk.made(&g)
 			s.p.desk.heard(&g, g.sent, word, gr20.Position{})
 			s.p.desk.back(&g, nil)
 		})
@@ -114,7 +124,7 @@
 	until := at + r.Timeout - margin
 	write := s.writes(t)
 	w := &waiter{at: at, until: until, sum: s.kept.Sum()}
-	if write {
+	if w.commit = write; write {
 		w.need = hornli.Need{Write: true}
 	} else {
 		w.need = s.need(r, at)
@@ -284,7 +294,8 @@
 		said, before := s.prepare(&b, c, text, t)
 		query(&b, id, said)
 		sent := s.p.now()
-		s.p.desk.do(func() { g.group.g.Sent(g.member, sent) })
+		commit := t.Verb == "COMMIT" && x.wrote
+		s.p.desk.do(func() { g.group.g.Sent(g.member, sent, commit) })
 		err := c.write(b.String(), s.p.at(until))
 		if err == nil {
 			err = skip(c, before)
--- a/internal/hornli/hornli.go
+++ b/internal/hornli/hornli.go
@@ -8,6 +8,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"weirwind/internal/gr20"
 	"weirwind/internal/monterosa"
@@ -25,6 +26,7 @@
 	youngCommit = 250.0  // a session's commit so young is looked for at the primary, unless a replica is known to have it
 	sampleGap   = 50.0   // samples are kept no closer
 	sampleKeep  = 5000.0 // and no longer
+	stuckAfter  = 450.0  // a commit unanswered for so long while the member speaks: writes wait
 	smooth      = 0.1
 )
 
@@ -53,6 +55,7 @@
 	InFlight  int
 	heard     float64   // its last word here
 	owes      []float64 // when what is unanswered was sent, oldest first
+	commits   []float64 // those of them that wait for replicas, too
 	took      float64   // smoothed time of answers
 	laggedAt  float64
 	lagged    gr20.Position
@@ -154,7 +157,7 @@
 func (g *Group) Choose(n *Need, now float64, room func(*Member) bool, avoid func(string) bool) Choice {
 	p := g.Primary()
 	if n.Write || n.Fresh {
-		if p == nil || p.Doubted || !room(p) {
+		if p == nil || p.Doubted || !room(p) || n.Write && g.Stuck(now) {
 			return Choice{}
 		}
 		return Choice{Member: p, Prove: n.Fresh}
@@ -245,9 +248,19 @@
 	}
 }
 
-// Sent notes a send.
-func (g *Group) Sent(m *Member, now float64) {
+// Sent notes a send; commit: its answer waits for replicas.
+func (g *Group) Sent(m *Member, now float64, commit bool) {
 	m.owes = append(m.owes, now)
+	if commit {
+		m.commits = append(m.commits, now)
+	}
+}
+
+func without(list []float64, at float64) []float64 {
+	if i := slices.Index(list, at); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
 }
 
 // Word is what a member's answer says.
@@ -264,16 +277,14 @@
 
 // Heard takes the end of a send.
 func (g *Group) Heard(m *Member, sent, now float64, w Word, pos gr20.Position) {
-	for i, at := range m.owes {
-		if at == sent {
-			m.owes = append(m.owes[:i], m.owes[i+1:]...)
-			break
-		}
-	}
+	m.owes, m.commits = without(m.owes, sent), without(m.commits, sent)
 	if w == NoAnswer {
 		return
 	}
 	if w == CutOff {
+		if now-m.heard < asideFirst {
+			return // it speaks on other connections: it has no room for more at the moment
+		}
 		m.pause = min(max(asideFirst, 2*m.pause), asideMost)
 		m.aside = now + m.pause
 		if g.Slot.Holder == m.ID {
@@ -340,6 +351,12 @@
 	return true
 }
 
+// Stuck says that the primary answers, but for so long not a commit: its replicas may not receive what it writes.
+func (g *Group) Stuck(now float64) bool {
+	p := g.Primary()
+	return p != nil && len(p.commits) > 0 && now-p.commits[0] > stuckAfter && p.heard > p.commits[0]+stuckAfter/2
+}
+
 // Owing says how long the oldest send is unanswered with nothing heard since, over all members that owe one; 0 for none.
 func (g *Group) Owing(now float64) float64 {
 	if p := g.Primary(); p != nil && len(p.owes) > 0 {
--- a/internal/konkordia/succession.go
+++ b/internal/konkordia/succession.go
@@ -42,6 +42,7 @@
 			bySvc[m.Svc] = append(bySvc[m.Svc], m)
 		}
 	}
+	drivers := len(t.leases.List())
 	for i := range t.config.Svcs {
 		cs := &t.config.Svcs[i]
 		s := t.hands[cs.Name]
@@ -49,14 +50,16 @@
 			s = torino.New(now)
 			t.hands[cs.Name] = s
 		}
-		v := &torino.View{Svc: cs.Name, SyncN: cs.SyncN}
+		v := &torino.View{Svc: cs.Name, SyncN: cs.SyncN, Drivers: drivers}
 		for _, m := range bySvc[cs.Name] {
 			v.Members = append(v.Members, torino.Member{ID: m.ID, Gen: m.Gen, Leaving: m.Leaving, Silent: t.members.Silent(m.ID, now),
 				Primary: m.Role == monterosa.RolePrimary, Replica: m.Role == monterosa.RoleReplica})
 		}
 		for _, r := range t.reports[cs.Name] {
 			if now-r.at < accuseFor {
-				if r.r.Silent > 0 || r.r.Dead {
+				if r.r.Stuck {
+					v.Stuck++
+				} else if r.r.Silent > 0 || r.r.Dead {
 					v.Accused++
 				} else {
 					v.Cleared++
--- a/internal/torino/torino.go
+++ b/internal/torino/torino.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"weirwind/internal/gr20"
@@ -30,6 +31,9 @@
 	provesMost  = 3500.0 // a call that was answered shows within that
 	swapAfter   = 1500.0 // a successor that does not catch up gives its place to another
 	nearReplica = 250.0
+	accusedWait = 160.0 // a question unanswered for so long, with drivers that wait in vain
+	accusedDark = 400.0
+	stuckRounds = 400.0 // replicas stand still behind a primary that goes on
 	settle      = 900.0 // a new leader begins nothing: a call of the one before may still be carried out
 	pauseHolds  = 900.0 // a replica that restarts forgets its pause: it is asked again so often
 )
@@ -50,8 +54,10 @@
 	Svc     string
 	SyncN   int
 	Members []Member // without those that are gone
-	Accused int      // drivers that wait for the primary in vain
-	Cleared int      // drivers that hear it
+	Drivers int
+	Accused int // drivers that wait for the primary in vain
+	Stuck   int // drivers that it answers, but no commit
+	Cleared int // drivers that hear it
 }
 
 // Act is a thing to be done.
@@ -113,6 +119,10 @@
 	said    string
 	start   float64 // of this lead
 	called  bool    // the platform may carry out a call still
+	stuck   bool    // the old primary speaks, but commits nothing: its word does not end the succession
+	behind  map[string]gr20.Position
+	pressAt float64
+	standAt float64 // since when they stand
 	tried   map[string]bool
 	out     []Act
 }
@@ -245,7 +255,6 @@
 			if f.status.Primary {
 				return max(f.status.Held, 1), f.at
 			}
-			return 0, 0
 		}
 		return 0, now - m.Silent
 	}
@@ -314,6 +323,22 @@
 		s.ask(p.ID, Stat, now)
 	}
 	heard := min(p.Silent, now-f.at)
+	if f.waiting && v.Accused >= max(2, v.Drivers/3) && now-f.asked > accusedWait && heard >= accusedDark && v.Cleared == 0 && settled {
+		s.begin(v, p.ID, false, "drivers wait for it in vain", now)
+		return
+	}
+	if v.Accused > 0 && !f.waiting && now-f.at > accusedWait {
+		s.ask(p.ID, Stat, now)
+	}
+	if v.Stuck > 0 && settled {
+		if s.cutFromReplicas(v, p.ID, now) {
+			s.begin(v, p.ID, false, "its commits reach no replica", now)
+			s.stuck = true
+			return
+		}
+	} else {
+		s.behind = nil
+	}
 	switch {
 	case !settled:
 	case f.refused >= refusedMost:
@@ -323,6 +348,36 @@
 	}
 }
 
+// cutFromReplicas asks all, and says whether every replica has stood still behind the primary for a while.
+func (s *Service) cutFromReplicas(v *View, primary string, now float64) bool {
+	p := s.fact(primary)
+	here := map[string]gr20.Position{}
+	for _, m := range v.Members {
+		f := s.fact(m.ID)
+		if m.ID != primary {
+			if !f.ok || now-f.at > 3*pressEvery || !f.status.Received.Less(p.status.Received) {
+				here = nil
+			} else if here != nil {
+				here[m.ID] = f.status.Received
+			}
+		}
+	}
+	if now >= s.pressAt {
+		s.pressAt = now + pressEvery
+		for _, m := range v.Members {
+			s.ask(m.ID, Stat, now)
+		}
+	}
+	if here == nil || len(here) == 0 || s.behind == nil || !maps.Equal(here, s.behind) {
+		s.behind, s.standAt = here, now
+		if s.behind == nil {
+			s.behind = map[string]gr20.Position{}
+		}
+		return false
+	}
+	return now-s.standAt >= stuckRounds
+}
+
 func (s *Service) allAnswered(v *View) bool {
 	return !slices.ContainsFunc(v.Members, func(m Member) bool { f := s.facts[m.ID]; return f == nil || !f.ok || f.status.Primary })
 }
@@ -332,7 +387,7 @@
 }
 
 func (s *Service) begin(v *View, old string, planned bool, why string, now float64) {
-	s.old, s.planned, s.next, s.tried, s.called = old, planned, "", map[string]bool{}, false
+	s.old, s.planned, s.next, s.tried, s.called, s.stuck, s.behind = old, planned, "", map[string]bool{}, false, false, nil
 	for id, f := range s.facts {
 		if f.paused = false; id != old {
 			f.ok = false
@@ -442,7 +497,7 @@
 	for _, m := range v.Members {
 		f := s.fact(m.ID)
 		if m.ID == s.old {
-			if !s.planned && !s.called && f.ok && f.status.Primary && f.at > s.since {
+			if !s.planned && !s.called && !s.stuck && f.ok && f.status.Primary && f.at > s.since {
 				s.giveUp(v, "it answers", now)
 				return true
 			}
--- a/internal/tuckett/tuckett.go
+++ b/internal/tuckett/tuckett.go
@@ -75,6 +75,7 @@
 	Silent float64 `cbor:"3,keyasint"` // milliseconds that an answer is owed, with nothing heard since; 0: it speaks
 	Driver string  `cbor:"4,keyasint"`
 	Dead   bool    `cbor:"5,keyasint,omitempty"` // it takes no connection
+	Stuck  bool    `cbor:"6,keyasint,omitempty"` // it speaks, but answers no commit
 }
 
 // Ask passes an operator's call on to who leads.
