--- a/internal/britannia/britannia.go
+++ b/internal/britannia/britannia.go
@@ -134,7 +134,7 @@
 // holdCore keeps a link to one machine of the core, the nearest that answers.
 func (a *Agent) holdCore() {
 	pause := 50 * time.Millisecond
-	for a.ctx.Err() == nil {
+	for tries := 0; a.ctx.Err() == nil; tries++ {
 		ch := make(chan string, 1)
 		a.do(func() { ch <- a.nextCore() })
 		var ctl string
@@ -144,7 +144,7 @@
 			return
 		}
 		began := time.Now()
-		_ = viaalpina.Dial(ctl, linkIdle, func(l *link) {
+		_ = viaalpina.Dial(ctl, viaalpina.Patience(tries/3), linkIdle, func(l *link) {
 			l.Send(&tuckett.Frame{Hello: &tuckett.Hello{Kind: "agent", Name: a.self.Name, Addr: a.self.Addr}})
 			a.do(func() {
 				a.core = l
@@ -159,14 +159,14 @@
 			a.core = nil
 		})
 		if time.Since(began) > 5*time.Second {
-			pause = 50 * time.Millisecond
+			pause, tries = 50*time.Millisecond, 0
 		}
 		select {
 		case <-time.After(time.Duration(float64(pause) * (0.5 + rand.Float64()))):
 		case <-a.ctx.Done():
 			return
 		}
-		pause = min(2*pause, time.Second)
+		pause = min(pause+pause/4, time.Second)
 	}
 }
 
@@ -308,7 +308,7 @@
 
 func (a *Agent) holdFellow(ctx context.Context, addr string) {
 	for ctx.Err() == nil {
-		_ = viaalpina.Dial(addr, 0, func(l *link) {
+		_ = viaalpina.Dial(addr, viaalpina.Patience(2), 0, func(l *link) {
 			a.do(func() {
 				if f := a.fellows[addr]; f != nil && ctx.Err() == nil {
 					f.l = l
--- a/internal/hauteroute/conn.go
+++ b/internal/hauteroute/conn.go
@@ -56,7 +56,11 @@
 	line, err := c.r.Line()
 	if err != nil {
 		nc.Close()
-		return nil, step.Wrap(err)
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			return nil, step.Wrap(err)
+		}
+		return nil, step.Wrapf(errRefused, "ended before it was ready: %v", err) // it took the connection, and has no place for it
 	}
 	word, rest := gr20.Cut(line)
 	if word != gr20.Ready {
--- a/internal/hauteroute/desk.go
+++ b/internal/hauteroute/desk.go
@@ -22,7 +22,9 @@
 	idleLeast   = 2    // connections of a member that are kept however long they rest
 	idleFor     = 20 * time.Second
 	capLeast    = 2
-	dialsAll    = 24    // connections of all drivers that are made to a member at a time
+	dialsAll    = 24     // connections of all drivers that are made to a member at a time
+	newFor      = 1500.0 // milliseconds from the start in which at least so many drivers are assumed
+	newCount    = 6
 	reportEvery = 400.0 // milliseconds between two reports on one group
 )
 
@@ -179,12 +181,21 @@
 	if g.max == 0 {
 		return 64
 	}
-	return max((g.max-g.max/10)/max(d.count, 1), capLeast)
+	return max((g.max-g.max/10)/d.drivers(), capLeast)
+}
+
+// drivers is how many there are, as far as is known; who has just started doesn't know them all, and what the connections of
+// those that just died still hold.
+func (d *desk) drivers() int {
+	if d.p.now() < newFor {
+		return max(d.count, newCount)
+	}
+	return max(d.count, 1)
 }
 
 func (d *desk) room(g *group) func(*hornli.Member) bool {
 	share := d.share(g)
-	dials := max(dialsAll/max(d.count, 1), 2) // each takes a slot of the member for a while, and all drivers come at once
+	dials := max(dialsAll/d.drivers(), 2) // each takes a slot of the member for a while, and all drivers come at once
 	return func(m *hornli.Member) bool {
 		p := g.pools[m.ID]
 		return p == nil || len(p.idle) > 0 || p.open < share && p.dialing < dials
--- a/internal/konkordia/konkordia.go
+++ b/internal/konkordia/konkordia.go
@@ -113,11 +113,11 @@
 }
 
 func (h *Hut) keep(ctx context.Context, ctl, addr string) {
-	pause := 100 * time.Millisecond
-	for ctx.Err() == nil {
+	pause := 50 * time.Millisecond
+	for tries := 0; ctx.Err() == nil; tries++ {
 		up := false
-		_ = viaalpina.Dial(addr, 0, func(l *link) {
-			up, pause = true, 100*time.Millisecond
+		_ = viaalpina.Dial(addr, viaalpina.Patience(tries), 0, func(l *link) {
+			up, pause, tries = true, 50*time.Millisecond, 0
 			l.Send(&tuckett.Frame{Hello: &tuckett.Hello{Kind: "core", Name: h.set.Hostname, Addr: h.set.Ctl}})
 			h.mu.Lock()
 			if c := h.cores[addr]; c != nil {
--- a/internal/margherita/margherita.go
+++ b/internal/margherita/margherita.go
@@ -146,7 +146,7 @@
 func New(o Options, h Hard, now float64) *Node {
 	n := &Node{o: o, Hard: h, peers: map[string]*peer{}, joins: map[string]joiner{}, rounds: map[uint64]float64{}}
 	n.heardAt = now - o.Patience
-	n.rest(now)
+	n.waitTil = now + o.Patience*(0.2+0.4*o.Draw()) // asking costs nobody anything where somebody leads
 	return n
 }
 
@@ -281,7 +281,7 @@
 }
 
 func (n *Node) campaign(now float64) {
-	n.rest(now)
+	n.waitTil = now + n.o.Patience*(0.3+0.5*n.o.Draw()) // a first round binds nobody: it is asked again soon
 	n.role, n.pre, n.votes, n.leader = Candidate, true, map[string]bool{n.Hard.ID: true}, Voter{}
 	if now-n.heardAt > 4*n.o.Patience { // it may have been voted out while it was away
 		for _, a := range n.known() {
@@ -316,6 +316,7 @@
 		return
 	}
 	if n.pre {
+		n.rest(now)
 		n.pre, n.votes = false, map[string]bool{n.Hard.ID: true}
 		n.Hard.Term, n.Hard.Vote, n.dirty = n.Hard.Term+1, n.Hard.ID, true
 		n.ask(AskVote, n.Hard.Term)
--- a/internal/viaalpina/viaalpina.go
+++ b/internal/viaalpina/viaalpina.go
@@ -20,9 +20,10 @@
 
 const (
 	mostFrame = 8 << 20
-	mostQueue = 512     // frames that wait to be written
-	mostBytes = 4 << 20 // and their bytes, beyond the first
-	dialTime  = 1500 * time.Millisecond
+	mostQueue = 512                    // frames that wait to be written
+	mostBytes = 4 << 20                // and their bytes, beyond the first
+	dialFirst = 250 * time.Millisecond // of a first try: one whose packet was lost, or whose peer just starts, is begun anew
+	dialMost  = 1500 * time.Millisecond
 )
 
 // Link is a connection over which frames of one type go both ways.
@@ -183,9 +184,12 @@
 	}
 }
 
-// Dial makes one link and reads it until it ends. up is told when it stands.
-func Dial[F any](addr string, idle time.Duration, up func(*Link[F]), take func(*Link[F], *F)) error {
-	c, err := net.DialTimeout("tcp4", addr, dialTime)
+// Patience is how long the nth try to reach a peer may take.
+func Patience(nth int) time.Duration { return min(dialFirst<<min(nth, 8), dialMost) }
+
+// Dial makes one link and reads it until it ends; wait bounds its making. up is told when it stands.
+func Dial[F any](addr string, wait, idle time.Duration, up func(*Link[F]), take func(*Link[F], *F)) error {
+	c, err := net.DialTimeout("tcp4", addr, wait)
 	if err != nil {
 		return oops.In("link").With("peer", addr).Wrapf(err, "dial")
 	}
