--- a/internal/margherita/margherita.go
+++ b/internal/margherita/margherita.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -346,7 +347,8 @@
 			n.sendAppend(v, now)
 		}
 	}
-	for id, j := range n.joins {
+	for _, id := range slices.Sorted(maps.Keys(n.joins)) {
+		j := n.joins[id]
 		if now-j.at > 10*n.o.Beat {
 			delete(n.joins, id)
 		} else if !n.isVoter(id) {
@@ -414,8 +416,8 @@
 		return
 	}
 	last := &n.Hard.Last
-	for id, j := range n.joins {
-		p := n.peers[id]
+	for _, id := range slices.Sorted(maps.Keys(n.joins)) {
+		j, p := n.joins[id], n.peers[id]
 		if n.isVoter(id) {
 			delete(n.joins, id)
 			continue
@@ -494,6 +496,11 @@
 			n.sendAppend(m.From, now)
 		}
 	case Join:
+		if n.role != Leader && n.leader.ID != "" && !m.Granted { // it may know none but seeds: who leads is told for it, once
+			on := *m
+			on.Granted = true
+			n.out = append(n.out, Send{n.leader.Addr, on})
+		}
 		if n.role == Leader && !n.isVoter(m.From.ID) && len(n.joins) < 64 {
 			if _, known := n.joins[m.From.ID]; !known {
 				n.peers[m.From.ID] = &peer{heard: now}
