--- a/internal/torino/torino.go
+++ b/internal/torino/torino.go
@@ -34,6 +34,7 @@
 	accusedWait = 160.0 // a question unanswered for so long, with drivers that wait in vain
 	accusedDark = 400.0
 	stuckRounds = 400.0 // replicas stand still behind a primary that goes on
+	contEvery   = 600.0
 	settle      = 900.0 // a new leader begins nothing: a call of the one before may still be carried out
 	pauseHolds  = 900.0 // a replica that restarts forgets its pause: it is asked again so often
 )
@@ -100,8 +101,10 @@
 	failed  int
 	asked   float64 // an answer is awaited since
 	waiting bool
-	paused  bool // by its own answer
-	cont    bool // to be let go
+	paused  bool    // by its own answer
+	touched bool    // a pause was sent to it: whether it came or not
+	cont    bool    // to be let go
+	contAt  float64 // not before
 }
 
 // Service is the state for one.
@@ -169,7 +172,7 @@
 	case Pause:
 		f.paused = true
 	case Cont:
-		f.paused, f.cont = false, false
+		f.paused, f.cont, f.touched = false, false, false
 	}
 }
 
@@ -204,8 +207,8 @@
 }
 
 func (s *Service) restart(now float64) {
-	for _, f := range s.facts {
-		f.ok = false
+	for _, f := range s.facts { // all is asked anew
+		f.ok, f.paused = false, false
 	}
 	s.enter(freezing, now)
 	s.askAt = now + againAfter
@@ -235,7 +238,7 @@
 // ask puts a question if none is out.
 func (s *Service) ask(id string, k ActKind, now float64) {
 	if f := s.fact(id); !f.waiting {
-		f.waiting, f.asked = true, now
+		f.waiting, f.asked, f.touched = true, now, f.touched || k == Pause
 		s.act(k, id, "")
 	}
 }
@@ -279,11 +282,10 @@
 
 func (s *Service) watch(v *View, now float64) {
 	for _, m := range v.Members {
-		if f := s.fact(m.ID); f.cont && !m.Primary && !f.waiting && now-s.start > settle {
-			if f.failed < 5 {
+		if f := s.fact(m.ID); f.cont && m.ID != s.primary && !f.waiting && now-s.start > settle {
+			if now >= f.contAt { // it may be cut off and still paused: it is asked for as long as it is there
+				f.contAt = now + contEvery
 				s.ask(m.ID, Cont, now)
-			} else {
-				f.cont = false
 			}
 		}
 	}
@@ -408,8 +410,8 @@
 
 func (s *Service) letGo(v *View, now float64) {
 	for _, m := range v.Members {
-		if f := s.fact(m.ID); f.paused {
-			f.cont, f.paused = true, false
+		if f := s.fact(m.ID); f.paused || f.touched {
+			f.cont, f.paused, f.contAt = true, false, now
 		}
 	}
 }
@@ -614,11 +616,7 @@
 			s.act(Handed, s.old, "")
 			s.fact(s.old).ok = false
 		}
-		for _, m := range v.Members {
-			if f := s.fact(m.ID); f.paused {
-				f.cont, f.paused = true, false
-			}
-		}
+		s.letGo(v, now)
 		s.primary = s.next
 		s.enter(watching, now)
 		return
--- /dev/null
+++ b/internal/torino/torino_test.go
@@ -0,0 +1,287 @@
+package torino
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"weirwind/internal/gr20"
+	"weirwind/internal/standin/cordata"
+)
+
+// pass plays successions over a group in virtual time: questions and calls take their time or come to nothing, members fall and
+// come back, leaders of the core follow one another with nothing handed on.
+type pass struct {
+	r      *rand.Rand
+	now    float64
+	g      *cordata.Group
+	s      *Service
+	later  []event
+	n      int
+	fence  int
+	seen   int // fence that the platform has seen
+	beats  map[string]float64
+	said   map[string]bool
+	lossy  float64
+	log    []string
+	stuck  float64
+	callIn int
+}
+
+type event struct {
+	at float64
+	do func()
+}
+
+func newPass(seed uint64) *pass {
+	p := &pass{r: rand.New(rand.NewPCG(seed, 3)), g: cordata.New(1, "a", "b", "c"), beats: map[string]float64{}, said: map[string]bool{"a": true}, fence: 1}
+	p.s = New(0)
+	return p
+}
+
+func (p *pass) in(ms float64, do func()) { p.later = append(p.later, event{p.now + ms, do}) }
+
+func (p *pass) view() *View {
+	v := &View{Svc: "s", SyncN: 1, Drivers: 6}
+	for _, m := range p.g.Members {
+		v.Members = append(v.Members, Member{ID: m.ID, Gen: "v1", Primary: p.said[m.ID], Replica: !p.said[m.ID], Leaving: m.Drains, Silent: p.now - p.beats[m.ID]})
+	}
+	if p.now-p.stuck < 300 {
+		v.Stuck = 2
+	}
+	return v
+}
+
+func (p *pass) step() {
+	p.now += 25
+	due := p.later
+	p.later = nil
+	for _, e := range due {
+		if e.at <= p.now {
+			e.do()
+		} else {
+			p.later = append(p.later, e)
+		}
+	}
+	for _, m := range p.g.Members {
+		if m.Up && (p.now-p.beats[m.ID] > 1200 || p.said[m.ID] != m.Primary) {
+			p.beats[m.ID], p.said[m.ID] = p.now, m.Primary
+		}
+	}
+	for _, m := range p.g.Members { // clients write at whoever takes it
+		if m.Up && m.Primary && p.r.IntN(3) == 0 {
+			p.n++
+			p.g.Write(m, fmt.Sprint("w", p.n))
+		}
+		if m.Up && m.Primary && m.Cut {
+			p.stuck = p.now
+		}
+	}
+	p.g.Replicate(func(*cordata.Member) bool { return p.r.IntN(3) > 0 })
+	s, fence := p.s, p.fence
+	for _, a := range s.Step(p.view(), p.now) {
+		p.carry(s, a, fence)
+	}
+}
+
+func (p *pass) carry(s *Service, a Act, fence int) {
+	switch a.Kind {
+	case Note, Handed:
+		p.log = append(p.log, fmt.Sprintf("%.0f %s %s", p.now, a.ID, a.Why))
+	case Failover:
+		p.log = append(p.log, fmt.Sprintf("%.0f failover %s", p.now, a.ID))
+		if p.r.Float64() < p.lossy { // nobody hears of it
+			p.in(2000, func() { s.Called(a.ID, 0, p.now) })
+			return
+		}
+		p.in(20+80*p.r.Float64(), func() {
+			if fence < p.seen {
+				p.in(20, func() { s.Called(a.ID, 409, p.now) })
+				return
+			}
+			p.seen = fence
+			if m := p.g.Get(a.ID); m == nil || !m.Up {
+				p.in(20, func() { s.Called(a.ID, 409, p.now) })
+				return
+			}
+			p.in(400+300*p.r.Float64(), func() { p.g.Promote(a.ID) })
+			if p.r.Float64() < p.lossy { // its answer is lost
+				p.in(2000, func() { s.Called(a.ID, 0, p.now) })
+			} else {
+				p.in(20, func() { s.Called(a.ID, 200, p.now) })
+			}
+		})
+	default:
+		sent := p.now
+		m := p.g.Get(a.ID)
+		p.in(10+30*p.r.Float64(), func() {
+			if m == nil || !m.Up || p.r.Float64() < p.lossy {
+				p.in(700, func() { s.Unanswered(a.ID, false) })
+				return
+			}
+			switch a.Kind {
+			case Pause:
+				m.Pause(a.Term + 1)
+			case Cont:
+				m.Paused = false
+			}
+			st := m.Status()
+			p.in(10+30*p.r.Float64(), func() { s.Answered(a.ID, a.Kind, sent, p.now, st) })
+		})
+	}
+}
+
+func (p *pass) run(ms float64) {
+	for end := p.now + ms; p.now < end; {
+		p.step()
+	}
+}
+
+// trouble brings one about; what it took is given back by heal.
+func (p *pass) trouble() string {
+	lead := p.g.Leader()
+	any := p.g.Members[p.r.IntN(len(p.g.Members))]
+	switch p.r.IntN(8) {
+	case 0, 1:
+		if lead != nil {
+			lead.Up = false
+		}
+		return "primary dark"
+	case 2:
+		any.Up = false
+		return any.ID + " dark"
+	case 3:
+		any.Deaf = true
+		return any.ID + " deaf"
+	case 4:
+		if lead != nil {
+			lead.Cut = true
+		}
+		return "primary cut from replicas"
+	case 5:
+		p.fence++
+		p.s = New(p.now)
+		return "another leader"
+	case 6:
+		if lead != nil {
+			lead.Drains = true
+		}
+		return "primary to be replaced"
+	}
+	p.lossy = 0.15
+	return "answers lost"
+}
+
+func (p *pass) heal() {
+	p.lossy = 0
+	for _, m := range p.g.Members {
+		m.Deaf, m.Cut, m.Drains = false, false, false
+		if !m.Up {
+			m.Restart()
+		}
+	}
+}
+
+func TestNoCommitIsLostByASuccession(t *testing.T) {
+	for seed := range 300 {
+		p := newPass(uint64(seed))
+		p.run(2500)
+		var told []string
+		for range 4 {
+			for range 1 + p.r.IntN(2) {
+				told = append(told, p.trouble())
+				p.run(1500 * p.r.Float64())
+			}
+			p.run(3000 * p.r.Float64())
+			p.heal()
+			p.run(500 + 3000*p.r.Float64())
+		}
+		p.run(8000)
+		if len(p.g.Lost) > 0 {
+			t.Fatalf("seed %d, %v: the promoted lacked %v\n%s", seed, told, p.g.Lost, strings.Join(p.log, "\n"))
+		}
+		lead := p.g.Leader()
+		if lead == nil || lead.Paused {
+			t.Fatalf("seed %d, %v: nobody leads\n%s", seed, told, strings.Join(p.log, "\n"))
+		}
+		for _, m := range p.g.Members {
+			if m.Paused {
+				t.Fatalf("seed %d, %v: %s was left paused\n%s", seed, told, m.ID, strings.Join(p.log, "\n"))
+			}
+		}
+	}
+}
+
+func TestSteps(t *testing.T) {
+	status := func(lead bool, term, n uint64) gr20.Status {
+		return gr20.Status{Primary: lead, Term: term, Held: map[bool]uint64{true: term}[lead], Received: gr20.Position{Term: term, Number: n}}
+	}
+	view := func() *View {
+		return &View{Svc: "s", SyncN: 1, Drivers: 6, Members: []Member{{ID: "a", Primary: true}, {ID: "b", Replica: true}, {ID: "c", Replica: true}}}
+	}
+	kinds := func(acts []Act) string {
+		var b strings.Builder
+		for _, a := range acts {
+			if a.Kind != Note {
+				fmt.Fprintf(&b, "%s:%s ", [...]string{"stat", "pause", "cont", "failover", "handed", "note"}[a.Kind], a.ID)
+			}
+		}
+		return strings.TrimSpace(b.String())
+	}
+	Convey("A primary that takes no connection", t, func() {
+		s, v := New(-5000), view()
+		s.Step(v, 0)
+		s.Answered("a", Stat, 0, 30, status(true, 1, 9))
+		for _, id := range []string{"b", "c"} {
+			s.Answered(id, Cont, 0, 30, status(false, 1, 9))
+		}
+		v.Members[0].Silent = 800
+		s.Unanswered("a", true)
+		s.Unanswered("a", true)
+		So(kinds(s.Step(v, 900)), ShouldEqual, "stat:a pause:b pause:c")
+		Convey("is not succeeded while a replica that may alone hold a commit is not heard", func() {
+			s.Answered("b", Pause, 900, 940, status(false, 1, 9))
+			So(kinds(s.Step(v, 950)), ShouldEqual, "")
+			So(s.State(), ShouldEqual, "freezing: ? after a")
+			Convey("and then by the longer log", func() {
+				s.Answered("c", Pause, 900, 960, status(false, 1, 10))
+				So(kinds(s.Step(v, 970)), ShouldEqual, "failover:c")
+			})
+			Convey("and keeps its lead if it speaks again; who was paused is let go", func() {
+				s.Answered("a", Stat, 960, 970, status(true, 1, 9))
+				s.Step(v, 980)
+				So(s.State(), ShouldStartWith, "watching")
+				So(kinds(s.Step(v, 1000)), ShouldStartWith, "cont:b")
+			})
+		})
+		Convey("after the platform's answer is lost is not let back in", func() {
+			s.Answered("b", Pause, 900, 940, status(false, 1, 9))
+			s.Answered("c", Pause, 900, 940, status(false, 1, 9))
+			So(kinds(s.Step(v, 950)), ShouldStartWith, "failover:")
+			s.Called("b", 0, 2950)
+			s.Answered("a", Stat, 2960, 2970, status(true, 1, 9))
+			s.Step(v, 2980)
+			So(s.State(), ShouldNotStartWith, "watching")
+		})
+	})
+	Convey("A new leader of the core begins nothing at once", t, func() {
+		s, v := New(0), view()
+		v.Members[0].Leaving = true
+		So(kinds(s.Step(v, 100)), ShouldEqual, "stat:a")
+		Convey("then hands over from a primary that drains, with the other replica paused", func() {
+			s.Answered("b", Cont, 950, 960, status(false, 1, 18))
+			s.Answered("c", Cont, 950, 960, status(false, 1, 18))
+			So(kinds(s.Step(v, 1000)), ShouldContainSubstring, "stat:b")
+			s.Answered("a", Stat, 1000, 1010, status(true, 1, 20))
+			s.Answered("b", Stat, 1000, 1010, status(false, 1, 18))
+			s.Step(v, 1200)
+			s.Answered("c", Pause, 1200, 1210, status(false, 1, 19))
+			So(kinds(s.Step(v, 1220)), ShouldNotContainSubstring, "failover")
+			s.Answered("b", Stat, 1220, 1230, status(false, 1, 19))
+			So(kinds(s.Step(v, 1400)), ShouldContainSubstring, "failover:b")
+		})
+	})
+}
