--- a/internal/britannia/britannia.go
+++ b/internal/britannia/britannia.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return oops.In("listen").Wrap(err)
 	}
-	loop, err := net.Listen("tcp4", s.Port("127.0.0.1", 1))
+	loop, err := net.Listen("tcp4", s.Feed)
 	if err != nil {
 		return oops.In("listen").Wrap(err)
 	}
--- a/internal/hauteroute/desk.go
+++ b/internal/hauteroute/desk.go
@@ -333,7 +333,7 @@
 
 // probe asks members where something waits for a primary.
 func (d *desk) probe(g *group) {
-	if len(g.waiting) == 0 {
+	if p := g.g.Primary(); len(g.waiting) == 0 && (p == nil || !p.Doubted) {
 		return
 	}
 	now := d.p.now()
--- a/internal/hauteroute/hauteroute.go
+++ b/internal/hauteroute/hauteroute.go
@@ -124,7 +124,7 @@
 func (p *Proxy) feed() {
 	pause := 20 * time.Millisecond
 	for p.ctx.Err() == nil {
-		_ = viaalpina.Dial(p.set.Port("127.0.0.1", 1), viaalpina.Patience(0), 0, func(l *viaalpina.Link[tuckett.Frame]) {
+		_ = viaalpina.Dial(p.set.Feed, viaalpina.Patience(0), 0, func(l *viaalpina.Link[tuckett.Frame]) {
 			p.agent.Store(l)
 			pause = 20 * time.Millisecond
 		}, func(_ *viaalpina.Link[tuckett.Frame], f *tuckett.Frame) {
--- a/internal/hauteroute/session.go
+++ b/internal/hauteroute/session.go
@@ -56,6 +56,7 @@
 	ran      bool // a statement went to a member
 	wrote    bool
 	failed   bool
+	why      string // that its client was not told yet
 }
 
 func (s *session) kick() {
@@ -261,6 +262,11 @@
 			s.tx = nil
 			s.fail(gr20.Aborted, "the transaction had failed", gr20.Idle)
 		default:
+			if why := s.tx.why; why != "" { // it is told of it for the first time
+				s.tx.why = ""
+				s.fail(gr20.Aborted, why, gr20.Broken)
+				return true
+			}
 			s.fail(gr20.Malformed, "the transaction has failed and is to be ended", gr20.Broken)
 		}
 		return true
@@ -375,5 +381,5 @@
 		return
 	}
 	s.rollback(s.tx)
-	s.tx.failed = true
+	s.tx.failed, s.tx.why = true, "it rested for too long"
 }
--- a/internal/kungsleden/kungsleden.go
+++ b/internal/kungsleden/kungsleden.go
@@ -26,6 +26,7 @@
 	Zone, Region          string
 	Regions               map[string]string // region of each zone
 	Front, Ready, Ctl     string            // addresses to listen at; empty: this role does not serve it
+	Feed                  string            // where the agent feeds its proxy: a field of our own, by default on 127.0.0.1
 	Ports                 [2]int            // the first and the last that processes of the system may use
 	Peers                 []string          // control addresses of some machines of the core
 	Init                  bool              // the whole system starts for the first time
@@ -77,6 +78,9 @@
 	if r.err == nil && (s.Ports[0] < 1 || s.Ports[1] > 65535 || s.Ports[1]-s.Ports[0] < 2) {
 		r.fail("portRange", "three ports or more are needed")
 	}
+	if s.Feed = r.address("listen.feed"); s.Feed == "" {
+		s.Feed = s.Port("127.0.0.1", 1)
+	}
 	if r.err == nil && s.Region == "" {
 		s.Region = s.Regions[s.Zone]
 	}
--- /dev/null
+++ b/internal/standin/town/members.go
@@ -0,0 +1,397 @@
+package town
+
+// This file owns the members' sockets: the line wire over cordata's logs, beats to the core, and the platform.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"weirwind/internal/gr20"
+	"weirwind/internal/standin/cordata"
+)
+
+// Service is a replication group on sockets, with an account of all that ran.
+type Service struct {
+	Name  string
+	mu    sync.Mutex
+	group *cordata.Group
+	addrs map[string]string
+	conns map[string]map[net.Conn]bool
+	seq   map[string]uint64
+	open  int               // transactions
+	data  map[string]string // by thing, as committed
+	acked chan struct{}     // closed and made anew when something was answered or changed
+
+	Ran     map[string]int // effects by statement id
+	Lose    int            // so many next answers to writes are lost
+	Refused int            // calls of the platform with an old fence
+	fence   uint64
+	Calls   []string // members named to the platform
+	drained map[string]time.Time
+	Late    []string // statements that reached a member long after its drain
+}
+
+func newService(name, syncN string, ids ...string) *Service {
+	n, _ := strconv.Atoi(syncN)
+	return &Service{Name: name, group: cordata.New(n, ids...), addrs: map[string]string{}, conns: map[string]map[net.Conn]bool{},
+		seq: map[string]uint64{}, data: map[string]string{}, acked: make(chan struct{}), Ran: map[string]int{}, drained: map[string]time.Time{}}
+}
+
+func (s *Service) changed() {
+	close(s.acked)
+	s.acked = make(chan struct{})
+}
+
+// With looks at or changes the group.
+func (s *Service) With(f func(*cordata.Group)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.group)
+	s.changed()
+}
+
+// Crash ends a member's connections and takes no more until Return; dark: it leaves them silent.
+func (s *Service) Crash(id string) {
+	s.With(func(g *cordata.Group) { g.Get(id).Up = false })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns[id] {
+		c.Close()
+	}
+}
+
+// Leader names who leads.
+func (s *Service) Leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.group.Leader(); m != nil {
+		return m.ID
+	}
+	return ""
+}
+
+// Open counts transactions that are open at members.
+func (s *Service) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+// Lost gives acknowledged commits that a promoted member lacked.
+func (s *Service) Lost() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Lost
+}
+
+func (s *Service) listen(ctx context.Context, id, addr string) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	s.addrs[id], s.conns[id] = ln.Addr().String(), map[net.Conn]bool{}
+	context.AfterFunc(ctx, func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			up := s.group.Get(id).Up
+			if up {
+				s.conns[id][c] = true
+			}
+			s.mu.Unlock()
+			if !up {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				continue
+			}
+			go s.serve(id, c)
+		}
+	}()
+	return nil
+}
+
+// visit is one connection's state.
+type visit struct {
+	s      *Service
+	id     string
+	open   bool
+	plain  bool // its transaction may write
+	broken bool
+	writes []string // of the transaction: id, thing, data
+	preps  map[string]string
+
+	counted bool
+}
+
+func (s *Service) serve(id string, c net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns[id], c)
+		s.mu.Unlock()
+		c.Close()
+	}()
+	r := gr20.NewReader(c)
+	line, err := r.Line()
+	if err != nil {
+		return
+	}
+	if f := strings.Fields(line); len(f) < 3 || f[0] != gr20.Attach || f[1] != s.Name || len(f) > 3 && f[3] != id {
+		io.WriteString(c, "FAIL WRONGHOST\r\n")
+		return
+	}
+	v := &visit{s: s, id: id, preps: map[string]string{}}
+	fmt.Fprintf(c, "READY I %s\r\n", v.position())
+	defer v.count(false)
+	for {
+		line, err := r.Line()
+		if err != nil {
+			return
+		}
+		word, rest := gr20.Cut(line)
+		if word != gr20.Query {
+			return
+		}
+		qid, text := gr20.Cut(rest)
+		answer, ok := v.run(qid, text)
+		if !ok {
+			return // the answer is lost
+		}
+		v.count(v.open)
+		state := "I"
+		if v.broken {
+			state = "E"
+		} else if v.open {
+			state = "T"
+		}
+		if _, err := fmt.Fprintf(c, "%sREADY %s %s\r\n", answer, state, v.position()); err != nil {
+			return
+		}
+	}
+}
+
+// count keeps the account of open transactions.
+func (v *visit) count(open bool) {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	if open != v.counted {
+		v.s.open += map[bool]int{true: 1, false: -1}[open]
+		v.counted = open
+	}
+}
+
+func (v *visit) position() gr20.Position {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	return v.s.group.Get(v.id).Position()
+}
+
+func (v *visit) run(qid, text string) (string, bool) {
+	s := v.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.group.Get(v.id)
+	if !m.Up {
+		return "", false
+	}
+	after := ""
+	if p, rest := gr20.Cut(text); p == "AFTER" {
+		after, text = gr20.Cut(rest)
+	}
+	verb, rest := gr20.Cut(text)
+	if verb == "EXEC" {
+		name, args := gr20.Cut(rest)
+		kind, ok := v.preps[name]
+		if !ok {
+			return "FAIL NOSTMT " + name + "\r\n", true
+		}
+		verb, rest = kind, args
+	}
+	fail := func(code string) (string, bool) {
+		v.broken = v.open
+		return "FAIL " + code + "\r\n", true
+	}
+	row := func() (string, bool) {
+		st, role := m.Status(), "replica"
+		if st.Primary {
+			role = "primary"
+		}
+		return fmt.Sprintf("ROW %s %d %s %d 0 0 0\r\nDONE -\r\n", role, st.Term, st.Received, st.Held), true
+	}
+	if at, ok := s.drained[v.id]; ok && time.Since(at) > 7*time.Second && qid != "-" && !v.open {
+		s.Late = append(s.Late, qid)
+	}
+	if v.broken && verb != "ABORT" && verb != "COMMIT" {
+		return "FAIL MALFORMED\r\n", true
+	}
+	if p, ok := gr20.ParsePosition(after); ok && m.Position().Less(p) {
+		return fail(gr20.Lagging)
+	}
+	term, _ := strconv.ParseUint(rest, 10, 64)
+	switch verb {
+	case "STAT":
+		return row()
+	case "PAUSE":
+		m.Pause(term)
+		return row()
+	case "CONT":
+		m.Paused = false
+		return row()
+	case "STEPDOWN":
+		m.StepDown(term)
+		return row()
+	case "RESET":
+		v.preps = map[string]string{}
+		return "DONE -\r\n", true
+	case "SET":
+		return "DONE -\r\n", true
+	case "PREP":
+		name, shape := gr20.Cut(rest)
+		v.preps[name], _ = gr20.Cut(shape)
+		return "DONE -\r\n", true
+	case "BEGIN":
+		if rest == "" && !m.Primary {
+			return fail(gr20.ReadOnly)
+		}
+		v.open, v.plain, v.writes = true, rest == "", nil
+		return "DONE -\r\n", true
+	case "ABORT":
+		v.open, v.broken, v.writes = false, false, nil
+		return "DONE -\r\n", true
+	case "FETCH":
+		if v.open && v.plain && !m.Primary {
+			return fail(gr20.ReadOnly)
+		}
+		return "ROW " + s.data[rest] + "\r\nDONE " + v.id + "." + qid + "\r\n", true
+	case "STORE":
+		if !m.Primary {
+			return fail(gr20.ReadOnly)
+		}
+		thing, data := gr20.Cut(rest)
+		v.writes = append(v.writes, qid, thing, data)
+		if v.open {
+			return "DONE " + v.id + "." + qid + "\r\n", true
+		}
+		return v.commit(m, qid)
+	case "COMMIT":
+		if v.broken || !v.open {
+			v.open, v.broken, v.writes = false, false, nil
+			return "FAIL ABORTED\r\n", true
+		}
+		v.open = false
+		if len(v.writes) == 0 {
+			return "DONE " + v.id + "." + qid + "\r\n", true
+		}
+		if !m.Primary {
+			v.writes = nil
+			return "FAIL RDONLY\r\n", true
+		}
+		return v.commit(m, qid)
+	}
+	return "FAIL MALFORMED\r\n", true
+}
+
+// commit writes, lets replicas receive and waits until it may be answered. The lock is held but while it waits.
+func (v *visit) commit(m *cordata.Member, qid string) (string, bool) {
+	s := v.s
+	writes := v.writes
+	v.writes = nil
+	s.group.Write(m, qid)
+	lose := s.Lose > 0
+	if lose {
+		s.Lose--
+	}
+	for {
+		s.group.Replicate(func(*cordata.Member) bool { return true })
+		if s.group.Acked[qid] {
+			break
+		}
+		if !m.Up || !m.Primary {
+			return "", false
+		}
+		wait := s.acked
+		s.mu.Unlock()
+		<-wait
+		s.mu.Lock()
+	}
+	for i := 0; i < len(writes); i += 3 {
+		s.Ran[writes[i]]++
+		s.data[writes[i+1]] = writes[i+2]
+	}
+	return "DONE " + v.id + "." + qid + "\r\n", !lose
+}
+
+// beat says to the first machine of the core that takes it what a member is.
+func (s *Service) beat(id string, ctls []string) bool {
+	s.mu.Lock()
+	m := s.group.Get(id)
+	role := "replica"
+	if m.Primary {
+		role = "primary"
+	}
+	s.seq[id]++
+	state := "up"
+	if m.Drains {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{"svc": s.Name, "addr": s.addrs[id], "zone": "z1", "gen": "v1", "slots": 7, "state": state,
+		"warmupMs": 0, "dbRole": role, "seq": s.seq[id]})
+	up := m.Up
+	s.mu.Unlock()
+	if !up {
+		return false
+	}
+	client := http.Client{Timeout: time.Second}
+	for _, ctl := range ctls {
+		resp, err := client.Post("http://"+ctl+"/members/"+id+"/heartbeat", "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode == 200 {
+			s.mu.Lock()
+			if _, ok := s.drained[id]; m.Drains && !ok {
+				s.drained[id] = time.Now()
+			}
+			s.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP is the platform's call that names another primary.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var call struct{ Svc, ID string }
+	fence, err := strconv.ParseUint(r.Header.Get("Weirwind-Fence"), 10, 64)
+	if json.NewDecoder(r.Body).Decode(&call) != nil || err != nil || r.Header.Get("Weirwind-Holder") == "" {
+		w.WriteHeader(400)
+		return
+	}
+	ok := false
+	s.With(func(g *cordata.Group) {
+		if fence < s.fence {
+			s.Refused++
+			return
+		}
+		s.fence = fence
+		s.Calls = append(s.Calls, call.ID)
+		ok = g.Promote(call.ID)
+	})
+	if !ok {
+		w.WriteHeader(409)
+	}
+}
--- /dev/null
+++ b/internal/standin/town/town.go
@@ -0,0 +1,290 @@
+// Package town is a deployment of the system on loopback for tests: processes of the built programs, each machine at an address
+// of its own in 127/8, with stand-ins for members, the platform, the operator and clients.
+//
+// This file owns the processes: they are this test binary again, which Main turns into the role that its environment names.
+package town
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirwind/internal/britannia"
+	"weirwind/internal/gr20"
+	"weirwind/internal/hauteroute"
+	"weirwind/internal/konkordia"
+	"weirwind/internal/kungsleden"
+	"weirwind/internal/solvay"
+)
+
+const roleVariable = "WEIRWIND_TOWN_ROLE"
+
+// Main runs a role if this process is one, else the tests.
+func Main(m *testing.M) int {
+	roles := map[string]solvay.Role{"hauteroute": {Name: "hauteroute", Run: hauteroute.Run}, "britannia": {Name: "britannia", Run: britannia.Run},
+		"konkordia": {Name: "konkordia", Run: konkordia.Run}}
+	if r, ok := roles[os.Getenv(roleVariable)]; ok {
+		return solvay.Main(r, nil, os.Stdout)
+	}
+	return m.Run()
+}
+
+// Town is one.
+type Town struct {
+	t     *testing.T
+	dir   string
+	net   int
+	ports int
+	Svc   *Service
+	Cores []string // control addresses
+	procs map[string]*exec.Cmd
+	logs  map[string]*bytes.Buffer
+	plat  string
+	stop  func()
+}
+
+var towns int
+
+// New starts cores and fronts, and a service of three members that is beaten for.
+func New(t *testing.T, cores, fronts int) *Town {
+	t.Helper()
+	towns++
+	w := &Town{t: t, dir: t.TempDir(), net: os.Getpid()%200 + towns, ports: 20000 + os.Getpid()%300*20, procs: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{}}
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = func() {
+		stop()
+		for name := range w.procs {
+			w.Kill(name)
+		}
+	}
+	t.Cleanup(func() {
+		w.stop()
+		if t.Failed() {
+			for name, l := range w.logs {
+				lines := strings.Split(l.String(), "\n")
+				t.Logf("%s:\n%s", name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+			}
+		}
+	})
+	w.Svc = newService("svc", "1", "a", "b", "c")
+	for i, id := range []string{"a", "b", "c"} {
+		if err := w.Svc.listen(ctx, id, w.ip(3, i)+":0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pl, err := net.Listen("tcp4", w.ip(4, 0)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.plat = pl.Addr().String()
+	go http.Serve(pl, w.Svc)
+	context.AfterFunc(ctx, func() { pl.Close() })
+	for i := range cores {
+		w.Cores = append(w.Cores, net.JoinHostPort(w.ip(1, i), fmt.Sprint(w.ports+3)))
+	}
+	for i := range cores {
+		w.Start(fmt.Sprint("core", i), true)
+	}
+	for i := range fronts {
+		w.Start(fmt.Sprint("agent", i), true)
+		w.Start(fmt.Sprint("proxy", i), true)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		go func() {
+			tick := time.NewTicker(200 * time.Millisecond)
+			defer tick.Stop()
+			for {
+				w.Svc.beat(id, w.Cores)
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+				}
+			}
+		}()
+	}
+	return w
+}
+
+// Stop ends all of its processes.
+func (w *Town) Stop() { w.stop() }
+
+func (w *Town) ip(kind, n int) string { return fmt.Sprintf("127.%d.%d.%d", w.net, kind, n+1) }
+
+// Start starts a process: core0, agent0, proxy0 and so on.
+func (w *Town) Start(name string, first bool) {
+	w.t.Helper()
+	n := int(name[len(name)-1] - '0')
+	role, kind := map[string]string{"core": "konkordia", "agent": "britannia", "prox": "hauteroute"}[strings.TrimRight(name[:len(name)-1], "yt")], 2
+	if role == "" {
+		role = "britannia"
+	}
+	lines := []string{"hostname=" + name, "zone=z1", "region=r1", "zones.z1=r1", fmt.Sprintf("portRange=%d,%d", w.ports, w.ports+2),
+		"peers=" + strings.Join(w.Cores[:min(3, len(w.Cores))], ","), fmt.Sprint("init=", first), "tolerate.nodes=1", "beatMs=200", "bounds.graceS=2", "cloudApi.addr=" + w.plat}
+	if role == "konkordia" {
+		kind = 1
+		lines = append(lines, "listen.ctl="+w.Cores[n], "datadir="+filepath.Join(w.dir, name))
+	} else {
+		lines = append(lines, "listen.front="+w.Front(n), "listen.readyAddr="+w.readyAddr(n), fmt.Sprintf("listen.feed=%s:%d", w.ip(2, n), w.ports+1))
+	}
+	lines = append(lines, "ip="+w.ip(kind, n))
+	file := filepath.Join(w.dir, name+".conf")
+	if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), roleVariable+"="+role, kungsleden.Variable+"="+file)
+	if w.logs[name] == nil {
+		w.logs[name] = &bytes.Buffer{}
+	}
+	cmd.Stderr = w.logs[name]
+	if err := cmd.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.procs[name] = cmd
+}
+
+// Signal sends one to a process.
+func (w *Town) Signal(name string, s syscall.Signal) { w.procs[name].Process.Signal(s) }
+
+// Kill ends a process at once and waits for it.
+func (w *Town) Kill(name string) {
+	if c := w.procs[name]; c != nil {
+		c.Process.Signal(syscall.SIGCONT)
+		c.Process.Kill()
+		c.Wait()
+		delete(w.procs, name)
+	}
+}
+
+// Wipe empties a stopped core machine's disk.
+func (w *Town) Wipe(name string) { os.RemoveAll(filepath.Join(w.dir, name)) }
+
+// Front is a proxy's address for clients.
+func (w *Town) Front(n int) string { return fmt.Sprintf("%s:%d", w.ip(2, n), w.ports+4) }
+
+func (w *Town) readyAddr(n int) string { return fmt.Sprintf("%s:%d", w.ip(2, n), w.ports+5) }
+
+// Until waits for a condition, at most for a while.
+func (w *Town) Until(what string, cond func() bool) {
+	w.t.Helper()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(20 * time.Second); !cond(); <-tick.C {
+		if time.Now().After(end) {
+			w.t.Fatalf("never so: %s", what)
+		}
+	}
+}
+
+// Ready says whether a proxy calls itself ready.
+func (w *Town) Ready(n int) bool {
+	code, _ := w.Call("GET", w.readyAddr(n), "/ready", "", nil)
+	return code == 200
+}
+
+// Call makes a call; status 0: no answer.
+func (w *Town) Call(method, addr, path, base string, body []byte) (int, string) {
+	req, _ := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
+	if base != "" {
+		req.Header.Set("Weirwind-Base-Version", base)
+	}
+	client := http.Client{Timeout: 4 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+// Config is a configuration of three routes to the service.
+func Config(gen int) []byte {
+	return fmt.Appendf(nil, `{"gen":%d,"routes":[{"name":"p","host":"prim","prefix":"/","type":"primary","timeoutMs":3000,"svc":"svc"},`+
+		`{"name":"s","host":"stale","prefix":"/","type":"stale_ok","timeoutMs":3000,"svc":"svc","maxStaleMs":1500},`+
+		`{"name":"o","host":"self","prefix":"/","type":"self","timeoutMs":3000,"svc":"svc","maxStaleMs":2500}],`+
+		`"svcs":[{"name":"svc","maxConns":80,"syncN":1}],"limits":{"txIdleMs":500}}`, gen)
+}
+
+// Configure has the operator's first configuration taken, and waits until the proxies serve by it.
+func (w *Town) Configure(fronts int) {
+	w.t.Helper()
+	w.Until("a configuration is taken", func() bool {
+		code, _ := w.Call("POST", w.Cores[0], "/config/replace", "0", Config(1))
+		return code == 200
+	})
+	for n := range fronts {
+		w.Until("a proxy is ready", func() bool { return w.Ready(n) })
+	}
+}
+
+// Client is a session.
+type Client struct {
+	c net.Conn
+	r *gr20.Reader
+	b *bufio.Writer
+	n int
+	t *testing.T
+}
+
+var clients int
+
+// Attach opens a session; its first answer is kept in what it returns.
+func (w *Town) Attach(front int, db string) (*Client, string) {
+	w.t.Helper()
+	c, err := net.DialTimeout("tcp4", w.Front(front), 2*time.Second)
+	if err != nil {
+		return nil, err.Error()
+	}
+	w.t.Cleanup(func() { c.Close() })
+	clients++
+	k := &Client{c: c, r: gr20.NewReader(c), t: w.t, n: clients * 10000}
+	fmt.Fprintf(c, "ATTACH %s u1\r\n", db)
+	return k, k.line()
+}
+
+func (k *Client) line() string {
+	k.c.SetReadDeadline(time.Now().Add(8 * time.Second))
+	l, err := k.r.Line()
+	if err != nil {
+		return "end: " + err.Error()
+	}
+	return l
+}
+
+// Ask sends a query under an id of its own and gives the id and the answer's lines, joined by " | ".
+func (k *Client) Ask(text string) (id, answer string) {
+	k.n++
+	id = fmt.Sprintf("q%d", k.n)
+	fmt.Fprintf(k.c, "QUERY %s %s\r\n", id, text)
+	var all []string
+	for {
+		l := k.line()
+		all = append(all, l)
+		if strings.HasPrefix(l, gr20.Ready) || strings.HasPrefix(l, "end") {
+			return id, strings.Join(all, " | ")
+		}
+	}
+}
+
+// Say sends raw bytes.
+func (k *Client) Say(s string) { io.WriteString(k.c, s) }
+
+// Line reads one line.
+func (k *Client) Line() string { return k.line() }
--- /dev/null
+++ b/internal/standin/town/town_test.go
@@ -0,0 +1,340 @@
+package town
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"weirwind/internal/standin/cordata"
+)
+
+var approve = flag.Bool("approve", false, "write the transcripts anew")
+
+func TestMain(m *testing.M) { os.Exit(Main(m)) }
+
+var changing = regexp.MustCompile(`\b(q\d+|[abc])\b|\d+\.\d+`)
+
+// transcript holds what was said against the approved one.
+func transcript(t *testing.T, name string, lines []string) {
+	t.Helper()
+	got := strings.Join(lines, "\n") + "\n"
+	file := filepath.Join("testdata", name+".txt")
+	if *approve {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, _ := os.ReadFile(file)
+	if string(want) != got {
+		t.Errorf("%s: the exchange is not the approved one; -approve writes it anew. It is\n%s", name, got)
+	}
+}
+
+func TestSessions(t *testing.T) {
+	w := New(t, 3, 1)
+	w.Configure(1)
+	var lines []string
+	talk := func(k *Client, texts ...string) {
+		for _, x := range texts {
+			_, a := k.Ask(x)
+			lines = append(lines, "> "+x, "< "+changing.ReplaceAllString(a, "_"))
+		}
+	}
+	open := func(db string) *Client {
+		k, first := w.Attach(0, db)
+		lines = append(lines, "", "> ATTACH "+db, "< "+first)
+		return k
+	}
+	k := open("prim")
+	talk(k, "STORE x 1", "FETCH x", "BEGIN", "STORE x 2", "FETCH x", "COMMIT", "FETCH x")
+	talk(k, "BEGIN", "STORE x 3", "ABORT", "FETCH x", "ABORT", "COMMIT")
+	talk(k, "SET colour red green", "PREP p STORE s1", "EXEC p x 4", "UNPREP p", "EXEC p x 5", "UNPREP p", "PREP r FETCH s2", "EXEC r x")
+	talk(k, "BEGIN", "COMMIT", "BEGIN FETCH", "FETCH x", "COMMIT", "BEGIN", "BEGIN", "NONSENSE", "COMMIT", "PREP q DELETE x")
+	k = open("self")
+	talk(k, "FETCH x", "STORE y 1", "FETCH y", "BEGIN FETCH", "STORE y 2", "FETCH y", "ABORT", "FETCH y")
+	k = open("stale")
+	talk(k, "FETCH x", "BEGIN FETCH", "FETCH x", "COMMIT")
+	k = open("nowhere")
+	k = open("prim")
+	k.Say("QUERY\r\n")
+	lines = append(lines, "> QUERY", "< "+k.Line(), "< "+k.Line())
+	k = open("prim")
+	k.Say("a line without its end\n")
+	lines = append(lines, "> a line without its end", "< "+k.Line())
+	k = open("prim")
+	talk(k, "BEGIN", "STORE z 1")
+	w.Until("the transaction that rests is ended", func() bool { return w.Svc.Open() == 0 }) // txIdleMs is 500
+	talk(k, "STORE z 2", "STORE z 3", "COMMIT", "FETCH z")
+	transcript(t, "sessions", lines)
+}
+
+func TestOperators(t *testing.T) {
+	w := New(t, 3, 1)
+	w.Configure(1)
+	var lines []string
+	call := func(core int, method, path, base, body string) {
+		code, answer := w.Call(method, w.Cores[core], path, base, []byte(body))
+		lines = append(lines, fmt.Sprintf("> %s %s base %s: %.120s", method, path, base, body), fmt.Sprintf("< %d %s", code, strings.TrimSpace(answer)))
+	}
+	call(1, "POST", "/config/replace", "0", string(Config(1))) // an exact repeat, at another machine
+	call(2, "POST", "/config/replace", "0", string(Config(2)))
+	call(0, "POST", "/config/replace", "1", `{"gen":3,"routes":[`)
+	call(0, "POST", "/config/replace", "1", `{"gen":3} more`)
+	call(0, "POST", "/config/replace", "1", `{"gen":3,"routes":[{"name":"a","host":"h","prefix":"/","type":"primary","timeoutMs":9,"svc":"none"}],"svcs":[]}`)
+	call(0, "POST", "/config/replace", "1", `{"gen":3,"routes":[{"name":"a","host":"h","prefix":"/","type":"primary","timeoutMs":0,"svc":"s"}],"svcs":[{"name":"s"}]}`)
+	call(0, "POST", "/config/replace", "1", `{"gen":3,"routes":[{"name":"a","host":"h","prefix":"/","type":"odd","timeoutMs":9,"svc":"s"}],"svcs":[{"name":"s"}]}`)
+	call(0, "POST", "/config/amend", "1", `{"gen":3,"upsert":{"routes":[{"name":"x","host":"prim","prefix":"/","type":"primary","timeoutMs":9,"svc":"svc"}]}}`)
+	call(0, "POST", "/config/amend", "1", `{"gen":1,"upsert":{}}`)
+	call(0, "POST", "/config/amend", "1", `{"upsert":{}}`)
+	call(0, "POST", "/config/amend", "", `{"gen":3}`)
+	call(1, "POST", "/config/amend", "1", `{"gen":4,"upsert":{"routes":[{"name":"new","host":"new","prefix":"/","type":"primary","timeoutMs":9,"svc":"svc","odd":[1]}]},"del":{"routes":["o"]}}`)
+	call(2, "POST", "/config/amend", "1", `{"gen":4,"upsert":{"routes":[{"name":"new","host":"new","prefix":"/","type":"primary","timeoutMs":9,"svc":"svc","odd":[1]}]},"del":{"routes":["o"]}}`)
+	call(2, "POST", "/config/amend", "1", `{"gen":5,"del":{"routes":["new"]}}`)
+	call(0, "GET", "/config/show", "", "")
+	call(0, "POST", "/members/m1/heartbeat", "", `{"svc":`)
+	transcript(t, "operators", lines)
+	w.Until("a route that was added serves, and one that was removed does not", func() bool {
+		_, a := w.Attach(0, "new")
+		_, b := w.Attach(0, "self")
+		return a == "READY I -" && strings.HasPrefix(b, "FAIL NODB")
+	})
+}
+
+// load writes from several clients until stopped, and gives the ids that were answered DONE and those that were promised undone.
+func load(w *Town, fronts, each int) (stop func() (done, undone []string)) {
+	var mu sync.Mutex
+	var done, undone []string
+	quit := make(chan struct{})
+	var all sync.WaitGroup
+	for n := range fronts * each {
+		k, first := w.Attach(n%fronts, "prim")
+		if first != "READY I -" {
+			w.t.Fatal(first)
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for {
+				select {
+				case <-quit:
+					return
+				default:
+				}
+				id, a := k.Ask(fmt.Sprint("STORE t", n, " v"))
+				mu.Lock()
+				switch {
+				case strings.HasPrefix(a, "DONE"):
+					done = append(done, id)
+				case strings.HasPrefix(a, "FAIL RETRY"), strings.HasPrefix(a, "FAIL RDONLY"), strings.HasPrefix(a, "FAIL ABORTED"):
+					undone = append(undone, id)
+				case strings.HasPrefix(a, "end"):
+					mu.Unlock()
+					return
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	return func() ([]string, []string) {
+		close(quit)
+		all.Wait()
+		return done, undone
+	}
+}
+
+func audit(w *Town, done, undone []string) {
+	w.Svc.With(func(*cordata.Group) {
+		for _, id := range done {
+			So(w.Svc.Ran[id], ShouldEqual, 1)
+		}
+		for _, id := range undone {
+			So(w.Svc.Ran[id], ShouldEqual, 0)
+		}
+		for _, n := range w.Svc.Ran {
+			So(n, ShouldEqual, 1)
+		}
+	})
+	So(w.Svc.Lost(), ShouldBeEmpty)
+	So(len(done), ShouldBeGreaterThan, 0)
+}
+
+func TestSuccessions(t *testing.T) {
+	Convey("While clients write", t, func() {
+		w := New(t, 3, 2)
+		Reset(w.Stop)
+		w.Configure(2)
+		stop := load(w, 2, 3)
+		Convey("a primary that dies is replaced, and nothing that was answered is lost or doubled", func() {
+			w.Svc.Crash("a")
+			w.Until("another leads", func() bool { l := w.Svc.Leader(); return l != "" && l != "a" })
+			w.Until("writes go on", func() bool {
+				k, _ := w.Attach(1, "prim")
+				_, a := k.Ask("STORE after 1")
+				return strings.HasPrefix(a, "DONE")
+			})
+			done, undone := stop()
+			audit(w, done, undone)
+		})
+		Convey("one that is to be replaced hands over, and its clients meet no failure", func() {
+			w.Svc.With(func(g *cordata.Group) { g.Get("a").Drains = true })
+			w.Until("another leads", func() bool { l := w.Svc.Leader(); return l != "" && l != "a" })
+			w.Until("it is asked no more", func() bool {
+				_, s := w.Call("GET", w.readyAddr(0), "/status", "", nil)
+				return strings.Contains(s, `"slot": "`+w.Svc.Leader())
+			})
+			done, undone := stop()
+			So(undone, ShouldBeEmpty)
+			audit(w, done, undone)
+			So(w.Svc.Late, ShouldBeEmpty)
+		})
+		Convey("one whose commits reach no replica is replaced though it speaks", func() {
+			w.Svc.With(func(g *cordata.Group) { g.Get("a").Cut = true })
+			w.Until("another leads", func() bool { l := w.Svc.Leader(); return l != "" && l != "a" })
+			w.Svc.With(func(g *cordata.Group) { g.Get("a").Cut = false })
+			done, undone := stop()
+			audit(w, done, undone)
+		})
+		Convey("the core's leader is killed as the primary dies, and its successor does the same", func() {
+			lead := leader(w)
+			w.Kill(lead)
+			w.Svc.Crash("a")
+			w.Until("another leads", func() bool { l := w.Svc.Leader(); return l != "" && l != "a" })
+			done, undone := stop()
+			audit(w, done, undone)
+		})
+		Convey("answers to writes are lost: none is promised undone, none runs twice", func() {
+			w.Svc.With(func(*cordata.Group) { w.Svc.Lose = 5 })
+			w.Until("they were lost", func() bool {
+				n := 1
+				w.Svc.With(func(*cordata.Group) { n = w.Svc.Lose })
+				return n == 0
+			})
+			done, undone := stop()
+			audit(w, done, undone)
+		})
+		Convey("a proxy is told to end: what was asked is answered, and it ends in time", func() {
+			began := time.Now()
+			w.Signal("proxy0", syscall.SIGTERM)
+			w.procs["proxy0"].Wait()
+			So(time.Since(began), ShouldBeLessThan, 2500*time.Millisecond)
+			done, undone := stop()
+			audit(w, done, undone)
+		})
+	})
+}
+
+func leader(w *Town) string {
+	name := ""
+	w.Until("a core machine leads", func() bool {
+		for i, c := range w.Cores {
+			if _, s := w.Call("GET", c, "/status", "", nil); strings.Contains(s, `"leads": true`) {
+				name = fmt.Sprint("core", i)
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+func TestCore(t *testing.T) {
+	Convey("With a configuration taken", t, func() {
+		w := New(t, 3, 1)
+		Reset(w.Stop)
+		w.Configure(1)
+		shown := func(gen string) bool {
+			for _, c := range w.Cores {
+				if code, s := w.Call("GET", c, "/config/show", "", nil); code == 200 {
+					return strings.Contains(s, `"gen":`+gen)
+				}
+			}
+			return false
+		}
+		Convey("a leader frozen in a change takes nothing that the others have not", func() {
+			lead := leader(w)
+			w.Signal(lead, syscall.SIGSTOP)
+			w.Until("the others take the next", func() bool {
+				for i, c := range w.Cores {
+					if fmt.Sprint("core", i) != lead {
+						if code, _ := w.Call("POST", c, "/config/replace", "1", Config(2)); code == 200 {
+							return true
+						}
+					}
+				}
+				return false
+			})
+			w.Signal(lead, syscall.SIGCONT)
+			n := int(lead[4] - '0')
+			w.Until("it says what the others took", func() bool {
+				code, s := w.Call("GET", w.Cores[n], "/config/show", "", nil)
+				So(code == 200 && strings.Contains(s, `"gen":1,`), ShouldBeFalse)
+				return code == 200 && strings.Contains(s, `"gen":2`)
+			})
+		})
+		Convey("of two operators on one base one wins, wherever they call", func() {
+			codes := make(chan int, 2)
+			for i := range 2 {
+				go func() {
+					for {
+						body := strings.Replace(string(Config(5)), `"txIdleMs":500`, fmt.Sprint(`"txIdleMs":`, 600+i), 1)
+						if code, _ := w.Call("POST", w.Cores[i], "/config/replace", "1", []byte(body)); code == 200 || code == 412 || code == 400 {
+							codes <- code
+							return
+						}
+					}
+				}()
+			}
+			a, b := <-codes, <-codes
+			So((a == 200) != (b == 200), ShouldBeTrue)
+		})
+		Convey("all are killed right after an acknowledgement, and one disk is lost", func() {
+			w.Until("the next is taken", func() bool {
+				code, _ := w.Call("POST", w.Cores[0], "/config/replace", "1", Config(2))
+				return code == 200
+			})
+			for i := range 3 {
+				w.Kill(fmt.Sprint("core", i))
+			}
+			w.Wipe("core0")
+			for i := range 3 {
+				w.Start(fmt.Sprint("core", i), i != 0)
+			}
+			w.Until("it is still there", func() bool { return shown("2") })
+			w.Until("the empty one is a voter again, under another name", func() bool {
+				_, s := w.Call("GET", w.Cores[1], "/status", "", nil)
+				return strings.Count(s, `"ID": "0@`) == 2 && strings.Contains(s, w.Cores[0])
+			})
+			Convey("and then another disk", func() {
+				w.Kill("core1")
+				w.Wipe("core1")
+				w.Start("core1", false)
+				w.Until("it is still there", func() bool { return shown("2") })
+			})
+		})
+		Convey("a proxy that starts while the core is away serves by what its agent knows", func() {
+			for i := range 3 {
+				w.Kill(fmt.Sprint("core", i))
+			}
+			w.Kill("proxy0")
+			w.Start("proxy0", true)
+			w.Until("it is ready", func() bool { return w.Ready(0) })
+			w.Until("it serves", func() bool {
+				k, _ := w.Attach(0, "prim")
+				if k == nil {
+					return false
+				}
+				_, a := k.Ask("STORE x 1")
+				return strings.HasPrefix(a, "DONE")
+			})
+		})
+	})
+}
--- a/internal/torino/torino.go
+++ b/internal/torino/torino.go
@@ -34,7 +34,7 @@
 	accusedWait = 160.0 // a question unanswered for so long, with drivers that wait in vain
 	accusedDark = 400.0
 	stuckRounds = 400.0 // replicas stand still behind a primary that goes on
-	contEvery   = 600.0
+	contEvery   = 2000.0
 	settle      = 900.0 // a new leader begins nothing: a call of the one before may still be carried out
 	pauseHolds  = 900.0 // a replica that restarts forgets its pause: it is asked again so often
 )
@@ -332,7 +332,7 @@
 	if v.Accused > 0 && !f.waiting && now-f.at > accusedWait {
 		s.ask(p.ID, Stat, now)
 	}
-	if v.Stuck > 0 && settled {
+	if v.Stuck+v.Accused > 0 && settled {
 		if s.cutFromReplicas(v, p.ID, now) {
 			s.begin(v, p.ID, false, "its commits reach no replica", now)
 			s.stuck = true
