--- a/internal/bertol/bertol.go
+++ b/internal/bertol/bertol.go
@@ -8,12 +8,14 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
+	"github.com/samber/oops"
 )
 
 // Event is a number of the catalogue.
@@ -84,28 +86,75 @@
 	LinkDown:     "a link broke",
 }
 
-// Log writes numbered events.
-type Log struct{ l logr.Logger }
+// Log writes numbered events, and keeps the newest for those who ask why.
+type Log struct {
+	l    logr.Logger
+	kept *ring
+}
+
+const mostKept = 256
+
+type ring struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (r *ring) add(line string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.lines) >= mostKept {
+		r.lines = append(r.lines[:0], r.lines[mostKept/4:]...)
+	}
+	r.lines = append(r.lines, line)
+}
 
-// New writes to w, one line an event, with milliseconds of the steady clock.
+// New writes to w, one line an event: milliseconds since the start, the process, the event's number, its keys and values.
 func New(w io.Writer, name string) Log {
 	var mu sync.Mutex
+	kept := &ring{}
 	start := time.Now()
 	l := funcr.New(func(prefix, args string) {
+		line := fmt.Sprintf("%d %s %s", time.Since(start).Milliseconds(), prefix, tidy.Replace(args))
+		kept.add(line)
 		mu.Lock()
 		defer mu.Unlock()
-		fmt.Fprintf(w, "%d %s %s\n", time.Since(start).Milliseconds(), prefix, strings.TrimPrefix(args, `"level"=0 `))
+		io.WriteString(w, line+"\n")
 	}, funcr.Options{})
-	return Log{l.WithName(name)}
+	return Log{l.WithName(name), kept}
 }
 
+var tidy = strings.NewReplacer(`"level"=0 `, "", `"msg"=`, "")
+
 // Nothing logs nowhere.
-func Nothing() Log { return Log{logr.Discard()} }
+func Nothing() Log { return Log{logr.Discard(), &ring{}} }
 
 // Event logs one with pairs of keys and values.
 func (l Log) Event(e Event, pairs ...any) { l.l.Info(fmt.Sprintf("E%d", int(e)), pairs...) }
 
 // Error logs one with an error, which carries the step and the peer.
 func (l Log) Error(e Event, err error, pairs ...any) {
+	if o, ok := oops.AsOops(err); ok {
+		pairs = append(pairs, "step", o.Domain())
+		for k, v := range o.Context() {
+			pairs = append(pairs, k, v)
+		}
+	}
 	l.l.Info(fmt.Sprintf("E%d", int(e)), append(pairs, "error", err.Error())...)
 }
+
+// Newest gives the lines that are kept.
+func (l Log) Newest() []string {
+	l.kept.mu.Lock()
+	defer l.kept.mu.Unlock()
+	return append([]string(nil), l.kept.lines...)
+}
+
+// ServeHTTP answers with the newest events; ?about=WORD leaves those that don't have the word.
+func (l Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	about := r.URL.Query().Get("about")
+	for _, line := range l.Newest() {
+		if strings.Contains(line, about) {
+			io.WriteString(w, line+"\n")
+		}
+	}
+}
--- /dev/null
+++ b/internal/bertol/bertol_test.go
@@ -0,0 +1,47 @@
+package bertol
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The catalogue in the docs is the one in the code; run with EVENTS=write to write it anew.
+func TestCatalogueInDocs(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEach line of the log is: milliseconds since the process began, the process, the event's number, its keys and values. Numbers by\nconcern: 1xx the process, 2xx agreement, 3xx configuration, 4xx members and drivers, 5xx slots, 6xx successions, 7xx sessions, 8xx links.\n`GET /events` at a `ctl` or ready address gives the newest, `?about=WORD` those with a word. An error bears the step and the peer at\nwhich it arose.\n\n| event | meaning |\n| --- | --- |\n")
+	for _, e := range slices.Sorted(maps.Keys(Catalogue)) {
+		fmt.Fprintf(&b, "| E%d | %s |\n", int(e), Catalogue[e])
+	}
+	const file = "../../docs/events.md"
+	if os.Getenv("EVENTS") == "write" {
+		if err := os.WriteFile(file, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, _ := os.ReadFile(file); string(got) != b.String() {
+		t.Error("docs/events.md is not the catalogue: EVENTS=write go test ./internal/bertol")
+	}
+}
+
+func TestLines(t *testing.T) {
+	var b strings.Builder
+	l := New(&b, "hut")
+	l.Event(SlotFilled, "svc", "s", "held", 3)
+	line := strings.TrimSpace(b.String())
+	if !strings.HasSuffix(line, `hut "E501" "svc"="s" "held"=3`) {
+		t.Error(line)
+	}
+	if n := l.Newest(); len(n) != 1 || n[0] != line {
+		t.Error(n)
+	}
+	for range 2 * mostKept {
+		l.Event(SlotFilled)
+	}
+	if n := len(l.Newest()); n > mostKept {
+		t.Error(n)
+	}
+}
--- a/internal/cosmiques/cosmiques.go
+++ b/internal/cosmiques/cosmiques.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -159,7 +160,8 @@
 	Gen    uint64   `cbor:"1,keyasint"`
 	Base   uint64   `cbor:"2,keyasint"`
 	Digest [32]byte `cbor:"3,keyasint"`
-	Node   string   `cbor:"4,keyasint"` // machine of the core that took it
+	Node   string   `cbor:"4,keyasint"` // machine of the core that was called
+	At     int64    `cbor:"5,keyasint"` // its time of day in milliseconds, for people; nothing decides by it
 }
 
 const mostPast = 512 // changes that repeats are told by
@@ -178,7 +180,7 @@
 }
 
 // Apply makes of a book and a change the next book, or says why not.
-func (b *Book) Apply(c *Change, node string) (*Book, error) {
+func (b *Book) Apply(c *Change, node string, at int64) (*Book, error) {
 	raw := c.Body
 	if c.Amend {
 		var err error
@@ -196,7 +198,7 @@
 	if cfg.Gen <= b.Gen {
 		return nil, refuse(400, "old_version", "its gen %d is not higher than %d, which is in place", cfg.Gen, b.Gen)
 	}
-	past := append(slices.Clone(b.Past), Past{cfg.Gen, c.Base, c.Digest(), node})
+	past := append(slices.Clone(b.Past), Past{cfg.Gen, c.Base, c.Digest(), node, at})
 	if len(past) > mostPast {
 		past = past[len(past)-mostPast:]
 	}
@@ -288,3 +290,61 @@
 	}
 	return named.Name
 }
+
+// Diff says what differs between two configurations: lines with + for what only b has, - for what only a has, ~ for what changed.
+func Diff(a, b []byte) ([]string, error) {
+	x, y := map[string]json.RawMessage{}, map[string]json.RawMessage{}
+	if err := strict(a, &x); err != nil {
+		return nil, err
+	}
+	if err := strict(b, &y); err != nil {
+		return nil, err
+	}
+	keys := map[string]bool{}
+	for k := range x {
+		keys[k] = true
+	}
+	for k := range y {
+		keys[k] = true
+	}
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(keys)) {
+		var old, now []json.RawMessage
+		if json.Unmarshal(x[k], &old) == nil && json.Unmarshal(y[k], &now) == nil && (old != nil || now != nil) {
+			out = append(out, diffList(k, old, now)...)
+		} else if compact(x[k]) != compact(y[k]) {
+			out = append(out, fmt.Sprintf("~ %s: %s -> %s", k, compact(x[k]), compact(y[k])))
+		}
+	}
+	return out, nil
+}
+
+func diffList(list string, old, now []json.RawMessage) (out []string) {
+	was := map[string]string{}
+	for _, i := range old {
+		was[itemName(i)] = compact(i)
+	}
+	for _, i := range now {
+		name := itemName(i)
+		text, known := was[name]
+		switch {
+		case !known:
+			out = append(out, fmt.Sprintf("+ %s %s: %s", list, name, compact(i)))
+		case text != compact(i):
+			out = append(out, fmt.Sprintf("~ %s %s: %s -> %s", list, name, text, compact(i)))
+		}
+		delete(was, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(was)) {
+		out = append(out, fmt.Sprintf("- %s %s", list, name))
+	}
+	return out
+}
+
+func compact(raw json.RawMessage) string {
+	var b bytes.Buffer
+	if json.Compact(&b, raw) != nil {
+		return string(raw)
+	}
+	return b.String()
+}
--- a/internal/gouter/gouter.go
+++ b/internal/gouter/gouter.go
@@ -41,11 +41,24 @@
 
 // Open opens or makes the folder. found is false where nothing was ever kept there.
 func Open(folder string) (s *Store, h margherita.Hard, found bool, err error) {
+	return open(folder, false)
+}
+
+// Look reads a folder that no process has open, and changes nothing in it.
+func Look(folder string) (margherita.Hard, bool, error) {
+	s, h, found, err := open(folder, true)
+	if err == nil {
+		err = s.Close()
+	}
+	return h, found, err
+}
+
+func open(folder string, only bool) (s *Store, h margherita.Hard, found bool, err error) {
 	step := oops.In("disk").With("folder", folder)
 	cache := pebble.NewCache(1 << 20)
 	defer cache.Unref()
 	db, err := pebble.Open(folder, &pebble.Options{Cache: cache, MemTableSize: 4 << 20, MaxOpenFiles: 32,
-		MaxConcurrentCompactions: func() int { return 1 }, Logger: quiet{}, MaxManifestFileSize: 1 << 20})
+		MaxConcurrentCompactions: func() int { return 1 }, ReadOnly: only, Logger: quiet{}, MaxManifestFileSize: 1 << 20})
 	if err != nil {
 		return nil, h, false, step.Wrapf(err, "open")
 	}
--- a/internal/hauteroute/hauteroute.go
+++ b/internal/hauteroute/hauteroute.go
@@ -105,6 +105,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.Handle("GET /events", p.log)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		ch := make(chan map[string]any, 1)
 		p.desk.do(func() { ch <- p.desk.status() })
--- a/internal/konkordia/calls.go
+++ b/internal/konkordia/calls.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"weirwind/internal/cosmiques"
 	"weirwind/internal/monterosa"
 	"weirwind/internal/tuckett"
 )
@@ -25,7 +26,9 @@
 	mux.HandleFunc("POST /config/replace", c.replace)
 	mux.HandleFunc("POST /config/amend", c.amend)
 	mux.HandleFunc("GET /config/show", c.show)
+	mux.HandleFunc("GET /config/log", c.log)
 	mux.Handle("GET /status", &status{h})
+	mux.Handle("GET /events", h.log)
 	return mux
 }
 
@@ -119,6 +122,24 @@
 	w.Write(body)
 }
 
+// log tells which changes this machine knows to be taken.
+func (c *config) log(w http.ResponseWriter, _ *http.Request) {
+	ch := make(chan []cosmiques.Past, 1)
+	c.h.council.do(func() {
+		var past []cosmiques.Past
+		if c.h.council.book != nil {
+			past = c.h.council.book.Past
+		}
+		ch <- past
+	})
+	select {
+	case past := <-ch:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(past)
+	case <-c.h.ctx.Done():
+	}
+}
+
 // status is what this machine knows, for operators.
 type status struct{ h *Hut }
 
--- a/internal/konkordia/council.go
+++ b/internal/konkordia/council.go
@@ -255,7 +255,7 @@
 			a.reply(200, []byte("taken before\n"))
 			return true
 		}
-		next, err := c.book.Apply(change, a.Node)
+		next, err := c.book.Apply(change, a.Node, time.Now().UnixMilli())
 		if err == nil {
 			value, err := cbor.Marshal(next)
 			if err != nil {
--- a/internal/margherita/margherita.go
+++ b/internal/margherita/margherita.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 )
 
 // Voter is a machine of the core with one life of its disk.
@@ -140,6 +141,21 @@
 	return Hard{ID: "0@" + addr, Last: Entry{Index: 1, Voters: voters}, Commit: 1}
 }
 
+// Restored gives the state of a machine of a core that is founded anew from an entry that was saved, at a term beyond all that
+// the lost core can have reached: its ids are new, so that no vote of an old machine counts, and an old one that comes back finds
+// a newer entry and joins. An id of "" says that addr is not among the voters.
+func Restored(addr string, voters []string, e Entry, term uint64) Hard {
+	h := Hard{Term: term, Last: Entry{Term: term, Index: e.Index + 1, Value: e.Value}}
+	for _, a := range voters {
+		v := Voter{"r" + strconv.FormatUint(term, 10) + "@" + a, a}
+		h.Last.Voters = append(h.Last.Voters, v)
+		if a == addr {
+			h.ID = v.ID
+		}
+	}
+	return h
+}
+
 // Empty gives the state of a machine that knows nothing; id is drawn anew for each life of a disk.
 func Empty(id string) Hard { return Hard{ID: id} }
 
