--- a/internal/hornli/hornli.go
+++ b/internal/hornli/hornli.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"weirwind/internal/gr20"
+	"weirwind/internal/mischabel"
 	"weirwind/internal/monterosa"
 )
 
@@ -75,7 +76,7 @@
 type Group struct {
 	Svc     string
 	Members map[string]*Member
-	Slot    Slot[string]
+	Slot    mischabel.Slot[string]
 	Why     string // of the slot's last change
 	samples []sample
 	probeAt float64
@@ -85,7 +86,7 @@
 
 // NewGroup knows no member yet. near says how far a zone is: 0, 1 or 2.
 func NewGroup(svc string, near func(zone string) float64) *Group {
-	return &Group{Svc: svc, Members: map[string]*Member{}, Slot: NewSlot[string](), near: near, pauseP: ProbeEvery}
+	return &Group{Svc: svc, Members: map[string]*Member{}, Slot: mischabel.NewSlot[string](), near: near, pauseP: ProbeEvery}
 }
 
 // Learn takes a member's record as the list has it. known is false for what an own start found in the table, which says nothing
@@ -147,7 +148,7 @@
 
 // Primary gives the slot's holder, nil for none.
 func (g *Group) Primary() *Member {
-	if g.Slot.Empty() {
+	if g.Slot.Holder == "" {
 		return nil
 	}
 	return g.Members[g.Slot.Holder]
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,6 +19,8 @@
 	"math"
 	"math/bits"
 	"slices"
+
+	"weirwind/internal/mischabel"
 )
 
 // Tuned values. Those that weigh time are multiples of what is observed or of the opening's own figures.
@@ -56,12 +58,10 @@
 type group struct {
 	id, serving int64 // serving: members not draining
 	members     []*member
-	slot, last  *member // the writer slot: the believed primary, nil while empty; who was there before
+	mischabel.Slot[*member]
 
-	seen, emptied, filled, probeAt float64 // the newest evidence of the slot; when it was emptied and filled
-	swept, forgetAt                float64 // when it was last swept; when members long gone are let go
+	filled, probeAt, swept, forgetAt float64 // when the slot was filled, the group last swept; when members long gone are let go
 
-	silent           bool      // emptied by silence or a dead connection, not by the member's own word
 	live             []*op     // unfinished ops in order of arrival
 	trial            *op       // a held write out at a member whose role is not known
 	work, flow, rate float64   // own work answered: since the last sweep; usual ms a ms; the same by warm ones
@@ -125,15 +125,12 @@
 
 	checks, roleLate, carried, reports, cancels, overlap, drainOnly, mute bool // mute: many that can't talk
 
-	spare, advise     float64 // spare: sends beside one that is out that may be made
-	sendCap, tellMost int
-
-	coldFrom, coldFor, coldPace, coldSpan float64 // coldPace: what a cold one is sent at most, of its capacity
+	spare, advise, coldFrom, coldFor, coldPace, coldSpan float64 // spare: further sends; coldPace: a cold one's most
 
+	sendCap, tellMost            int
 	tellGap, tellLeast, tellRate float64 // all drivers tell of a member so often, 0: never; at the most often
 
-	watchAt, watchWait, woke, words, crowd float64 // woke: from a pause of its own; crowd: drivers by threes
-	ceiling                                float64 // commits of earlier runs lie before it
+	watchAt, watchWait, woke, words, crowd, ceiling float64 // woke: from its own pause; crowd: drivers by threes; ceiling: of earlier runs' commits
 }
 
 // Step takes what happened at now and returns what is to be done.
@@ -241,7 +238,7 @@
 func (d *Driver) groupAt(id int64) *group {
 	g := d.groupOf[id]
 	if g == nil {
-		g = &group{id: id, seen: math.Inf(-1), emptied: math.Inf(-1), commit: d.ceiling, swept: d.now,
+		g = &group{id: id, Slot: mischabel.NewSlot[*member](), commit: d.ceiling, swept: d.now,
 			strain: make([]float64, len(d.types))}
 		d.groupOf[id] = g
 		d.groups = append(d.groups, g)
@@ -283,12 +280,12 @@
 		m.draining, m.left = false, 0
 		if e.Started > m.started {
 			d.chill(m, e.Started)
-			if g.slot == m && e.Started > g.seen {
+			if g.Holder == m && e.Started > g.Seen {
 				d.empty(m, false, "restarted") // it comes back as a replica
 			}
 		}
-		if e.Primary && !m.listed && g.slot == nil && m.replicaAt <= g.emptied &&
-			(g.last == nil || d.roleLate && g.last != m) {
+		if e.Primary && !m.listed && g.Holder == nil && m.replicaAt <= g.Emptied &&
+			(g.Last == nil || d.roleLate && g.Last != m) {
 			d.fill(m, math.Inf(-1), "list")
 		}
 		m.listed = e.Primary
@@ -332,7 +329,7 @@
 			if r.Cut {
 				m.cut = tellCut
 			}
-			if m.group.slot == m {
+			if m.group.Holder == m {
 				d.empty(m, true, "recalled as set aside")
 			}
 		}
@@ -342,13 +339,13 @@
 		if g != nil && r.Rate > 0 {
 			g.rate, g.blur = r.Rate, min(d.crowd-1, 1) // alike in all drivers that start at once: chance decides
 		}
-		if g == nil || m == nil || m.group != g || r.Seen <= g.seen || m.started > r.Seen {
+		if g == nil || m == nil || m.group != g || r.Seen <= g.Seen || m.started > r.Seen {
 			continue
 		}
 		if age := d.now - r.Seen; r.Held && age >= 0 && age < k.Trust && !m.draining && !m.aside {
 			d.fill(m, r.Seen, "recalled")
-		} else if g.slot == nil || !d.roleLate {
-			g.slot, g.last, g.seen, g.emptied, g.probeAt, m.doubted = nil, m, r.Seen, r.Seen, d.now, true
+		} else if g.Holder == nil || !d.roleLate {
+			g.Holder, g.Last, g.Seen, g.Emptied, g.probeAt, m.doubted = nil, m, r.Seen, r.Seen, d.now, true
 			if d.log("group %d: %s was primary, to be asked", g.id, m.id); d.reports && !m.draining {
 				d.act(Action{Kind: ActProbe, Member: m.id})
 			}
@@ -363,9 +360,9 @@
 		k.OpTypes = append(k.OpTypes, TypeMemory{Took: t.took, Best: t.best})
 	}
 	for _, g := range d.groups {
-		r := GroupMemory{Group: g.id, Held: g.slot != nil, Rate: g.rate, Commit: g.commit}
-		if p := cmp.Or(g.slot, g.last); p != nil && !math.IsInf(g.seen, -1) {
-			r.Slot, r.Seen = p.id, g.seen
+		r := GroupMemory{Group: g.id, Held: g.Holder != nil, Rate: g.rate, Commit: g.commit}
+		if p := cmp.Or(g.Holder, g.Last); p != nil && !math.IsInf(g.Seen, -1) {
+			r.Slot, r.Seen = p.id, g.Seen
 		}
 		k.Groups = append(k.Groups, r)
 		for _, m := range g.members {
@@ -392,7 +389,7 @@
 		m.left = d.now
 	}
 	if !m.draining && (p != Gone || !d.drainOnly) { // else the list does not establish which members are up
-		if m.draining = true; m.group.slot == m {
+		if m.draining = true; m.group.Holder == m {
 			d.empty(m, false, "drains")
 		}
 	}
@@ -407,7 +404,7 @@
 		keep *= 20
 	}
 	old := m.left > 0 && d.now-m.left > keep
-	if old = old && m.inFlight == 0 && (m.draining || m.aside) && m.group.slot != m; old {
+	if old = old && m.inFlight == 0 && (m.draining || m.aside) && m.group.Holder != m; old {
 		delete(d.members, m.id)
 		delete(d.byHash, m.hash)
 	}
@@ -452,14 +449,14 @@
 	}
 	var to *member
 	if o.kind.need >= Fresh {
-		to = g.slot
+		to = g.Holder
 	} else {
 		var fresh bool
 		if to, fresh = d.replica(o); to == nil && !fresh && d.checks && !o.missed {
 			to = d.farthest(o, false)
 		}
-		old := d.reports && o.kind.need == Bounded && g.seen > 0 && d.now-g.seen > o.kind.maxAge // may be deposed
-		if p := g.slot; to == nil && p != nil && !p.aside && !old && (!fresh ||
+		old := d.reports && o.kind.need == Bounded && g.Seen > 0 && d.now-g.Seen > o.kind.maxAge // may be deposed
+		if p := g.Holder; to == nil && p != nil && !p.aside && !old && (!fresh ||
 			float64(p.inFlight) < p.window*headroom && (1-o.luck)*g.blur*g.blur*float64(g.serving) < headroom) {
 			to = p // all drivers together spill to it no more than half of a replica's reads
 		}
@@ -498,7 +495,7 @@
 	var best *member
 	least, fresh := math.Inf(1), false
 	for _, m := range o.group.members {
-		if m == o.group.slot || m.draining || o.triedAt(m) {
+		if m == o.group.Holder || m.draining || o.triedAt(m) {
 			continue
 		}
 		if m.aside {
@@ -548,7 +545,7 @@
 func (d *Driver) farthest(o *op, last bool) *member {
 	var best *member
 	for _, m := range o.group.members {
-		if !m.draining && !o.triedAt(m) && (last || m != o.group.slot && !m.aside) && d.admits(m, o) &&
+		if !m.draining && !o.triedAt(m) && (last || m != o.group.Holder && !m.aside) && d.admits(m, o) &&
 			(best == nil || m.position > best.position) {
 			best = m
 		}
@@ -592,7 +589,7 @@
 	k, limit, share := o.kind, m.window, 1.0
 	if d.crowd > 2 { // hardly a send is out anywhere, no window binds: the mean times that all tell of do
 		share = min(1/m.over, 1)
-		if m == m.group.slot && k.need < Fresh { // writes first, alone while what was held comes
+		if m == m.group.Holder && k.need < Fresh { // writes first, alone while what was held comes
 			share *= share * share * math.Floor(min((d.now-m.group.filled)/probeEvery, 1))
 		}
 	}
@@ -626,7 +623,7 @@
 		return
 	}
 	m.late += (min(x, 5) - m.late) * 2 * smooth
-	if m.over = m.late; m != g.slot {
+	if m.over = m.late; m != g.Holder {
 		g.late += (min(x, 5) - g.late) * 2 * smooth
 		m.over = (m.late + g.late) / 2
 	}
@@ -706,7 +703,7 @@
 		d.pace(m, o.kind, 1, true, true)
 	case Miss:
 		o.missed = true
-		if o.kind.need == Write && m.group.slot == m {
+		if o.kind.need == Write && m.group.Holder == m {
 			d.empty(m, false, "miss")
 		}
 	}
@@ -749,7 +746,7 @@
 	}
 	o.kind.best = min(o.kind.best+(o.kind.took-o.kind.best)*rise, o.kind.took)
 	x := took / d.easy(o.kind)
-	if m != o.group.slot && !d.within(m, d.bound*behindShare) {
+	if m != o.group.Holder && !d.within(m, d.bound*behindShare) {
 		x = max(x, behind) // crowded: its log waits for the cores; it could harm where the log alone is slow
 	}
 	d.pace(m, o.kind, x, false, true)
@@ -781,35 +778,29 @@
 	}
 	if s.Role == Primary {
 		d.primarySeen(m, when, by)
-	} else if s.Role == Replica && (by != "report" || when >= m.group.seen) {
+	} else if s.Role == Replica && (by != "report" || when >= m.group.Seen) {
 		m.replicaAt = d.now
-		if m.group.slot == m {
+		if m.group.Holder == m {
 			d.empty(m, false, "replica")
 		}
 	}
 }
 
 func (d *Driver) primarySeen(m *member, when float64, by string) {
-	g := m.group
-	if g.slot == m {
-		g.seen = max(g.seen, when)
-		return
-	}
-	unsaid := m == g.last && when <= g.emptied && !(g.silent && m.heard == d.now) // a silent one may speak again
-	if !m.draining && when > g.seen && m.replicaAt <= when && !unsaid {
+	if g := m.group; g.Takes(m, when, m.replicaAt, m.draining, m.heard == d.now) { // a silent one may speak again
 		d.fill(m, when, by)
 	}
 }
 
 func (d *Driver) fill(m *member, when float64, by string) {
 	g := m.group
-	if g.slot != nil || g.last != nil && (g.last != m || d.now-g.emptied >= trialFirst) { // all let go of writes
+	if g.Holder != nil || g.Last != nil && (g.Last != m || d.now-g.Emptied >= trialFirst) { // all let go of writes
 		m.window, m.late = min(m.window, startWindow), max(m.late, min(startLate, d.crowd-1))
 		g.filled, m.over = d.now, m.late
 	}
-	g.slot, g.last, g.seen, m.doubted = m, nil, max(g.seen, when), false
+	g.Fill(m, when)
 	d.welcome(m, by)
-	if m.news = true; by == "answer" || by == "report" {
+	if m.news, m.doubted = true, false; by == "answer" || by == "report" {
 		m.toldAt = d.now - d.tellGap // the others wait for this word
 	}
 	d.log("group %d: %s is primary (%s), %d open", g.id, m.id, by, len(g.live))
@@ -818,7 +809,8 @@
 
 func (d *Driver) empty(m *member, silent bool, why string) {
 	g := m.group
-	g.slot, g.last, g.emptied, g.silent, g.probeAt = nil, m, d.now, silent, d.now
+	g.Clear(d.now, silent)
+	g.probeAt = d.now
 	d.log("group %d: slot emptied, %s: %s", g.id, m.id, why)
 	d.search(g)
 }
@@ -829,12 +821,12 @@
 	}
 	share := probers / (3 * d.crowd) // what one finds, all are told
 	if d.mute {                      // many, and nobody to tell: each asks for itself, and only for what waits
-		if g.slot != nil || !slices.ContainsFunc(g.live, func(o *op) bool { return o.held }) {
+		if g.Holder != nil || !slices.ContainsFunc(g.live, func(o *op) bool { return o.held }) {
 			return
 		}
 		share = 1
 	}
-	if g.probeAt = d.now + probeEvery; g.slot != nil {
+	if g.probeAt = d.now + probeEvery; g.Holder != nil {
 		g.probeAt = d.now + probeIdle
 	}
 	for _, m := range g.members {
@@ -873,7 +865,7 @@
 	}
 	m.aside, m.asideAt, m.trialAt = true, d.now, d.after(m.pause)
 	d.log("group %d: %s set aside: %s", m.group.id, m.id, why)
-	if say != 0 && m.group.slot == m {
+	if say != 0 && m.group.Holder == m {
 		d.empty(m, true, why)
 	}
 }
@@ -899,7 +891,7 @@
 	ran := slices.ContainsFunc(o.sends, func(s send) bool { return !s.proved })
 	if !ran || o.kind.effect == Retryable || o.kind.effect == Tokened && o.kind.scope == ScopeAll {
 		wait := 0.0
-		if o.group.slot == nil {
+		if o.group.Holder == nil {
 			wait = min(probeEvery, d.advise)
 		}
 		d.act(Action{Kind: ActRefuse, Op: o.id, Wait: wait})
@@ -999,16 +991,16 @@
 // tryRole lets one held write at a time try members not heard of late, where no probe can tell the primary.
 func (d *Driver) tryRole(o *op) {
 	g := o.group
-	if g.slot != nil || g.trial != nil && g.trial.out > 0 || d.reports || o.kind.need != Write ||
+	if g.Holder != nil || g.trial != nil && g.trial.out > 0 || d.reports || o.kind.need != Write ||
 		d.chance()*(d.crowd-1) > trialShare {
 		return
 	}
-	if p := g.last; p != nil && p.doubted && !p.draining && !p.aside && g.denied(p) {
-		d.fill(p, g.seen, "no other is")
+	if p := g.Last; p != nil && p.doubted && !p.draining && !p.aside && g.denied(p) {
+		d.fill(p, g.Seen, "no other is")
 		return
 	}
 	for _, m := range g.members {
-		if m.aside || m.doubted || d.now-max(m.replicaAt, g.emptied) < probeEvery || !d.allowed(o, m) ||
+		if m.aside || m.doubted || d.now-max(m.replicaAt, g.Emptied) < probeEvery || !d.allowed(o, m) ||
 			!d.admits(m, o) || len(o.sends) >= d.sendCap-1 {
 			continue
 		}
@@ -1047,7 +1039,7 @@
 	}
 	for _, m := range g.members {
 		limit := silentReads + 2*(all-m.quiet)/max(busy-1, 1)
-		if m == g.slot {
+		if m == g.Holder {
 			limit += silentSlot - silentReads
 		}
 		if m.quiet >= limit {
@@ -1073,7 +1065,7 @@
 				continue // were it kept, all who have some would tell it at once
 			}
 			flags, position := m.say|uint64(min(m.ease*easeStep, 31))<<easeShift, uint64(0)
-			if g.slot == m {
+			if g.Holder == m {
 				flags |= tellPrimary
 			}
 			if m.position > 0 && d.within(m, tellRange/2) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -68,9 +68,9 @@
 	r.now += 5
 	r.step(Event{Kind: EvProbed, Member: "p", Outcome: OK, Took: 1, Report: Sight{Primary, asked + 10}})
 	r.answer("v", "p", Fault, Primary, 0)
-	r.want(r.d.groups[0].slot == nil, "the slot still empty")
+	r.want(r.d.groups[0].Holder == nil, "the slot still empty")
 	r.step(Event{Kind: EvProbed, Member: "p", Outcome: OK, Took: 1, Report: Sight{Primary, r.now}})
-	r.want(r.d.groups[0].slot == r.d.members["p"], "newer evidence fills it")
+	r.want(r.d.groups[0].Holder == r.d.members["p"], "newer evidence fills it")
 }
 
 // A hung primary sends no miss. Silence empties the slot; what may have run stays where rule 2 leaves it.
@@ -80,7 +80,7 @@
 	r.op("w1", once, 2000)
 	r.op("k", token, 5000)
 	r.wait(900)
-	r.want(r.d.groups[0].slot == nil, "the slot empty after long silence")
+	r.want(r.d.groups[0].Holder == nil, "the slot empty after long silence")
 	r.step(Event{Kind: EvProbed, Member: "s", Outcome: OK, Report: Sight{Primary, r.now}})
 	r.wait(600)
 	r.want(count(r.all, ActSend, "w0") == 1, "the non-retryable write not sent again")
@@ -100,7 +100,7 @@
 		r.wait(40)
 		r.answer(id, "p", OK, Primary, r.now)
 	}
-	r.want(r.d.groups[0].slot == r.d.members["p"], "the slot kept")
+	r.want(r.d.groups[0].Holder == r.d.members["p"], "the slot kept")
 }
 
 // Where members answer from whatever they have, the driver alone keeps stale reads out.
@@ -380,7 +380,7 @@
 	r.now += 700
 	r.step(Event{Kind: EvTimer}, Event{Kind: EvAnswer, Op: "a", Member: m, Outcome: OK, Closed: true,
 		Note: Sight{Replica, r.now}})
-	r.want(r.d.groups[0].slot == r.d.members["p"] && !r.d.members["p"].aside, "the primary kept")
+	r.want(r.d.groups[0].Holder == r.d.members["p"] && !r.d.members["p"].aside, "the primary kept")
 	r.want(r.d.types[anyRead].took == took, "usual times as before")
 }
 
@@ -391,12 +391,12 @@
 	r.answer("w1", "p", OK, Primary, r.now)
 	r.op("w2", once, 2000)
 	r.answer("w2", "p", ConnectFailed, RoleUnknown, 0)
-	r.want(r.d.groups[0].slot == r.d.members["p"], "the slot kept")
+	r.want(r.d.groups[0].Holder == r.d.members["p"], "the slot kept")
 	r.wait(400)
 	r.want(to(r.all, "w2") == "p" && count(r.all, ActSend, "w2") == 2, "the write sent again")
 	r.wait(400)
 	r.answer("w2", "p", ConnectFailed, RoleUnknown, 0)
-	r.want(r.d.groups[0].slot == nil, "the slot empty")
+	r.want(r.d.groups[0].Holder == nil, "the slot empty")
 }
 
 // A peer's word of silence counts only where nobody heard from the member.
@@ -406,10 +406,10 @@
 	r.wait(1000)
 	r.step(word(m, tellGood, 0.5, r.now-10))
 	r.step(word(m, tellSilent, 0, 0))
-	r.want(r.d.groups[0].slot == m, "the slot kept, a peer has just heard from it")
+	r.want(r.d.groups[0].Holder == m, "the slot kept, a peer has just heard from it")
 	r.wait(1000)
 	r.step(word(m, tellSilent, 0, 0))
-	r.want(r.d.groups[0].slot == nil && m.aside, "the slot emptied on a peer's word")
+	r.want(r.d.groups[0].Holder == nil && m.aside, "the slot emptied on a peer's word")
 	r.want(count(r.acts, ActMessage, "") == 0, "which is not told on")
 }
 
@@ -498,7 +498,7 @@
 		r.want(!r.d.members["p"].aside, "the primary in use while a send is out there")
 		r.answer(id, "p", Reset, RoleUnknown, 0)
 	}
-	r.want(r.d.members["p"].aside && r.d.groups[0].slot == nil, "the primary set aside as all broke")
+	r.want(r.d.members["p"].aside && r.d.groups[0].Holder == nil, "the primary set aside as all broke")
 	r = start(t, opening())
 	r.wait(400)
 	r.op("a", once, 1000)
@@ -511,7 +511,7 @@
 		r.answer(id, "p", out, Primary, r.now)
 		r.wait(300)
 	}
-	r.want(r.d.members["p"].aside && r.d.groups[0].slot == nil, "the primary set aside after three cuts in a row")
+	r.want(r.d.members["p"].aside && r.d.groups[0].Holder == nil, "the primary set aside after three cuts in a row")
 }
 
 // Members that are replaced without end leave nothing behind, but not before late news of them has come in: one
