--- a/internal/hauteroute/desk.go
+++ b/internal/hauteroute/desk.go
@@ -262,6 +262,38 @@
 	return out
 }
 
+// warm makes a first connection to a group's primary and to its nearest replica, so that the first requests of a process don't
+// all pay for one at the same time.
+func (d *desk) warm(g *group) {
+	var near *hornli.Member
+	p := g.g.Primary()
+	for _, m := range g.g.Members {
+		if m != p && !m.Draining && (near == nil || m.Nearer(near)) {
+			near = m
+		}
+	}
+	for _, m := range []*hornli.Member{p, near} {
+		if m == nil || g.pools[m.ID] != nil && g.pools[m.ID].open > 0 {
+			continue
+		}
+		pl := g.pool(m.ID)
+		pl.open++
+		pl.dialing++
+		m.InFlight++
+		gr := &grant{group: g, member: m, rec: m.Member, dials: true}
+		go func() {
+			c, err := dial(gr.rec, time.Now().Add(dialTime))
+			if err != nil {
+				c = nil
+			}
+			d.do(func() {
+				d.made(gr)
+				d.back(gr, c)
+			})
+		}()
+	}
+}
+
 // made notes that a granted connection has been made, or could not be.
 func (d *desk) made(gr *grant) {
 	if gr.dials {
--- a/internal/hauteroute/hauteroute.go
+++ b/internal/hauteroute/hauteroute.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -53,6 +54,7 @@
 const (
 	seenGone = 2300 * time.Millisecond // the platform has seen that it is not ready
 	lastOf   = 500 * time.Millisecond  // before the platform kills
+	warmFor  = 2 * time.Second         // first connections are made in
 )
 
 // Run serves until ctx ends and what was open is answered.
@@ -73,6 +75,7 @@
 	go server.Serve(ready)
 	go p.desk.run(inner)
 	go p.feed()
+	go p.warm()
 	go p.accept(front)
 	log.Event(bertol.Started, "front", s.Front, "ready", s.Ready)
 	<-ctx.Done()
@@ -143,6 +146,25 @@
 	}
 }
 
+// warm has first connections made once there is a configuration, spread over a while as all proxies may start at once.
+func (p *Proxy) warm() {
+	select {
+	case <-p.desk.asked:
+	case <-p.ctx.Done():
+		return
+	}
+	cfg := p.cfg.Load()
+	pause := warmFor / time.Duration(max(len(cfg.Svcs), 1))
+	for _, i := range rand.Perm(len(cfg.Svcs)) {
+		select {
+		case <-time.After(time.Duration(rand.Int64N(int64(2*pause) + 1))):
+		case <-p.ctx.Done():
+			return
+		}
+		p.desk.do(func() { p.desk.warm(p.desk.group(cfg.Svcs[i].Name)) })
+	}
+}
+
 func (p *Proxy) report(r *tuckett.Report) {
 	if l := p.agent.Load(); l != nil {
 		l.Send(&tuckett.Frame{Report: r})
--- a/internal/hornli/hornli.go
+++ b/internal/hornli/hornli.go
@@ -67,6 +67,11 @@
 	Doubted   bool
 }
 
+// Nearer says whether m is nearer than o; of equally near ones drivers differ.
+func (m *Member) Nearer(o *Member) bool {
+	return m.distance < o.distance || m.distance == o.distance && rand.IntN(2) == 0
+}
+
 type sample struct {
 	asked float64
 	pos   gr20.Position
--- a/internal/konkordia/tables.go
+++ b/internal/konkordia/tables.go
@@ -113,7 +113,14 @@
 		t.syncAt = now + syncEvery
 		d := t.digest()
 		f := &tuckett.Frame{Digest: &d}
+		here := map[string]bool{} // each machine speaks of the drivers that renew at it
+		for _, name := range t.agents {
+			here[name] = true
+		}
 		for _, dr := range t.leases.List() {
+			if !here[dr.Name] {
+				continue
+			}
 			f.Leases = append(f.Leases, tuckett.Lease{Driver: dr, Left: t.leases.Until(dr.Name) - now})
 		}
 		t.h.sendCores(f)
