--- /dev/null
+++ b/internal/monterosa/monterosa_test.go
@@ -0,0 +1,106 @@
+package monterosa
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestMembers(t *testing.T) {
+	Convey("A table of members", t, func() {
+		a := NewMembers()
+		rec := Member{ID: "m", Svc: "s", Addr: "x", Role: RolePrimary, Seq: 5}
+		_, fresh, changed := a.Beat(rec, 0, 3000)
+		So(fresh && changed, ShouldBeTrue)
+		Convey("takes a late beat for late", func() {
+			rec.Seq, rec.Role = 4, RoleReplica
+			_, fresh, _ := a.Beat(rec, 100, 3000)
+			So(fresh, ShouldBeFalse)
+		})
+		Convey("takes a count that begins anew after silence for another life, and no late word of the old one", func() {
+			rec.Seq, rec.Role = 1, RoleReplica
+			m, fresh, changed := a.Beat(rec, 5000, 3000)
+			So(fresh && changed, ShouldBeTrue)
+			So(m.Life, ShouldEqual, 2)
+			So(a.Merge([]Member{{ID: "m", Svc: "s", Addr: "x", Role: RolePrimary, Life: 1, Seq: 9}}, 5100), ShouldBeEmpty)
+		})
+		Convey("says nothing new where only the count rose", func() {
+			rec.Seq = 6
+			_, fresh, changed := a.Beat(rec, 100, 3000)
+			So(fresh && !changed, ShouldBeTrue)
+		})
+		Convey("lets a drain bind when it is told to, and keeps it over further beats", func() {
+			rec.Seq, rec.Leaving = 6, true
+			m, _, changed := a.Beat(rec, 100, 3000)
+			So(changed && !m.Draining, ShouldBeTrue)
+			_, ok := a.Bind("m")
+			So(ok, ShouldBeTrue)
+			rec.Seq = 7
+			m, _, changed = a.Beat(rec, 200, 3000)
+			So(m.Draining && !changed, ShouldBeTrue)
+			Convey("and tells it to another table, which then has the same digest", func() {
+				b := NewMembers()
+				b.Merge([]Member{{ID: "m", Svc: "s", Addr: "x", Role: RolePrimary, Life: 1, Seq: 5}}, 0)
+				So(b.Digest(), ShouldNotEqual, a.Digest())
+				So(len(b.Merge(a.List(), 300)), ShouldEqual, 1)
+				So(b.Digest(), ShouldEqual, a.Digest())
+				So(b.Merge(a.List(), 400), ShouldBeEmpty)
+			})
+		})
+		Convey("does not bring one back that left, but takes its next life", func() {
+			a.Leave("m", 100)
+			rec.Seq = 6
+			_, fresh, _ := a.Beat(rec, 150, 3000)
+			So(fresh, ShouldBeFalse)
+			rec.Seq = 1
+			m, fresh, _ := a.Beat(rec, 200, 3000)
+			So(fresh, ShouldBeTrue)
+			So(m.Gone, ShouldBeFalse)
+		})
+		Convey("lets go of the silent", func() {
+			So(a.Expire(1000, 5000), ShouldBeEmpty)
+			So(len(a.Expire(6000, 5000)), ShouldEqual, 1)
+			a.Expire(20000, 5000)
+			So(a.List(), ShouldBeEmpty)
+		})
+	})
+}
+
+func TestLeases(t *testing.T) {
+	Convey("A driver is one while it renews", t, func() {
+		l := NewLeases()
+		So(l.Renew(Driver{Name: "d", Life: 2}, 4000), ShouldBeTrue)
+		So(l.Renew(Driver{Name: "d", Life: 2}, 5000), ShouldBeFalse)
+		So(l.Renew(Driver{Name: "d", Life: 1}, 9000), ShouldBeFalse)
+		So(l.Lapse(4500), ShouldBeEmpty)
+		So(len(l.Lapse(5000)), ShouldEqual, 1)
+		So(l.List(), ShouldBeEmpty)
+	})
+}
+
+// Word that goes from each driver to its fellows only reaches all, in few steps.
+func TestFellowsReachAll(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 6, 10, 82, 300} {
+		var all []Driver
+		for i := range n {
+			all = append(all, Driver{Name: fmt.Sprintf("d%04d", i)})
+		}
+		told := map[string]bool{all[0].Name: true}
+		steps := 0
+		for ; len(told) < n && steps < n; steps++ {
+			next := map[string]bool{}
+			for name := range told {
+				next[name] = true
+				for _, f := range Fellows(all, name, 2) {
+					next[f.Name] = true
+				}
+			}
+			told = next
+		}
+		if len(told) < n {
+			t.Errorf("%d drivers: %d are reached", n, len(told))
+		}
+		t.Logf("%d drivers: all in %d steps", n, steps)
+	}
+}
