--- a/internal/gr20/gr20.go
+++ b/internal/gr20/gr20.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
 )
 
 // Most is the longest message, in bytes.
@@ -18,6 +19,9 @@
 // ErrLong is the error of a message that is longer.
 var ErrLong = errors.New("message longer than 1 MiB")
 
+// ErrRoom is the error of a message for which there is no room beside those of others.
+var ErrRoom = errors.New("too many long messages at a time")
+
 // ErrLine is the error of bytes that are no line of text.
 var ErrLine = errors.New("not a line of text")
 
@@ -55,10 +59,27 @@
 	Unknown   = "UNKNOWN"
 )
 
+// Room bounds what all readers that share it hold of long messages that have not ended.
+type Room struct{ left atomic.Int64 }
+
+// NewRoom gives room for so many bytes.
+func NewRoom(bytes int64) *Room {
+	r := &Room{}
+	r.left.Store(bytes)
+	return r
+}
+
 // Reader reads messages.
 type Reader struct {
 	b    *bufio.Reader
 	long []byte
+	room *Room // nil: not shared
+}
+
+// Within makes the reader share a room, and gives it back.
+func (r *Reader) Within(room *Room) *Reader {
+	r.room = room
+	return r
 }
 
 // NewReader reads from r with a small buffer, as most sessions are idle.
@@ -83,14 +104,27 @@
 		return "", err
 	}
 	r.long = append(r.long[:0], part...)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		part, err = r.b.ReadSlice('\n')
-		if len(r.long)+len(part) > Most {
-			r.long = nil
-			return "", ErrLong
+	if r.room != nil {
+		held := int64(0)
+		defer func() { r.room.left.Add(held) }()
+		for errors.Is(err, bufio.ErrBufferFull) && len(r.long) <= Most {
+			held += int64(len(part))
+			if r.room.left.Add(-int64(len(part))) < 0 {
+				r.long = nil
+				return "", ErrRoom
+			}
+			part, err = r.b.ReadSlice('\n')
+			r.long = append(r.long, part...)
 		}
+	}
+	for errors.Is(err, bufio.ErrBufferFull) && len(r.long) <= Most {
+		part, err = r.b.ReadSlice('\n')
 		r.long = append(r.long, part...)
 	}
+	if len(r.long) > Most {
+		r.long = nil
+		return "", ErrLong
+	}
 	line := r.long
 	if cap(r.long) > 16<<10 {
 		r.long = nil // a long one is rare: its room is not kept
--- a/internal/hauteroute/hauteroute.go
+++ b/internal/hauteroute/hauteroute.go
@@ -21,6 +21,7 @@
 
 	"weirwind/internal/bertol"
 	"weirwind/internal/cosmiques"
+	"weirwind/internal/gr20"
 	"weirwind/internal/kungsleden"
 	"weirwind/internal/tuckett"
 	"weirwind/internal/viaalpina"
@@ -33,6 +34,7 @@
 	ctx   context.Context
 	start time.Time
 	desk  *desk
+	room  *gr20.Room // for long messages that have not ended
 	cfg   atomic.Pointer[cosmiques.Config]
 
 	phase    atomic.Int32 // of the end
@@ -61,7 +63,7 @@
 func Run(ctx context.Context, s *kungsleden.Settings, log bertol.Log) error {
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
-	p := &Proxy{set: s, log: log, ctx: inner, start: time.Now(), sessions: map[*session]struct{}{}}
+	p := &Proxy{set: s, log: log, ctx: inner, start: time.Now(), sessions: map[*session]struct{}{}, room: gr20.NewRoom(int64(s.MemoryMB) << 20 / 8)}
 	p.desk = newDesk(p)
 	front, err := net.Listen("tcp4", s.Front)
 	if err != nil {
--- a/internal/hauteroute/session.go
+++ b/internal/hauteroute/session.go
@@ -97,7 +97,7 @@
 func (s *session) run() {
 	defer s.c.Close()
 	defer s.drop()
-	s.r = gr20.NewReader(s.c)
+	s.r = gr20.NewReader(s.c).Within(s.p.room)
 	s.at = s.p.now()
 	if !s.attach() {
 		return
@@ -116,7 +116,7 @@
 		}
 		line, ok, err := s.line(wait)
 		switch {
-		case err == gr20.ErrLine || err == gr20.ErrLong:
+		case err == gr20.ErrLine || err == gr20.ErrLong || err == gr20.ErrRoom:
 			s.p.log.Event(bertol.SessionBad, "peer", s.c.RemoteAddr().String(), "why", err.Error())
 			s.fail(gr20.Malformed, err.Error(), "")
 			s.flush()
