--- a/internal/bertol/bertol.go
+++ b/internal/bertol/bertol.go
@@ -50,6 +50,7 @@
 	SuccessStep  Event = 602
 	PlatformCall Event = 603
 	SessionBad   Event = 701
+	Refused      Event = 702
 	LinkUp       Event = 801
 	LinkDown     Event = 802
 )
@@ -82,6 +83,7 @@
 	SuccessStep:  "a step of a succession was taken, or what it waits for",
 	PlatformCall: "a call to the platform, with its answer",
 	SessionBad:   "a client's bytes were no message; its connection was closed",
+	Refused:      "statements were refused unsent (at most a line a second for a group): what they waited for",
 	LinkUp:       "a link to another process of the system stands",
 	LinkDown:     "a link broke",
 }
--- a/internal/hauteroute/desk.go
+++ b/internal/hauteroute/desk.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -20,11 +21,12 @@
 	tickEvery   = 50 * time.Millisecond
 	mostWaiters = 2000 // of a group; more are refused at once
 	idleLeast   = 2    // connections of a member that are kept however long they rest
-	idleFor     = 20 * time.Second
+	idleFor     = 4 * time.Second
 	capLeast    = 2
 	dialsAll    = 24     // connections of all drivers that are made to a member at a time
 	newFor      = 1500.0 // milliseconds from the start in which at least so many drivers are assumed
 	newCount    = 6
+	fullPause   = 40 * time.Millisecond
 	reportEvery = 400.0 // milliseconds between two reports on one group
 )
 
@@ -35,7 +37,8 @@
 	at     float64
 	until  float64
 	avoid  []string
-	commit bool // a single write: its answer waits for replicas
+	asked  string // a connection to this member is being made as it waits
+	commit bool   // a single write: its answer waits for replicas
 	reply  chan grant
 }
 
@@ -44,11 +47,10 @@
 	group  *group
 	member *hornli.Member
 	rec    monterosa.Member
-	conn   *conn // nil: it is to be made
+	conn   *conn
 	after  gr20.Position
 	prove  bool
 	sent   float64
-	dials  bool   // it is being made, and counts as such
 	fail   string // code; no connection comes
 }
 
@@ -66,6 +68,8 @@
 	slot     string
 	reported float64
 	accused  bool
+	unsent   int // statements refused since the log was told
+	toldAt   float64
 }
 
 type desk struct {
@@ -220,48 +224,118 @@
 	}
 	now := d.p.now()
 	room := d.room(g)
+	usual := g.g.Usual()
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
-		if now >= w.until {
+		// What has no time left for an answer would be sent in vain, and its connection be lost with it: where many wait, all would.
+		if now >= w.until-min(2*usual, (w.until-w.at)/3) {
 			w.reply <- grant{fail: gr20.Retry}
+			d.refused(g, w, now)
 			continue
 		}
 		c := g.g.Choose(&w.need, now, room, func(id string) bool { return slices.Contains(w.avoid, id) })
-		if c.Member == nil {
-			kept = append(kept, w)
+		if c.Member != nil && len(g.pool(c.Member.ID).idle) > 0 {
+			w.reply <- d.grant(g, w, c, now)
 			continue
 		}
-		w.reply <- d.grant(g, w, c, now)
+		if kept = append(kept, w); c.Member != nil && w.asked == "" {
+			w.asked = c.Member.ID
+			d.dial(g, c.Member)
+		}
 	}
 	clear(g.waiting[len(kept):])
 	g.waiting = kept
 	d.probe(g)
 }
 
+// refused says in the log what a statement waited for in vain.
+func (d *desk) refused(g *group, w *waiter, now float64) {
+	if g.unsent++; now < g.toldAt+1000 {
+		return
+	}
+	g.toldAt = now
+	pairs := []any{"svc", g.g.Svc, "count", g.unsent, "write", w.need.Write, "slot", g.g.Slot.Holder, "share", d.share(g), "stuck", g.g.Stuck(now)}
+	if p := g.g.Primary(); p != nil {
+		pairs = append(pairs, "doubted", p.Doubted)
+		if pl := g.pools[p.ID]; pl != nil {
+			pairs = append(pairs, "open", pl.open, "idle", len(pl.idle), "dialing", pl.dialing)
+		}
+	}
+	g.unsent = 0
+	d.p.log.Event(bertol.Refused, pairs...)
+}
+
+// grant gives an idle connection: the newest that holds the session's values, else the newest.
 func (d *desk) grant(g *group, w *waiter, c hornli.Choice, now float64) grant {
 	m := c.Member
 	p := g.pool(m.ID)
 	m.InFlight++
 	g.g.Sent(m, now, w.commit)
-	out := grant{group: g, member: m, rec: m.Member, after: c.After, prove: c.Prove, sent: now}
-	if n := len(p.idle); n > 0 {
-		i := n - 1
-		for k := n - 1; k >= 0; k-- {
-			if p.idle[k].carrier.Sum() == w.sum {
-				i = k
-				break
-			}
+	i := len(p.idle) - 1
+	for k := i; k >= 0; k-- {
+		if p.idle[k].carrier.Sum() == w.sum {
+			i = k
+			break
 		}
-		out.conn = p.idle[i]
-		p.idle = slices.Delete(p.idle, i, i+1)
-	} else {
-		p.open++
-		p.dialing++
-		out.dials = true
 	}
+	out := grant{group: g, member: m, rec: m.Member, conn: p.idle[i], after: c.After, prove: c.Prove, sent: now}
+	p.idle = slices.Delete(p.idle, i, i+1)
 	return out
 }
 
+// dial makes a connection for whoever is next when it stands. It has its own time: bound to that of the one who waited
+// longest, and so had least left, none would ever stand where many wait.
+func (d *desk) dial(g *group, m *hornli.Member) {
+	p := g.pool(m.ID)
+	p.open++
+	p.dialing++
+	rec, sent := m.Member, d.p.now()
+	go func() {
+		c, err := dial(rec, time.Now().Add(dialTime))
+		d.do(func() { d.dialled(g, m, c, err, sent) })
+	}()
+}
+
+func (d *desk) dialled(g *group, m *hornli.Member, c *conn, err error, sent float64) {
+	p, now := g.pool(m.ID), d.p.now()
+	p.dialing--
+	full := errors.Is(err, errRefused)
+	for _, w := range g.waiting {
+		if w.asked == m.ID {
+			if w.asked = ""; full && !w.need.Write && !w.need.Fresh {
+				w.avoid = append(w.avoid, m.ID)
+			}
+		}
+	}
+	switch {
+	case err == nil:
+		d.rest(g, m, c)
+	case full: // it is there, and has no place: others let go
+		p.open--
+	default:
+		p.open--
+		g.g.Heard(m, sent, now, hornli.CutOff, gr20.Position{})
+		d.look(g)
+	}
+	if full && p.open <= p.dialing { // not at once again, where this driver has none
+		time.AfterFunc(fullPause, func() { d.do(func() { d.pump(g) }) })
+		return
+	}
+	d.pump(g)
+}
+
+// rest keeps a connection for later, or closes it where it may not be kept.
+func (d *desk) rest(g *group, m *hornli.Member, c *conn) {
+	p := g.pool(m.ID)
+	if m.Gone || m.Draining || g.g.Members[m.ID] != m || p.open > d.share(g) {
+		c.close()
+		p.open--
+		return
+	}
+	c.rested = d.p.now()
+	p.idle = append(p.idle, c)
+}
+
 // warm makes a first connection to a group's primary and to its nearest replica, so that the first requests of a process don't
 // all pay for one at the same time.
 func (d *desk) warm(g *group) {
@@ -276,30 +350,7 @@
 		if m == nil || g.pools[m.ID] != nil && g.pools[m.ID].open > 0 {
 			continue
 		}
-		pl := g.pool(m.ID)
-		pl.open++
-		pl.dialing++
-		m.InFlight++
-		gr := &grant{group: g, member: m, rec: m.Member, dials: true}
-		go func() {
-			c, err := dial(gr.rec, time.Now().Add(dialTime))
-			if err != nil {
-				c = nil
-			}
-			d.do(func() {
-				d.made(gr)
-				d.back(gr, c)
-			})
-		}()
-	}
-}
-
-// made notes that a granted connection has been made, or could not be.
-func (d *desk) made(gr *grant) {
-	if gr.dials {
-		gr.dials = false
-		gr.group.pool(gr.member.ID).dialing--
-		d.pump(gr.group)
+		d.dial(g, m)
 	}
 }
 
@@ -314,19 +365,12 @@
 func (d *desk) back(gr *grant, c *conn) {
 	g, m := gr.group, gr.member
 	m.InFlight--
-	p := g.pool(m.ID)
-	now := d.p.now()
-	switch {
-	case c == nil:
-		p.open--
-	case m.Gone || m.Draining || g.g.Members[m.ID] != m || p.open > d.share(g):
-		c.close()
-		p.open--
-	default:
-		c.rested = now
-		p.idle = append(p.idle, c)
+	if c == nil {
+		g.pool(m.ID).open--
+	} else {
+		d.rest(g, m, c)
 	}
-	if p.open <= 0 && p.idle == nil {
+	if p := g.pools[m.ID]; p != nil && p.open <= 0 && len(p.idle) == 0 {
 		delete(g.pools, m.ID)
 	}
 	d.pump(g)
--- /dev/null
+++ b/internal/hauteroute/desk_test.go
@@ -0,0 +1,52 @@
+package hauteroute
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"weirwind/internal/bertol"
+	"weirwind/internal/gr20"
+	"weirwind/internal/hornli"
+	"weirwind/internal/kungsleden"
+	"weirwind/internal/monterosa"
+)
+
+// Where many wait, a connection goes to one that still has time for an answer: given to the oldest, whose time runs out under
+// way, each would be closed unused, and a driver would never serve again (seen for fifteen seconds after power was lost).
+func TestConnectionsGoToWhoHasTimeLeft(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	p := &Proxy{set: &kungsleden.Settings{Zone: "z"}, log: bertol.Nothing(), ctx: ctx, start: time.Now().Add(-time.Minute)}
+	d := newDesk(p)
+	g := d.group("s")
+	g.g.Learn(monterosa.Member{ID: "a", Svc: "s", Zone: "z", Role: monterosa.RolePrimary, Life: 1, Seq: 1}, p.now())
+	a := g.g.Members["a"]
+	for range 50 { // answers take 100 ms of late
+		now := p.now()
+		g.g.Sent(a, now-100, false)
+		g.g.Heard(a, now-100, now, hornli.Led, gr20.Position{Term: 1, Number: 1})
+	}
+	g.pool("a").open = d.share(g) // none can be made
+	var waiters []*waiter
+	for _, left := range []float64{60, 110, 700} {
+		w := &waiter{need: hornli.Need{Write: true}, at: p.now() + left - 1000, until: p.now() + left, reply: make(chan grant, 1)}
+		waiters = append(waiters, w)
+		d.want("s", w)
+	}
+	here, there := net.Pipe()
+	defer there.Close()
+	d.rest(g, a, &conn{c: here, r: gr20.NewReader(here)})
+	d.pump(g)
+	for i, w := range waiters {
+		select {
+		case gr := <-w.reply:
+			if (gr.fail == "") != (i == 2) {
+				t.Errorf("waiter %d: %q", i, gr.fail)
+			}
+		default:
+			t.Errorf("waiter %d waits on", i)
+		}
+	}
+}
--- a/internal/hauteroute/statement.go
+++ b/internal/hauteroute/statement.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"net"
 	"strings"
 	"time"
 
@@ -15,10 +14,10 @@
 	"weirwind/internal/hornli"
 )
 
-// acquire asks the desk for a member connection, and makes it where it is to be made.
+// acquire asks the desk for a member connection, and looks that the member has not ended it while it rested.
 func (s *session) acquire(svc string, w *waiter) (*grant, *conn, string) {
-	for tries := 0; ; tries++ {
-		w.reply = make(chan grant, 1)
+	for {
+		w.reply, w.asked = make(chan grant, 1), ""
 		s.p.desk.do(func() { s.p.desk.want(svc, w) })
 		var g grant
 		select {
@@ -29,42 +28,11 @@
 		if g.fail != "" {
 			return nil, nil, g.fail
 		}
-		c := g.conn
-		if c != nil && !c.alive() {
-			c.close()
-			c = nil // its place is kept for the new one
-		}
-		if c != nil {
-			return &g, c, ""
-		}
-		began := s.p.now()
-		c, err := dial(g.rec, s.p.at(w.until))
-		if err == nil {
-			if g.dials {
-				s.p.desk.do(func() { s.p.desk.made(&g) })
-			}
-			return &g, c, ""
-		}
-		word := hornli.CutOff
-		var ne net.Error
-		switch {
-		case errors.Is(err, errRefused):
-			word = hornli.Answered
-			w.avoid = append(w.avoid, g.rec.ID)
-		case errors.As(err, &ne) && ne.Timeout() && s.p.now()-began < ms(dialTime)/2:
-			word = hornli.NoAnswer // there was no time left for it: that says nothing of the member
-		}
-		s.p.desk.do(func() {
-			s.p.desk.made(&g)
-			s.p.desk.heard(&g, g.sent, word, gr20.Position{})
-			s.p.desk.back(&g, nil)
-		})
-		if tries >= mostTries {
-			return nil, nil, gr20.Retry
-		}
-		if word == hornli.Answered && (w.need.Write || w.need.Fresh) {
-			time.Sleep(30 * time.Millisecond) // it is full: others let go
+		if g.conn.alive() {
+			return &g, g.conn, ""
 		}
+		g.conn.close()
+		s.done(&g, nil, g.sent, hornli.NoAnswer, gr20.Position{})
 	}
 }
 
--- a/internal/hornli/hornli.go
+++ b/internal/hornli/hornli.go
@@ -357,6 +357,18 @@
 	return true
 }
 
+// Usual is how long an answer of the primary takes of late, in milliseconds; of the slowest member while there is none.
+func (g *Group) Usual() float64 {
+	if p := g.Primary(); p != nil {
+		return p.took
+	}
+	most := 0.0
+	for _, m := range g.Members {
+		most = max(most, m.took)
+	}
+	return most
+}
+
 // Stuck says that the primary answers, but for so long not a commit: its replicas may not receive what it writes.
 func (g *Group) Stuck(now float64) bool {
 	p := g.Primary()
