--- a/internal/konkordia/succession.go
+++ b/internal/konkordia/succession.go
@@ -82,7 +82,8 @@
 			go t.failover(s, v.Svc, a.ID, t.term)
 		default:
 			if m, ok := t.members.Get(a.ID); ok {
-				text := [...]string{torino.Stat: "STAT", torino.Pause: "PAUSE " + strconv.FormatUint(a.Term+1, 10), torino.Cont: "CONT"}[a.Kind]
+				text := [...]string{torino.Stat: "STAT", torino.Pause: "PAUSE " + strconv.FormatUint(a.Term+1, 10), torino.Cont: "CONT",
+					torino.StepDown: "STEPDOWN " + strconv.FormatUint(a.Term+1, 10)}[a.Kind]
 				if a.Kind != torino.Stat {
 					t.h.log.Event(bertol.SuccessStep, "svc", v.Svc, "step", text, "member", a.ID)
 				}
--- a/internal/torino/torino.go
+++ b/internal/torino/torino.go
@@ -29,6 +29,8 @@
 	headless    = 700.0  // nobody leads for so long
 	againAfter  = 300.0  // a step that failed is taken again
 	provesMost  = 3500.0 // a call that was answered shows within that
+	stepAfter   = 700.0
+	silentLong  = 4000.0 // a member whose beats stopped is named last
 	swapAfter   = 1500.0 // a successor that does not catch up gives its place to another
 	nearReplica = 250.0
 	accusedWait = 160.0 // a question unanswered for so long, with drivers that wait in vain
@@ -79,6 +81,7 @@
 	Failover                // the platform is asked to make it the primary
 	Handed                  // the old primary (ID) leads no longer: its drain may bind
 	Note                    // for the log
+	StepDown                // it leads no longer, by its own word
 )
 
 type phase uint8
@@ -122,7 +125,10 @@
 	said    string
 	start   float64 // of this lead
 	called  bool    // the platform may carry out a call still
-	stuck   bool    // the old primary speaks, but commits nothing: its word does not end the succession
+	stepped bool    // the old primary has stepped down: it holds all that was ever answered
+	oldPos  gr20.Position
+	bound   bool // its drain was let bind
+	stuck   bool // the old primary speaks, but commits nothing: its word does not end the succession
 	behind  map[string]gr20.Position
 	pressAt float64
 	standAt float64 // since when they stand
@@ -390,6 +396,7 @@
 
 func (s *Service) begin(v *View, old string, planned bool, why string, now float64) {
 	s.old, s.planned, s.next, s.tried, s.called, s.stuck, s.behind = old, planned, "", map[string]bool{}, false, false, nil
+	s.stepped, s.bound = false, false
 	for id, f := range s.facts {
 		if f.paused = false; id != old {
 			f.ok = false
@@ -453,6 +460,18 @@
 		}
 	}
 	if s.planned {
+		if s.stepped {
+			if s.next != "" {
+				s.enter(catching, now)
+				s.catch(v, now)
+			}
+			return
+		}
+		if s.find(v, s.old) == nil {
+			s.planned, s.next = false, ""
+			s.say("the old primary has left")
+			return
+		}
 		old := s.fact(s.old)
 		if old.refused >= refusedMost || old.failed > 1 && now-old.at > darkAfter {
 			s.planned, s.next = false, "" // it died on the way: its successor is held to the stricter terms
@@ -462,8 +481,25 @@
 		if len(rs) == 1 || !slices.ContainsFunc(rs, func(m Member) bool { return m.ID != s.next && !s.fact(m.ID).paused }) {
 			s.enter(catching, now)
 			s.catch(v, now)
-		} else if now-s.since > swapAfter {
-			s.swap(v, now)
+		} else if now-s.since > stepAfter {
+			// A replica can't be paused, and might receive what the successor lacks: the old primary itself is the one that
+			// surely has all. Its drain binds, so that nothing new comes; once the successor has what it has, it steps down.
+			if !s.bound {
+				s.bound = true
+				s.act(Handed, s.old, "")
+			}
+			n := s.fact(s.next)
+			switch {
+			case old.ok && !old.status.Primary && old.at >= s.since:
+				s.stepped, s.oldPos = true, old.status.Received
+				s.say("the old primary has stepped down, as a replica can't be paused")
+				s.enter(catching, now)
+				s.catch(v, now)
+			case !old.waiting && old.ok && n.ok && n.at >= s.since && !n.status.Received.Less(old.status.Received):
+				s.ask(s.old, StepDown, now)
+			case now-s.since > 2*swapAfter:
+				s.swap(v, now)
+			}
 		}
 		return
 	}
@@ -476,6 +512,9 @@
 	need := len(rs)
 	if v.SyncN > 0 {
 		need = max(len(rs)-v.SyncN+1, 1)
+		if s.old == "" { // who led is among them
+			need = max(len(rs)-v.SyncN, 1)
+		}
 	}
 	if paused < need {
 		s.say(fmt.Sprintf("waits for %d more of %d replicas, as one of them may alone hold a commit", need-paused, len(rs)))
@@ -526,6 +565,12 @@
 }
 
 func (s *Service) prefer(a, b *Member) int {
+	if lost := a.Silent > silentLong; lost != (b.Silent > silentLong) {
+		if lost {
+			return 1
+		}
+		return -1
+	}
 	if a.Leaving != b.Leaving {
 		if b.Leaving {
 			return -1
@@ -581,6 +626,16 @@
 			have = false
 		}
 	}
+	if s.stepped && s.next != s.old && f.status.Received.Less(s.oldPos) {
+		if have = false; now-s.since > stepAfter { // something came in between: it leads again, as it alone surely has it
+			s.say("the old primary is to lead again")
+			s.next = s.old
+			s.enter(calling, now)
+			s.called = true
+			s.act(Failover, s.next, s.old)
+			return
+		}
+	}
 	if have && now >= s.askAt {
 		s.enter(calling, now)
 		s.called = true
