--- a/internal/konkordia/succession.go
+++ b/internal/konkordia/succession.go
@@ -23,6 +23,8 @@
 const (
 	statTime = 700 * time.Millisecond
 	callTime = 2 * time.Second
+
+	tableKnows = 2 * time.Second // and four beats: all members have told of themselves by then
 )
 
 // lead begins or ends this machine's lead.
@@ -33,8 +35,8 @@
 }
 
 func (t *tables) step(now float64) {
-	if t.config == nil {
-		return
+	if t.config == nil || now < max(ms(tableKnows), 4*ms(t.h.set.Beat)) {
+		return // a process that has just begun doesn't know all members yet: one that it lacks may alone hold a commit, or lead
 	}
 	bySvc := map[string][]monterosa.Member{}
 	for _, m := range t.members.List() {
