--- a/internal/britannia/britannia.go
+++ b/internal/britannia/britannia.go
@@ -206,11 +206,7 @@
 }
 
 func (a *Agent) digest() tuckett.Digest {
-	h := fnv.New64a()
-	for _, d := range a.drivers {
-		h.Write([]byte(d.Name + " " + d.Addr + "\n"))
-	}
-	return tuckett.Digest{Gen: a.gen, Members: a.members.Digest(), Drivers: h.Sum64()}
+	return tuckett.Digest{Gen: a.gen, Members: a.members.Digest(), Drivers: monterosa.DriversDigest(a.drivers)}
 }
 
 func (a *Agent) renew() {
--- a/internal/hauteroute/statement.go
+++ b/internal/hauteroute/statement.go
@@ -97,16 +97,12 @@
 	} else {
 		w.need = s.need(r, at)
 	}
-	last := ""
 	for try := 0; try < mostTries; try++ {
 		g, c, fail := s.acquire(r.Svc, w)
 		if fail != "" {
 			break
 		}
 		a, word, err := s.attempt(g, c, id, text, t, write, until)
-		if err == nil && !write && word == hornli.Led {
-			// the read ran in a transaction of its own, whose end was answered too
-		}
 		switch {
 		case err != nil:
 			c.close()
@@ -128,7 +124,6 @@
 			s.answer(a, gr20.Idle)
 			return
 		}
-		last = a.text
 		if a.state != gr20.Idle { // what it left open is rolled back with its connection
 			c.close()
 			c = nil
@@ -154,7 +149,6 @@
 		s.answer(a, gr20.Idle)
 		return
 	}
-	_ = last
 	s.fail(gr20.Retry, comeBack, gr20.Idle)
 }
 
@@ -163,7 +157,7 @@
 func (s *session) attempt(g *grant, c *conn, id, text string, t gr20.Text, write bool, until float64) (*reply, hornli.Word, error) {
 	var b strings.Builder
 	if !write {
-		until = min(until, max(s.p.now()+readCut, s.p.now()))
+		until = min(until, s.p.now()+readCut)
 	}
 	text, before := s.prepare(&b, c, text, t)
 	prove := g.prove && !write
@@ -202,12 +196,10 @@
 	if err := skip(c, before); err != nil {
 		return nil, 0, err
 	}
-	spilled := false
 	a, err := c.read(func(rows []string) error {
 		if write {
 			return nil
 		}
-		spilled = true
 		for _, r := range rows {
 			s.say(r)
 		}
@@ -219,7 +211,6 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	_ = spilled
 	word := wordOf(&a)
 	if prove {
 		e, err := c.read(nil)
--- a/internal/hornli/hornli.go
+++ b/internal/hornli/hornli.go
@@ -227,14 +227,6 @@
 	return gr20.Position{}, false
 }
 
-// Sampled is the age of the newest position that the primary is known by.
-func (g *Group) Sampled(now float64) float64 {
-	if len(g.samples) == 0 {
-		return math.Inf(1)
-	}
-	return now - g.samples[len(g.samples)-1].asked
-}
-
 // Sample takes a position that the primary had when it was asked.
 func (g *Group) Sample(asked float64, pos gr20.Position) {
 	if pos.None() {
--- a/internal/konkordia/council.go
+++ b/internal/konkordia/council.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -64,7 +65,7 @@
 		return nil, err
 	}
 	if !found {
-		if s.Init && contains(s.Peers, s.Ctl) {
+		if s.Init && slices.Contains(s.Peers, s.Ctl) {
 			hard = margherita.Found(s.Ctl, s.Peers)
 			h.log.Event(bertol.Founded, "voters", s.Peers)
 		} else {
@@ -84,15 +85,6 @@
 	return c, nil
 }
 
-func contains(list []string, s string) bool {
-	for _, o := range list {
-		if o == s {
-			return true
-		}
-	}
-	return false
-}
-
 func ms(d time.Duration) float64 { return float64(d) / 1e6 }
 
 func (c *council) do(f func()) {
@@ -219,11 +211,7 @@
 			continue
 		}
 		if !c.node.Ready() {
-			if a.index == 0 && a.Show && now < a.until {
-				a.reply(503, []byte("this machine does not lead\n"))
-			} else {
-				a.reply(503, []byte("this machine leads no longer; ask again\n"))
-			}
+			a.reply(503, []byte("this machine leads no longer; ask again\n"))
 			continue
 		}
 		if !c.one(a, now, &blocked) {
--- a/internal/konkordia/tables.go
+++ b/internal/konkordia/tables.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"weirwind/internal/bertol"
@@ -130,16 +129,8 @@
 	}
 }
 
-func driversDigest(ds []monterosa.Driver) uint64 {
-	h := fnv.New64a()
-	for _, d := range ds {
-		h.Write([]byte(d.Name + " " + d.Addr + "\n"))
-	}
-	return h.Sum64()
-}
-
 func (t *tables) digest() tuckett.Digest {
-	d := tuckett.Digest{Members: t.members.Digest(), Drivers: driversDigest(t.leases.List())}
+	d := tuckett.Digest{Members: t.members.Digest(), Drivers: monterosa.DriversDigest(t.leases.List())}
 	if t.book != nil {
 		d.Gen = t.book.Gen
 	}
--- a/internal/monterosa/monterosa.go
+++ b/internal/monterosa/monterosa.go
@@ -302,6 +302,15 @@
 	return out
 }
 
+// DriversDigest is the same for two lists of the same drivers.
+func DriversDigest(all []Driver) uint64 {
+	h := fnv.New64a()
+	for _, d := range all {
+		h.Write([]byte(d.Name + " " + d.Addr + "\n"))
+	}
+	return h.Sum64()
+}
+
 // Fellows picks the few that a driver passes news on to: the one that follows it in the order of names, so that word from
 // anywhere reaches all, and others drawn by its name, so that it does so in few steps.
 func Fellows(all []Driver, self string, few int) []Driver {
