lab: clusters keep loopback addresses of their own; answers name their cluster

Cause: a killed member freed its port on 127.0.0.1, the kernel gave it to another test's member, and the driver sent its writes there: "acked and never ran" was another cluster's answer.

Change: internal/standin/loopback reserves a /24 of 127.0.0.0/8 against all other processes; members, registry, drivers, links, processes of internal/standin/cluster and of session runs have their addresses from it, also while they are down. An answer names the cluster, and the audit names a foreign one.

--- a/cmd/weirlab/sessions.go
+++ b/cmd/weirlab/sessions.go
@@ -54,15 +54,13 @@
 	return c.verdict(out, r)
 }
 
-// options are the run's; addresses and ports are by the process, so that several run side by side.
+// options are the run's.
 func (c *sessionsCommand) options() sessionrun.Options {
 	return sessionrun.Options{
 		For:     c.For,
 		Sites:   c.Sites,
 		Clients: c.Clients,
 		Every:   c.Every,
-		Net:     60 + os.Getpid()%60,
-		Port:    21000 + os.Getpid()%100*20,
 	}
 }
 
--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -17,8 +17,18 @@
 		}
 	}
 	for id, outcome := range r.Writes {
-		if outcome == Acked && c.executions[id] == 0 {
-			broken = append(broken, fmt.Sprintf("rule 1: write %s was acked and never ran", id))
+		if outcome != Acked || c.executions[id] > 0 {
+			continue
+		}
+		line := fmt.Sprintf("rule 1: write %s was acked and never ran", id)
+		if by := r.WriteCluster[id]; by != c.name {
+			line += fmt.Sprintf(": a member of cluster %q answered it, not one of %q", by, c.name)
+		}
+		broken = append(broken, line)
+	}
+	for cluster, n := range r.Clusters {
+		if cluster != c.name {
+			broken = append(broken, fmt.Sprintf("rule 1: %d ops were answered by cluster %q, not by %q", n, cluster, c.name))
 		}
 	}
 	for _, id := range r.Mismatched {
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"weirwind/internal/discovery"
+	"weirwind/internal/standin/loopback"
 )
 
 // Options of a cluster. Zero values take the defaults that are named.
@@ -49,13 +50,19 @@
 // DrainGrace is the time after a drain was announced to a driver in which it may still send to the member.
 const DrainGrace = 500 * time.Millisecond
 
+// maxAddresses is how many a cluster has, of members, drivers and the registry.
+const maxAddresses = loopback.MaxHost * loopback.PortsOfHost
+
 // Cluster is groups of members that run in this process.
 type Cluster struct {
 	options  Options
+	name     string // told in each answer; no other cluster has it
+	block    *loopback.Block
 	members  []*Member
 	registry *httptest.Server // serves the list of members
 
 	mu         sync.Mutex    // guards what follows
+	addresses  int           // of the block that were given out
 	revision   int64         // of the list
 	changed    chan struct{} // closed, and replaced, with each revision
 	entries    map[string]discovery.Entry
@@ -70,10 +77,16 @@
 	elections  sync.WaitGroup // that are under way
 }
 
-// Start starts a cluster on free loopback ports.
+// Start starts a cluster at loopback addresses of its own.
 func Start(options Options) (*Cluster, error) {
+	block, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
 	c := &Cluster{
 		options:    options.withDefaults(),
+		name:       fmt.Sprintf("%s-%08x", block.Name(), rand.Uint32()),
+		block:      block,
 		revision:   1,
 		changed:    make(chan struct{}),
 		entries:    map[string]discovery.Entry{},
@@ -92,10 +105,39 @@
 			}
 		}
 	}
+	if err := c.startRegistry(); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+// startRegistry serves the list of members.
+func (c *Cluster) startRegistry() error {
+	listener, err := net.Listen("tcp4", c.newAddress())
+	if err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", c.serveList)
-	c.registry = httptest.NewServer(mux)
-	return c, nil
+	c.registry = httptest.NewUnstartedServer(mux)
+	c.registry.Listener.Close()
+	c.registry.Listener = listener
+	c.registry.Start()
+	return nil
+}
+
+// newAddress is an address of the cluster's block that was not given out before. It stays the one of whoever has it,
+// also while nobody listens there.
+func (c *Cluster) newAddress() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.addresses
+	c.addresses++
+	if n >= maxAddresses {
+		panic("a cluster's addresses are used up")
+	}
+	return c.block.Address(1+n%loopback.MaxHost, n/loopback.MaxHost)
 }
 
 // addMember starts the member of an index within a group. The first one is primary.
@@ -104,7 +146,7 @@
 		ID:      fmt.Sprintf("g%dm%d", group, index+1),
 		cluster: c,
 		group:   group,
-		address: "127.0.0.1:0",
+		address: c.newAddress(),
 		cores:   make(chan struct{}, c.options.Cores),
 		conns:   map[net.Conn]bool{},
 	}
@@ -138,8 +180,12 @@
 		c.registry.CloseClientConnections()
 		c.registry.Close()
 	}
+	_ = c.block.Close() // a listener that nobody accepts at
 }
 
+// Name is told in each answer of the cluster's members.
+func (c *Cluster) Name() string { return c.name }
+
 // Discovery is the address of the list of members.
 func (c *Cluster) Discovery() string { return c.registry.Listener.Addr().String() }
 
--- a/internal/lab/drivers.go
+++ b/internal/lab/drivers.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 
 	"weirwind/internal/driver"
 	"weirwind/internal/operator"
@@ -49,16 +48,6 @@
 			map[string]any{"name": "write", "aim": 500000, "deadline": 4000000, "effect": "once", "points": 3}}}
 }
 
-// freeAddress is a loopback address at which nobody listens.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // Drivers runs some in this process until the context ends; their logs go to the writer, and operators gives the
 // operators' file of each, nil for none. It gives their addresses, and a function that waits for their end.
 func (c *Cluster) Drivers(
@@ -72,10 +61,7 @@
 	}
 	ended := make(chan error, n)
 	for i := range n {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, nil, err
-		}
+		address := c.newAddress()
 		service, err := driver.New(c.Configuration(fmt.Sprintf("n%d", i), address, n, i), operators(i))
 		if err != nil {
 			return nil, nil, err
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"syscall"
@@ -23,6 +24,7 @@
 	"weirwind/internal/fleet/membership"
 	"weirwind/internal/lab"
 	"weirwind/internal/standin/links"
+	"weirwind/internal/standin/loopback"
 	"weirwind/internal/switchover"
 )
 
@@ -47,6 +49,10 @@
 
 const timeout = 90 * time.Second
 
+// fleetsAtOnce is how many fleets, of five drivers or six, run at once on this machine for each of its processors,
+// whichever tests run them. With twice as many, drivers get too little processor to renew their leases.
+const fleetsAtOnce = 2
+
 var allDrivers = []int{0, 1, 2, 3, 4}
 
 // startFleet starts a fleet of five and waits until all see each other.
@@ -61,8 +67,15 @@
 	return f
 }
 
+// newFleet opens a fleet's places once it is the test's turn. The test must be a parallel one by then: one that holds a turn
+// and waits for others to end may wait for one that waits for a turn.
 func newFleet(t *testing.T, o Options) *Fleet {
 	t.Helper()
+	turn, err := loopback.WaitTurn(context.Background(), fleetsAtOnce*runtime.NumCPU())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(turn.End)
 	o.Program = program
 	if o.Drivers == 0 {
 		o.Drivers = 5
@@ -380,13 +393,13 @@
 }
 
 func TestDuplicateNameAndDeadSeeds(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, Options{Seed: 8, Spare: 1, Seeds: func(i int) []int {
 		if i == 4 {
 			return []int{5} // nobody is there
 		}
 		return []int{0, 4}
 	}})
-	t.Parallel()
 	if err := f.Drivers[4].Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -417,13 +430,13 @@
 }
 
 func TestForeignDrivers(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, Options{Seed: 9, Spare: 1, Secret: func(i int) string {
 		if i == 5 {
 			return "another secret"
 		}
 		return "a secret of drivers"
 	}})
-	t.Parallel()
 	if err := f.StartAll(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -12,22 +12,30 @@
 func TestAuditFindsViolations(t *testing.T) {
 	good := func() (*Cluster, Result) {
 		return &Cluster{
+				name:       "own",
 				executions: map[string]int{"a": 1, "f": 1},
 			}, Result{
-				Writes: map[string]Outcome{"a": Acked, "f": Failed, "r": Refused, "l": Failed},
-				Kinds:  map[string]*OpStats{"w": newOpStats()},
+				Writes:       map[string]Outcome{"a": Acked, "f": Failed, "r": Refused, "l": Failed},
+				Kinds:        map[string]*OpStats{"w": newOpStats()},
+				Clusters:     map[string]int{"own": 1},
+				WriteCluster: map[string]string{"a": "own"},
 			}
 	}
 	if c, r := good(); len(c.Audit(r)) > 0 {
 		t.Error(c.Audit(r))
 	}
 	for want, spoil := range map[string]func(*Cluster, *Result){
-		"a ran 2 times":                func(c *Cluster, r *Result) { c.executions["a"] = 2 },
-		"was told that it did not":     func(c *Cluster, r *Result) { c.executions["r"] = 1 },
-		"a was acked and never ran":    func(c *Cluster, r *Result) { delete(c.executions, "a") },
-		"got another's answer":         func(c *Cluster, r *Result) { r.Mismatched = []string{"x"} },
-		"1 ops without a whole answer": func(c *Cluster, r *Result) { r.Kinds["w"].Outcomes[Lost] = 1 },
-		"later than the grace":         func(c *Cluster, r *Result) { c.afterDrain = []string{"x"} },
+		"a ran 2 times":             func(c *Cluster, r *Result) { c.executions["a"] = 2 },
+		"was told that it did not":  func(c *Cluster, r *Result) { c.executions["r"] = 1 },
+		"a was acked and never ran": func(c *Cluster, r *Result) { delete(c.executions, "a") },
+		`a member of cluster "foreign" answered it`: func(c *Cluster, r *Result) {
+			delete(c.executions, "a")
+			r.WriteCluster["a"] = "foreign"
+		},
+		`3 ops were answered by cluster "foreign"`: func(_ *Cluster, r *Result) { r.Clusters["foreign"] = 3 },
+		"got another's answer":                     func(c *Cluster, r *Result) { r.Mismatched = []string{"x"} },
+		"1 ops without a whole answer":             func(c *Cluster, r *Result) { r.Kinds["w"].Outcomes[Lost] = 1 },
+		"later than the grace":                     func(c *Cluster, r *Result) { c.afterDrain = []string{"x"} },
 	} {
 		c, r := good()
 		spoil(c, &r)
@@ -37,6 +45,49 @@
 	}
 }
 
+// An answer names its cluster and its op, and another's is told apart.
+func TestAnswersNameTheirCluster(t *testing.T) {
+	if cluster, ok := parseAnswerValue(answerValue("c1", "op7"), "op7"); !ok || cluster != "c1" {
+		t.Error(cluster, ok)
+	}
+	for _, value := range []string{answerValue("c1", "op8"), "op7", "c1:op7", ""} {
+		if cluster, ok := parseAnswerValue(value, "op7"); ok {
+			t.Errorf("%q is taken for an answer of %q", value, cluster)
+		}
+	}
+}
+
+// A member that is down keeps its address: no other cluster of this machine is given it, however many start.
+func TestDeadMembersKeepTheirAddresses(t *testing.T) {
+	c, err := Start(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	dead := map[string]bool{}
+	for _, m := range c.members {
+		m.stop()
+		dead[m.address] = true
+	}
+	for range 20 {
+		other, err := Start(Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer other.Stop()
+		for _, m := range other.members {
+			if dead[m.address] || m.address == "" {
+				t.Errorf("a member of another cluster has the address %q", m.address)
+			}
+		}
+	}
+	for _, m := range c.members {
+		if err := m.start(); err != nil || !dead[m.address] {
+			t.Error("a member doesn't come back at its address:", m.address, err)
+		}
+	}
+}
+
 // Two drivers in front of a cluster whose primary is killed and hangs, and whose replicas drain and slow down: ops go
 // on and no rule is violated.
 func TestFaults(t *testing.T) {
--- a/internal/lab/ledger_test.go
+++ b/internal/lab/ledger_test.go
@@ -92,10 +92,10 @@
 		return n
 	}
 	stop := start()
-	if answer, code, _ := try(t, address, "i1", "k1", "01", 3000); answer != "v:i1" || code != "" {
+	if answer, code, _ := try(t, address, "i1", "k1", "01", 3000); answer != answerValue(c.name, "i1") || code != "" {
 		t.Fatal(answer, code)
 	}
-	if answer, code, _ := try(t, address, "i2", "k1", "01", 3000); answer != "v:i1" || code != "" || ran("i1", "i2") != 1 {
+	if answer, code, _ := try(t, address, "i2", "k1", "01", 3000); answer != answerValue(c.name, "i1") || code != "" || ran("i1", "i2") != 1 {
 		t.Error("a repeat of an acked write:", answer, code, ran("i1", "i2"))
 	}
 	if _, code, text := try(
@@ -139,13 +139,13 @@
 	until(t, "a primary", func() bool { return c.Primary(1) != "" })
 	stop()
 	stop = start() // another process of the driver would find the same
-	if answer, code, _ := try(t, address, "i5", "k1", "01", 3000); answer != "v:i1" || code != "" {
+	if answer, code, _ := try(t, address, "i5", "k1", "01", 3000); answer != answerValue(c.name, "i1") || code != "" {
 		t.Error("a repeat behind a restart:", answer, code)
 	}
 	if _, code, _ := try(t, address, "j3", "k2", "01", 3000); code != pgwire.CodeSystemError {
 		t.Error("doubt behind a restart:", code)
 	}
-	if answer, code, _ := try(t, address, "n2", "k3", "01", 3000); answer != "v:n2" || code != "" {
+	if answer, code, _ := try(t, address, "n2", "k3", "01", 3000); answer != answerValue(c.name, "n2") || code != "" {
 		t.Error("what did not run may go:", answer, code)
 	}
 	if n := ran("i1", "i2", "i3", "i4", "i5"); n != 1 || ran("j1", "j2", "j3") != 1 || ran("n1", "n2") != 1 {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -68,10 +68,12 @@
 
 // Result is what came of a load's ops.
 type Result struct {
-	Kinds      map[string]*OpStats
-	Writes     map[string]Outcome // by op
-	WriteTimes []time.Duration    // of writes, from the begin of the load
-	Mismatched []string           // ops that were answered by another's value
+	Kinds        map[string]*OpStats
+	Writes       map[string]Outcome // by op
+	WriteTimes   []time.Duration    // of writes, from the begin of the load
+	Mismatched   []string           // ops that were answered by another's value
+	Clusters     map[string]int     // acked ops, by the cluster whose member answered
+	WriteCluster map[string]string  // by acked write
 }
 
 // Run runs a load. eachSecond, which may be nil, is called about once a second with the ops that ended since.
@@ -143,7 +145,7 @@
 }
 
 func (l *Load) newTally() *tally {
-	t := &tally{result: Result{Kinds: map[string]*OpStats{}, Writes: map[string]Outcome{}}, second: newOpStats()}
+	t := &tally{result: newResult(), second: newOpStats()}
 	for _, k := range l.Mix {
 		t.result.Kinds[k.Name] = newOpStats()
 		t.shares += k.Share
@@ -151,6 +153,15 @@
 	return t
 }
 
+func newResult() Result {
+	return Result{
+		Kinds:        map[string]*OpStats{},
+		Writes:       map[string]Outcome{},
+		Clusters:     map[string]int{},
+		WriteCluster: map[string]string{},
+	}
+}
+
 // nextSecond gives the figures of the second that ends.
 func (t *tally) nextSecond() *OpStats {
 	t.mu.Lock()
@@ -177,13 +188,20 @@
 		}
 	}
 	if kind.Write {
-		if t.result.Writes[id] = outcome; outcome == Acked {
-			t.result.WriteTimes = append(t.result.WriteTimes, time.Since(begin))
-		}
+		t.result.Writes[id] = outcome
 	}
-	if outcome == Acked && value != "v:"+id {
+	if outcome != Acked {
+		return
+	}
+	cluster, own := parseAnswerValue(value, id)
+	if !own {
 		t.result.Mismatched = append(t.result.Mismatched, id)
 	}
+	t.result.Clusters[cluster]++
+	if kind.Write {
+		t.result.WriteTimes = append(t.result.WriteTimes, time.Since(begin))
+		t.result.WriteCluster[id] = cluster
+	}
 }
 
 // LongestGap is the longest time without an acknowledged write between two times of the load.
--- a/internal/lab/member.go
+++ b/internal/lab/member.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +16,11 @@
 )
 
 const (
-	roleWriter = "writer"
-	roleReader = "reader"
-	usageQuery = "SHOW usage" // a probe
-	hungPoll   = 5 * time.Millisecond
+	roleWriter  = "writer"
+	roleReader  = "reader"
+	usageQuery  = "SHOW usage" // a probe
+	valuePrefix = "v:"
+	hungPoll    = 5 * time.Millisecond
 )
 
 // Member is a server of a cluster, which speaks PostgreSQL's protocol.
@@ -47,14 +49,14 @@
 	return m.listener != nil
 }
 
-// start listens at the member's address, or at a free one the first time.
+// start listens at the member's address, which stays its own while it is down.
 func (m *Member) start() error {
 	ln, err := net.Listen("tcp", m.address)
 	if err != nil {
 		return err
 	}
 	m.mu.Lock()
-	m.listener, m.address = ln, ln.Addr().String()
+	m.listener = ln
 	m.mu.Unlock()
 	go func() {
 		for {
@@ -143,7 +145,17 @@
 		}
 		m.recordExecution(id)
 	}
-	return appendState(pgwire.AppendSingleRow(nil, "v:"+id), role, position)
+	return appendState(pgwire.AppendSingleRow(nil, answerValue(m.cluster.name, id)), role, position)
+}
+
+// answerValue is the value that a cluster's members answer an op with.
+func answerValue(cluster, id string) string { return valuePrefix + cluster + ":" + id }
+
+// parseAnswerValue gives the cluster whose member answered; ok is false for an answer to another op.
+func parseAnswerValue(value, id string) (cluster string, ok bool) {
+	rest, hasPrefix := strings.CutPrefix(value, valuePrefix)
+	cluster, hasID := strings.CutSuffix(rest, ":"+id)
+	return cluster, hasPrefix && hasID
 }
 
 // usage answers a probe: the position in seconds, and whether the member is primary.
--- a/internal/lab/sessionrun/deployment.go
+++ b/internal/lab/sessionrun/deployment.go
@@ -17,6 +17,7 @@
 	"weirwind/internal/controlplane"
 	"weirwind/internal/session/edge"
 	"weirwind/internal/session/site"
+	"weirwind/internal/standin/loopback"
 	"weirwind/internal/util/process"
 	"weirwind/internal/util/settings"
 )
@@ -36,8 +37,8 @@
 	httpPort    = 5
 )
 
-// networks are the third bytes of addresses, by role; machine n has the fourth byte n+1.
-var networks = map[string]int{"core": 1, "site": 2, "edge": 3}
+// firstHosts are the machines' first hosts of the run's addresses, by role.
+var firstHosts = map[string]int{"core": 1, "edge": 10, "site": 20}
 
 // Role runs a process of a run where this one was started as such, and gives its exit code; ok is false where it was
 // not.
@@ -55,6 +56,7 @@
 type deployment struct {
 	options   Options
 	dir       string
+	block     *loopback.Block      // of all addresses
 	processes map[string]*exec.Cmd // by name, such as site0
 	cores     []string             // control addresses
 
@@ -64,11 +66,11 @@
 }
 
 func (d *deployment) address(role string, n, port int) string {
-	return fmt.Sprintf("%s:%d", d.ip(role, n), d.options.Port+port)
+	return d.block.Address(firstHosts[role]+n, port)
 }
 
 func (d *deployment) ip(role string, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", d.options.Net, networks[role], n+1)
+	return d.block.IP(firstHosts[role] + n)
 }
 
 // siteAddress is a site's address for producers.
@@ -111,7 +113,7 @@
 
 // settings is the lines of a process's settings file.
 func (d *deployment) settings(role string, n int) []string {
-	name, ip, port := fmt.Sprint(role, n), d.ip(role, n), d.options.Port
+	name, ip, port := fmt.Sprint(role, n), d.ip(role, n), d.block.Port(0)
 	lines := []string{"hostname=" + name, fmt.Sprintf("zone=z%d", n%3+1), "region=r", "zones.z1=r", "zones.z2=r",
 		"zones.z3=r", fmt.Sprintf("portRange=%d,%d", port, port+2), "peers=" + strings.Join(d.cores, ","), "init=true",
 		"tolerate.nodes=1", "bounds.graceS=4", "limits.nofile=16384", "limits.memMb=512", "ip=" + ip,
--- a/internal/lab/sessionrun/run.go
+++ b/internal/lab/sessionrun/run.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"weirwind/internal/standin/loopback"
 )
 
 const (
@@ -25,8 +27,6 @@
 	Sites   int
 	Clients int
 	Every   time.Duration // between two messages to a client
-	Net     int           // the second byte of all addresses
-	Port    int           // the first of six
 }
 
 // Second is what happened in one second of a run.
@@ -54,7 +54,12 @@
 		return Result{}, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	d := &deployment{options: options, dir: dir, processes: map[string]*exec.Cmd{}}
+	block, err := loopback.Reserve()
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = block.Close() }() // a listener that nobody accepts at
+	d := &deployment{options: options, dir: dir, block: block, processes: map[string]*exec.Cmd{}}
 	defer d.stop()
 	if err := d.startAll(log); err != nil {
 		return Result{}, err
--- a/internal/lab/sessionrun/sessionrun_test.go
+++ b/internal/lab/sessionrun/sessionrun_test.go
@@ -25,8 +25,6 @@
 			Sites:   3,
 			Clients: 8,
 			Every:   50 * time.Millisecond,
-			Net:     120 + os.Getpid()%80,
-			Port:    23100 + os.Getpid()%100*20,
 		},
 		os.Stderr,
 		func(int, Second) {},
--- a/internal/lab/switch.go
+++ b/internal/lab/switch.go
@@ -37,12 +37,10 @@
 		return nil, err
 	}
 	ports := make([]string, n)
-	var err error
 	for i := range ports {
-		if ports[i], err = freeAddress(); err != nil {
-			return nil, err
-		}
+		ports[i] = c.newAddress()
 	}
+	var err error
 	h := &HookedDrivers{}
 	h.Addresses, h.Wait, err = c.Drivers(ctx, n, logTo, func(i int) operator.File {
 		f := operator.Default()
--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -20,6 +20,7 @@
 	"weirwind/internal/session/edge"
 	"weirwind/internal/session/site"
 	"weirwind/internal/standin/disk"
+	"weirwind/internal/standin/loopback"
 	"weirwind/internal/util/process"
 )
 
@@ -51,7 +52,7 @@
 
 	t         *testing.T
 	dir       string
-	network   int // the second byte of all addresses
+	block     *loopback.Block // of all addresses
 	basePort  int
 	meshPorts map[string]int      // the first port of processes that reach others' mesh ports there; others: basePort
 	seeds     map[string][]string // control addresses of processes that don't know the first three machines
@@ -61,9 +62,6 @@
 	stop      func()
 }
 
-// deployments counts those of this process, which must not share addresses.
-var deployments int
-
 // memberIDs are those of the service svc.
 var memberIDs = []string{"a", "b", "c"}
 
@@ -85,12 +83,15 @@
 	via func(addr string) string,
 ) *Deployment {
 	t.Helper()
-	deployments++
+	block, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
 	d := &Deployment{
 		t:         t,
 		dir:       t.TempDir(),
-		network:   os.Getpid()%200 + deployments,
-		basePort:  20000 + os.Getpid()%300*20,
+		block:     block,
+		basePort:  block.Port(0),
 		processes: map[string]*exec.Cmd{},
 		logs:      map[string]*bytes.Buffer{},
 	}
@@ -100,6 +101,7 @@
 		for name := range d.processes {
 			d.Kill(name)
 		}
+		_ = block.Close() // a listener that nobody accepts at
 	}
 	t.Cleanup(func() {
 		d.stop()
--- a/internal/standin/cluster/process.go
+++ b/internal/standin/cluster/process.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,7 +14,7 @@
 	"weirwind/internal/util/settings"
 )
 
-// The third byte of addresses, by what is there; machine n has the fourth byte n+1.
+// networks of a deployment, by what is there: each has hostsOfNetwork hosts of the deployment's addresses.
 const (
 	coreNet     = 1
 	frontNet    = 2
@@ -21,6 +22,8 @@
 	platformNet = 4
 	siteNet     = 5
 	edgeNet     = 6
+
+	hostsOfNetwork = 35
 )
 
 // Ports beyond the base port, which is the first of three of the mesh.
@@ -44,11 +47,14 @@
 }
 
 func (d *Deployment) ip(network, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", d.network, network, n+1)
+	if n >= hostsOfNetwork {
+		panic(fmt.Sprintf("machine %d of network %d: %d at most", n, network, hostsOfNetwork))
+	}
+	return d.block.IP(network*hostsOfNetwork + n + 1)
 }
 
 func (d *Deployment) address(network, n, port int) string {
-	return fmt.Sprintf("%s:%d", d.ip(network, n), d.basePort+port)
+	return net.JoinHostPort(d.ip(network, n), fmt.Sprint(d.basePort+port))
 }
 
 // ProxyAddr is a proxy's address for clients.
--- a/internal/standin/links/network.go
+++ b/internal/standin/links/network.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"weirwind/internal/standin/loopback"
 )
 
 // Link is one direction of one pair of processes. The zero Link forwards everything at once.
@@ -26,9 +28,8 @@
 // Network is the mesh of links between some processes, which are known by their indexes from 0.
 type Network struct {
 	processes int
-	prefix    [3]byte // of the processes' and the relays' addresses
-	port      uint16
-	relays    []*relay // by process
+	block     *loopback.Block // has the processes' and the relays' addresses
+	relays    []*relay        // by process
 	ctx       context.Context
 	cancel    context.CancelFunc
 	running   sync.WaitGroup // the relays' goroutines
@@ -42,8 +43,9 @@
 
 const (
 	maxProcesses  = 100
+	peerPort      = 0 // of a process and of its relay
+	servePort     = 1
 	maxRecorded   = 256 // datagrams
-	openAttempts  = 32  // address prefixes tried until all relays can listen
 	firstRelay    = 100 // last byte of the first relay's address
 	recheckPeriod = 20 * time.Millisecond
 	dialTimeout   = 2 * time.Second
@@ -54,27 +56,27 @@
 	if processes > maxProcesses {
 		return nil, fmt.Errorf("%d processes; %d at most", processes, maxProcesses)
 	}
-	var err error
-	for range openAttempts {
-		n := &Network{
-			processes: processes,
-			prefix:    [3]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(255))},
-			port:      uint16(20000 + rand.IntN(10000)),
-			links:     map[direction]Link{},
-			freeAt:    map[direction]time.Time{},
-			random:    rand.New(rand.NewPCG(seed, 21)),
-		}
-		n.ctx, n.cancel = context.WithCancel(context.Background())
-		if err = n.open(); err == nil {
-			return n, nil
-		}
+	block, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	n := &Network{
+		processes: processes,
+		block:     block,
+		links:     map[direction]Link{},
+		freeAt:    map[direction]time.Time{},
+		random:    rand.New(rand.NewPCG(seed, 21)),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.open(); err != nil {
 		n.Close()
+		return nil, err
 	}
-	return nil, err
+	return n, nil
 }
 
 func (n *Network) address(host int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{n.prefix[0], n.prefix[1], n.prefix[2], byte(host)}), n.port)
+	return netip.MustParseAddrPort(n.block.Address(host, peerPort))
 }
 
 // ownAddress is where a process listens and from where it sends; its relay forwards to it.
@@ -87,8 +89,7 @@
 
 // ServeAddr is where a process may listen for others than its peers. Its port is outside the ephemeral range.
 func (n *Network) ServeAddr(process int) string {
-	own := n.ownAddress(process)
-	return netip.AddrPortFrom(own.Addr(), own.Port()+1).String()
+	return n.block.Address(process+1, servePort)
 }
 
 // AdvertisedAddr is the address that a process has to advertise: peers reach it there by its relay.
@@ -107,11 +108,6 @@
 		if r.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at)); err != nil {
 			return err
 		}
-		own, err := net.Listen("tcp", n.ListenAddr(process)) // nobody else listens at the process's own address
-		if err != nil {
-			return err
-		}
-		own.Close()
 	}
 	for _, r := range n.relays {
 		n.running.Go(r.forwardDatagrams)
@@ -127,6 +123,7 @@
 		r.close()
 	}
 	n.running.Wait()
+	_ = n.block.Close() // a listener that nobody accepts at
 }
 
 // Set replaces one direction of one pair; open connections follow it.
@@ -191,9 +188,9 @@
 
 // processAt is the process that an address belongs to, -1 for none.
 func (n *Network) processAt(address netip.Addr) int {
-	b := address.Unmap().As4()
-	if [3]byte(b[:3]) != n.prefix || b[3] < 1 || int(b[3]) > n.processes {
+	host, ok := n.block.HostOf(address)
+	if !ok || host < 1 || host > n.processes {
 		return -1
 	}
-	return int(b[3]) - 1
+	return host - 1
 }
