memberconn: a server that is another member is told apart from one without capacity

Cause: WRONGHOST at ATTACH counted as a member that is there and takes no more connections, so that a proxy kept a primary in its slot and dialled it every 40 ms, and the core did not count it as absent.

Change: ErrWrongMember. The proxy treats it as a connection that can't be made, the core as a member that is not at its address.

--- a/internal/controlplane/failover/observation.go
+++ b/internal/controlplane/failover/observation.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// HandleStatusFailure takes a query without a reply. refused: the member accepts no connection.
+// HandleStatusFailure takes a query without a reply. refused: the member is not at its address.
 func (c *Controller) HandleStatusFailure(id string, refused bool) {
 	o := c.observation(id)
 	o.pending = false
--- a/internal/controlplane/memberclient.go
+++ b/internal/controlplane/memberclient.go
@@ -55,7 +55,7 @@
 	c.idle[id] = conn
 }
 
-// queryStatus sends a statement that is answered with the member's status; refused: the member accepts no connection.
+// queryStatus sends a statement that is answered with the member's status; refused: the member is not at its address.
 // A second run of one is the same again: STAT changes nothing, PAUSE and STEPDOWN name their term, CONT resumes what
 // may be resumed.
 func (c *memberClient) queryStatus(member directory.Member,
--- a/internal/dataplane/memberconn/dial.go
+++ b/internal/dataplane/memberconn/dial.go
@@ -23,9 +23,14 @@
 // ErrAttachRejected is the error of a member that accepted the connection and did not open a session on it.
 var ErrAttachRejected = errors.New("refused")
 
-// Dial connects to a member and opens a session. refused: nothing accepts connections at its address. The
-// deadline stays that of the connection until a batch sets another.
-func Dial(member directory.Member, deadline time.Time) (c *Conn, refused bool, err error) {
+// ErrWrongMember is the error of a server that says it is not the member that was dialled: the member is gone, and its
+// address is another's now.
+var ErrWrongMember = errors.New("another member's address")
+
+// Dial connects to a member and opens a session. absent: the member is not at its address, as nothing accepts
+// connections there, or another server does (ErrWrongMember). The deadline stays that of the connection until a batch
+// sets another.
+func Dial(member directory.Member, deadline time.Time) (c *Conn, absent bool, err error) {
 	step := oops.In("dial").With("peer", member.Addr)
 	conn, err := net.DialTimeout("tcp4", member.Addr, time.Until(deadline))
 	if err != nil {
@@ -36,12 +41,13 @@
 	c = &Conn{NetConn: conn, Reader: wire.NewReader(conn)}
 	if err := c.attach(member, step); err != nil {
 		conn.Close()
-		return nil, false, err
+		return nil, errors.Is(err, ErrWrongMember), err
 	}
 	return c, false, nil
 }
 
-// attach opens the session.
+// attach opens the session. It names the service and the member, as other services reuse the addresses of members that
+// are gone; a server that is not this member answers so, and no statement is sent to it.
 func (c *Conn) attach(member directory.Member, step oops.OopsErrorBuilder) error {
 	request := wire.MsgAttach + " " + member.Service + " " + clientName + " " + member.ID + "\r\n"
 	if _, err := io.WriteString(c.NetConn, request); err != nil {
@@ -58,6 +64,9 @@
 	word, rest := wire.CutField(line)
 	if word != wire.MsgReady {
 		code, _ := wire.CutField(rest)
+		if code == wire.CodeWrongHost {
+			return step.With("code", code).Wrapf(ErrWrongMember, "%s", line)
+		}
 		return step.With("code", code).Wrapf(ErrAttachRejected, "%s", line)
 	}
 	_, position := wire.CutField(rest)
--- a/internal/dataplane/memberconn/golden_test.go
+++ b/internal/dataplane/memberconn/golden_test.go
@@ -56,6 +56,39 @@
 		errors.Is(err, ErrAttachRejected), errors.Is(err, ErrNotReusable), errors.As(err, &r))
 }
 
+// A server that says it is another one tells that the member is not there. That is no lack of capacity.
+func TestDialTellsAnotherMemberApart(t *testing.T) {
+	for _, c := range []struct {
+		says                    string
+		absent, wrong, rejected bool
+	}{
+		{"FAIL WRONGHOST\r\n", true, true, false},
+		{"FAIL WRONGHOST i-7\r\n", true, true, false},
+		{"FAIL FULL\r\n", false, false, true},
+		{"", false, false, true},
+	} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = wire.NewReader(conn).ReadMessage()
+			_, _ = io.WriteString(conn, c.says)
+		}()
+		member := directory.Member{ID: "m1", Service: "orders", Addr: ln.Addr().String()}
+		_, absent, err := Dial(member, time.Now().Add(10*time.Second))
+		ln.Close()
+		if absent != c.absent || errors.Is(err, ErrWrongMember) != c.wrong || errors.Is(err, ErrAttachRejected) != c.rejected {
+			t.Errorf("%q: absent %v, %v", c.says, absent, err)
+		}
+	}
+}
+
 // dialed gives what a member that takes a connection and says this reads of it, and what comes of it.
 func dialed(t *testing.T, says string) string {
 	t.Helper()
--- a/internal/standin/cluster/service.go
+++ b/internal/standin/cluster/service.go
@@ -34,11 +34,13 @@
 	AfterDrain    []string         // ids of statements that reached a member too long after its drain
 	Shards        *shardnode.Store // of a node that holds shards; nil: it holds none
 	Overflow      string           // how the node's disk held more than its capacity; "" while it did not
+	Strangers     Strangers        // who came to addresses of this service's members that others have taken over
 
 	mu               sync.Mutex // guards all of it
 	group            *replicaset.Group
 	addrs            map[string]string            // by member
 	conns            map[string]map[net.Conn]bool // by member
+	occupants        map[string]occupant          // by member: who has its address now
 	sequences        map[string]uint64            // of heartbeats by member
 	openTransactions int
 	data             map[string]string    // committed values by key
@@ -54,6 +56,7 @@
 		group:      replicaset.New(n, ids...),
 		addrs:      map[string]string{},
 		conns:      map[string]map[net.Conn]bool{},
+		occupants:  map[string]occupant{},
 		sequences:  map[string]uint64{},
 		data:       map[string]string{},
 		progress:   make(chan struct{}),
@@ -133,6 +136,11 @@
 // accept serves a connection, or resets it where the member is down.
 func (s *Service) accept(id string, conn net.Conn) {
 	s.mu.Lock()
+	if by, taken := s.occupants[id]; taken {
+		s.mu.Unlock()
+		go by.serve(s, conn)
+		return
+	}
 	up := s.group.Member(id).Up
 	if up {
 		s.conns[id][conn] = true
