controlplane: followers cut from each other learn leases by the leader

Cause: two followers that reach the leader, but not each other, have contact, and lack the leases that are renewed at the other: after 4 s each let the other's drivers go and gave out a list without them.

Change: a follower to which another voter is silent for 2.5 s asks the leader once a second, which answers that the list is the same, in one figure, or with all leases. Until then the list is not given out as complete and nobody expires. Machines are told apart by their Hello.

--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -65,9 +65,9 @@
 	s.agents.notify(&controlmsg.StateUpdate{QuorumContactAgeMs: &age})
 }
 
-// directoryComplete reports whether contact has lasted for a full driver lease, so that what other core machines know
-// has arrived. Before that silence proves nothing: neither a member nor a driver expires, and a list of drivers is
-// not given out as complete.
+// directoryComplete reports whether contact has lasted for a full driver lease, and the leases of all machines arrive
+// here, so that what other core machines know has arrived. Before that silence proves nothing: neither a member nor a
+// driver expires, and a list of drivers is not given out as complete.
 func (s *softState) directoryComplete(now float64) bool {
-	return s.contact.established && now-s.contact.since >= ms(driverLeaseDuration)
+	return s.contact.established && now-s.contact.since >= ms(driverLeaseDuration) && s.leasesKnown(now)
 }
--- a/internal/controlplane/controlmsg/doc.go
+++ b/internal/controlplane/controlmsg/doc.go
@@ -11,6 +11,7 @@
 //	Hello          who dialled             who accepted; answered hello.go
 //	LeaseRenewal   agent                   its core machine      lease.go
 //	DriverLease    core machine            other core machines   lease.go
+//	LeaseSync      core machine            the leading machine   lease.go
 //	StateDigest    core machine, agent     its peers             state.go
 //	StateUpdate    core machine, agent     who lacks the state   state.go
 //	Heartbeat      core machine            other core machines   state.go
--- a/internal/controlplane/controlmsg/frame.go
+++ b/internal/controlplane/controlmsg/frame.go
@@ -17,4 +17,5 @@
 	Request       *Request           `cbor:"8,keyasint,omitempty"`
 	Response      *Response          `cbor:"9,keyasint,omitempty"`
 	Leases        []DriverLease      `cbor:"10,keyasint,omitempty"`
+	LeaseSync     *LeaseSync         `cbor:"11,keyasint,omitempty"` // Leases with it are all that the leader has
 }
--- a/internal/controlplane/controlmsg/lease.go
+++ b/internal/controlplane/controlmsg/lease.go
@@ -25,3 +25,12 @@
 	// RemainingMs is how long the lease still holds, in milliseconds. The receiver bounds it by the term of a new lease.
 	RemainingMs float64 `cbor:"2,keyasint"`
 }
+
+// LeaseSync is between core machines. One to which another voter is silent sends it to the leader with Request set, once
+// a second. The leader answers with one of the same DriversHash, where that is its own too, or with all its leases in
+// the frame's Leases. A leader of a version that doesn't know it gives no answer.
+type LeaseSync struct {
+	Request     bool    `cbor:"1,keyasint,omitempty"`
+	DriversHash uint64  `cbor:"2,keyasint,omitempty"` // directory.DriversDigest of the sender's list; 0 beside Leases
+	RemainingMs float64 `cbor:"3,keyasint,omitempty"` // how long all leases of that list still hold
+}
--- a/internal/controlplane/controlmsg/purpose.go
+++ b/internal/controlplane/controlmsg/purpose.go
@@ -75,7 +75,7 @@
 		return PrimaryReports
 	case f.Request != nil, f.Response != nil:
 		return OperatorCalls
-	case f.Leases != nil:
+	case f.Leases != nil, f.LeaseSync != nil:
 		return LeaseRecords
 	case f.Digest != nil:
 		return Digests
--- a/internal/controlplane/corelinks.go
+++ b/internal/controlplane/corelinks.go
@@ -15,6 +15,9 @@
 	maxReconnectPause     = time.Second
 )
 
+// kindCore is the kind of process that a core machine's Hello names.
+const kindCore = "core"
+
 // coreLinks are this machine's links to the other machines of the core. Any goroutine may use them.
 //
 // Each pair of machines dials both ways. A machine sends over the link that it dialled itself, or, while that is
@@ -25,6 +28,8 @@
 	mu sync.Mutex
 	// byAddr is by mesh address. Entries are never removed, as each has a goroutine that keeps it connected.
 	byAddr map[string]*coreLink
+	// senders are the links that other core machines dialled, with their control addresses, as their Hello named them.
+	senders map[*link]string
 }
 
 // coreLink is the two links between this machine and another one.
@@ -34,7 +39,7 @@
 }
 
 func newCoreLinks(server *Server) *coreLinks {
-	return &coreLinks{server: server, byAddr: map[string]*coreLink{}}
+	return &coreLinks{server: server, byAddr: map[string]*coreLink{}, senders: map[*link]string{}}
 }
 
 // connect keeps a link to the core machine with that control address, until the process ends.
@@ -54,7 +59,7 @@
 	pauses := transport.Backoff{Initial: initialReconnectPause, Max: maxReconnectPause, DialTimeout: transport.DialTimeout}
 	go transport.KeepConnected(h.ctx, addr, pauses, func(dialled *link) {
 		dialled.SetCounters(&h.dialled)
-		dialled.Send(controlmsg.NewHello("core", h.settings.Hostname, h.settings.ControlAddr))
+		dialled.Send(controlmsg.NewHello(kindCore, h.settings.Hostname, h.settings.ControlAddr))
 		c.setDialled(core, dialled)
 		h.log.Event(events.LinkUp, "core", controlAddr)
 	}, h.handleFrame, func() {
@@ -82,6 +87,30 @@
 	}
 }
 
+// noteHello records who dialled a link, where it is a core machine.
+func (c *coreLinks) noteHello(from *link, hello *controlmsg.Hello) {
+	if hello.Kind != kindCore {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.senders[from] = hello.Addr
+}
+
+// forgetSender forgets who dialled a link that has ended.
+func (c *coreLinks) forgetSender(down *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.senders, down)
+}
+
+// senderAddr is the control address of the core machine that dialled a link, "" where it is none.
+func (c *coreLinks) senderAddr(from *link) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.senders[from]
+}
+
 // count counts the dialled links that are up.
 func (c *coreLinks) count() (up int) {
 	c.mu.Lock()
--- a/internal/controlplane/driverleases.go
+++ b/internal/controlplane/driverleases.go
@@ -86,11 +86,20 @@
 }
 
 // leasesOf gives the leases of drivers by name, with what remains of them.
-func (d *driverLeases) leasesOf(names map[string]bool, now float64) (out []controlmsg.DriverLease) {
+func (d *driverLeases) leasesOf(names map[string]bool, now float64) []controlmsg.DriverLease {
+	var drivers []directory.Driver
 	for _, driver := range d.table.Drivers() {
 		if names[driver.Name] {
-			out = append(out, controlmsg.DriverLease{Driver: driver, RemainingMs: d.table.Expiry(driver.Name) - now})
+			drivers = append(drivers, driver)
 		}
 	}
+	return d.leases(drivers, now)
+}
+
+// leases gives the leases of some drivers, with what remains of them; nil for none.
+func (d *driverLeases) leases(drivers []directory.Driver, now float64) (out []controlmsg.DriverLease) {
+	for _, driver := range drivers {
+		out = append(out, controlmsg.DriverLease{Driver: driver, RemainingMs: d.table.Expiry(driver.Name) - now})
+	}
 	return out
 }
--- a/internal/controlplane/forward_golden_test.go
+++ b/internal/controlplane/forward_golden_test.go
@@ -24,6 +24,20 @@
 
 	mu    sync.Mutex
 	roles map[*Server]string
+	drops func(from, to *Server, frame *controlmsg.Frame) bool // frames that are lost on their way; nil: none
+}
+
+// setDrops has frames lost on their way from now on.
+func (c *trio) setDrops(drops func(from, to *Server, frame *controlmsg.Frame) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drops = drops
+}
+
+func (c *trio) dropped(from, to *Server, frame *controlmsg.Frame) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.drops != nil && c.drops(from, to, frame)
 }
 
 func newTrio(t *testing.T, record *transcript) *trio {
@@ -48,12 +62,16 @@
 	t.Helper()
 	near, far := net.Pipe()
 	core := from.cores.byAddr[from.settings.MeshAddr(to.settings.ControlAddr)]
-	linkOver(t, far, func(l *link, f *controlmsg.Frame) {
+	accepted := linkOver(t, far, func(l *link, f *controlmsg.Frame) {
+		if c.dropped(from, to, f) {
+			return
+		}
 		if f.Consensus == nil && f.Digest == nil {
 			c.record.add(c.role(from)+" > "+c.role(to), c.textOf(f, from))
 		}
 		to.handleFrame(l, f)
 	}, to.handleLinkDown)
+	to.cores.noteHello(accepted, controlmsg.NewHello(kindCore, "", from.settings.ControlAddr).Hello)
 	l := linkOver(t, near, from.handleFrame, func(l *link) {
 		from.pending.failLink(l)
 		from.cores.setDialled(core, nil)
--- a/internal/controlplane/frames.go
+++ b/internal/controlplane/frames.go
@@ -11,6 +11,7 @@
 	case frame.Consensus != nil:
 		h.handleConsensusMessage(from, frame.Consensus)
 	case frame.Hello != nil:
+		h.cores.noteHello(from, frame.Hello)
 		controlmsg.HandleHello(from, frame.Hello)
 	case frame.Request != nil:
 		h.handleForwardedRequest(from, frame.Request)
@@ -44,5 +45,6 @@
 // handleLinkDown follows the end of a link that another process dialled.
 func (h *Server) handleLinkDown(down *link) {
 	h.pending.failLink(down)
+	h.cores.forgetSender(down)
 	h.state.do(func() { h.state.agents.remove(down) })
 }
--- a/internal/controlplane/peerexchange.go
+++ b/internal/controlplane/peerexchange.go
@@ -54,4 +54,5 @@
 	s.peers.nextDigestAt = now + digestIntervalMs
 	digest, leases := s.digest(), s.drivers.leasesOf(s.agents.driverNames(), now)
 	s.peers.broadcast(&controlmsg.Frame{Digest: &digest, Leases: leases})
+	s.requestLeases(now)
 }
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -31,10 +31,11 @@
 	coreAddrs []string       // control addresses of the voters
 	contact   contactState
 
-	members membership
-	drivers driverLeases
-	agents  agentLinks
-	peers   peerExchange
+	members   membership
+	drivers   driverLeases
+	leaseSync leaseSync
+	agents    agentLinks
+	peers     peerExchange
 
 	leadership leadership
 	failovers  failovers
@@ -65,6 +66,7 @@
 	s.peers = newPeerExchange(server.cores)
 	s.members = newMembership(server.log, ms(server.settings.HeartbeatInterval), &s.agents, &s.peers)
 	s.drivers = newDriverLeases(server.log, &s.agents)
+	s.leaseSync = newLeaseSync()
 	s.failovers = newFailovers(s)
 	s.roster = newRosterTracker(s)
 	s.shardMoves = newShardMoves(s)
@@ -129,6 +131,7 @@
 // applyCommitted takes a newly committed state, and notifies the agents of what is new in it.
 func (s *softState) applyCommitted(update committedUpdate) {
 	s.coreAddrs = update.voterAddrs
+	s.leaseSync.retain(s.coreAddrs)
 	for _, addr := range s.coreAddrs { // the settings may name fewer
 		s.server.cores.connect(addr)
 	}
@@ -171,6 +174,8 @@
 		s.members.observe(frame.Heartbeats, now)
 	case frame.PrimaryReport != nil:
 		s.handlePrimaryReport(frame.PrimaryReport, now)
+	case frame.LeaseSync != nil:
+		s.handleLeaseSync(from, frame, now)
 	case frame.Digest != nil:
 		s.handleDigest(from, frame, now)
 	}
@@ -179,6 +184,7 @@
 // handleDigest takes another core machine's digest, and the driver leases that came with it. Where its members differ
 // from this machine's it is sent all of them, on its own link; it does likewise by this machine's digests.
 func (s *softState) handleDigest(from *link, frame *controlmsg.Frame, now float64) {
+	s.leaseSync.observe(s.server.cores.senderAddr(from), now)
 	s.drivers.merge(frame.Leases, now)
 	if !frame.Digest.NoReply && frame.Digest.MembersHash != s.members.table.Digest() {
 		from.Send(&controlmsg.Frame{Update: &controlmsg.StateUpdate{Members: s.members.table.Snapshot()}})
