consensus: clocks that run at another rate are found, and their contact no longer counts

Cause: contact presumes clocks of one rate; nothing checked it.

Change: each answer's reading of a peer's clock lies between sending and receipt. The narrowest interval of each 5 s is kept for a minute; where two don't meet, a difference of rates is proved, whatever links and pauses did. Above 0.4 % the peer is given no contact: it answers 503 and its agents leave it. A leader from which most others differ alike renews no contact and lets another lead. Event E210, and a line of weirctl status. weirctl prints groups in the order of their names.

--- a/internal/controlplane/consensus/contact.go
+++ b/internal/controlplane/consensus/contact.go
@@ -13,7 +13,8 @@
 // newest at that moment. A follower is notified of that moment on its own clock: its answers bear its clock's
 // reading, and the leader shifts the moment by the difference between that reading and its own clock at
 // receipt. Each step errs towards the past, by the time that messages were on their way; none needs clocks
-// that agree, only clocks that run at nearly the same rate for the few seconds that a contact is valid.
+// that agree, only clocks that run at nearly the same rate for the few seconds that a contact is valid, which is
+// checked (clockrate.go).
 //
 // A follower whose answers don't reach the leader is notified of no later moment than that of its newest
 // answer that did, so that contact means both directions: what is known to a machine with contact can also be
@@ -76,7 +77,7 @@
 
 // endContactRound renews the leader's contact if a majority has answered the timed round or a later one.
 func (n *Node) endContactRound() {
-	if n.contactRound.number == 0 || !n.ReadConfirmed(n.contactRound.number) {
+	if n.contactRound.number == 0 || !n.ReadConfirmed(n.contactRound.number) || n.ownClockDrifts() {
 		return
 	}
 	n.lastContact = max(n.lastContact, n.contactRound.sentAt)
@@ -85,7 +86,7 @@
 
 // contactFor gives the moment of the leader's contact with a follower on the follower's clock; 0: not known.
 func (n *Node) contactFor(peer *progress) float64 {
-	if !n.Established() || peer.clock.reading == 0 || math.IsInf(n.lastContact, -1) {
+	if !n.Established() || peer.clock.reading == 0 || math.IsInf(n.lastContact, -1) || peer.clockRate.drifts() {
 		return 0
 	}
 	return peer.clock.reading - peer.clock.receivedAt + min(n.lastContact, peer.clock.receivedAt)
--- a/internal/controlplane/consensus/contact_model_test.go
+++ b/internal/controlplane/consensus/contact_model_test.go
@@ -20,6 +20,7 @@
 	splitUntil float64
 	splitSince float64
 
+	unsoundClocks      bool // contacts may be wrong until a clock's rate is found out: they are not checked
 	samples, inContact int
 	digest             *digest // see cluster
 }
@@ -149,6 +150,9 @@
 
 // check holds a machine's contact against what was acknowledged, and against the partitions that it is behind.
 func (c *contactModel) check(m *contactMachine) error {
+	if c.unsoundClocks {
+		return nil
+	}
 	age := m.node.ContactAge(c.clock(m))
 	c.samples++
 	if age > ContactLease {
--- a/internal/controlplane/consensus/node.go
+++ b/internal/controlplane/consensus/node.go
@@ -79,6 +79,7 @@
 	// round numbers heartbeats. It grows for as long as the process lives, so that no answer to an earlier
 	// lead confirms a later one.
 	round         uint64
+	roundTimes    roundTimes
 	nextHeartbeat float64
 	// termCommitted says that an entry of this leader's own term is committed, and so all that was committed
 	// before is known to it.
@@ -123,6 +124,8 @@
 	case n.role != Leader: // no quorum, or voted out
 	case n.leaving():
 		n.transferOrLeave(now)
+	case n.ownClockDrifts() && !n.InFlight() && now >= n.nextTransfer:
+		n.transferLeadership(now)
 	default:
 		n.maintainVoters(now)
 	}
--- a/internal/controlplane/consensus/progress.go
+++ b/internal/controlplane/consensus/progress.go
@@ -12,8 +12,9 @@
 	// is when the leader began to count its silence.
 	lastResponse float64
 
-	inflight inflightEntry
-	clock    peerClock
+	inflight  inflightEntry
+	clock     peerClock
+	clockRate clockRate
 }
 
 // inflightEntry is the entry that was last sent to a peer, so that it isn't sent with each heartbeat.
@@ -53,6 +54,9 @@
 	Index  uint64  // of the entry that it holds synced
 	Behind bool    // it lacks the leader's last entry
 	Silent float64 // milliseconds since its last answer; below 0: none came
+	// ClockDrift is by how much its clock is proved to run faster than the leader's, in parts of one, where that is more
+	// than MaxClockDrift; else 0.
+	ClockDrift float64 `json:",omitempty"`
 }
 
 // PeerStatuses gives the other voters' in the order of the voters; nil where this node does not lead.
@@ -71,6 +75,9 @@
 			if p.lastResponse > 0 {
 				s.Silent = p.silentFor(now)
 			}
+			if p.clockRate.drifts() {
+				s.ClockDrift = p.clockRate.drift
+			}
 		}
 		out = append(out, s)
 	}
--- a/internal/controlplane/consensus/replication.go
+++ b/internal/controlplane/consensus/replication.go
@@ -26,6 +26,7 @@
 // broadcastAppend begins a heartbeat round: to voters, to joiners, and now and then to removed ones.
 func (n *Node) broadcastAppend(now float64) {
 	n.round++
+	n.roundTimes.record(n.round, now)
 	n.startContactRound(now)
 	n.nextHeartbeat = now + n.options.HeartbeatInterval
 	for _, v := range n.HardState.Last.Voters {
@@ -80,6 +81,7 @@
 		return
 	}
 	p.recordResponse(msg, now)
+	n.observeClock(p, msg, now)
 	n.setLeaving(msg.From.ID, msg.senderLeaving(), now)
 	n.advance(now)
 	if n.role != Leader || !n.lacksLast(p) {
--- a/internal/controlplane/controlmsg/lease.go
+++ b/internal/controlplane/controlmsg/lease.go
@@ -13,8 +13,8 @@
 
 	// Release gives the lease back: the driver has ended in order. There is no answer.
 	Release bool `cbor:"3,keyasint,omitempty"`
-	// Tentative asks a machine whether it could take the agent over. One without contact answers with its contact's age
-	// alone and grants nothing; one with contact takes it as any other renewal.
+	// Tentative asks a machine whether it could take the agent over. One without contact answers with its contact's
+	// age alone and grants nothing; one with contact takes it as any other renewal.
 	Tentative bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -22,13 +22,14 @@
 // StateDigest, for all drivers that renew at the sender. The receiver prolongs the driver's lease in its own table.
 type DriverLease struct {
 	Driver directory.Driver `cbor:"1,keyasint"`
-	// RemainingMs is how long the lease still holds, in milliseconds. The receiver bounds it by the term of a new lease.
+	// RemainingMs is how long the lease still holds, in milliseconds. The receiver bounds it by the term of a new
+	// lease.
 	RemainingMs float64 `cbor:"2,keyasint"`
 }
 
-// LeaseSync is between core machines. One to which another voter is silent sends it to the leader with Request set, once
-// a second. The leader answers with one of the same DriversHash, where that is its own too, or with all its leases in
-// the frame's Leases. A leader of a version that doesn't know it gives no answer.
+// LeaseSync is between core machines. One to which another voter is silent sends it to the leader with Request set,
+// once a second. The leader answers with one of the same DriversHash, where that is its own too, or with all its
+// leases in the frame's Leases. A leader of a version that doesn't know it gives no answer.
 type LeaseSync struct {
 	Request     bool    `cbor:"1,keyasint,omitempty"`
 	DriversHash uint64  `cbor:"2,keyasint,omitempty"` // directory.DriversDigest of the sender's list; 0 beside Leases
--- a/internal/controlplane/leasesync.go
+++ b/internal/controlplane/leasesync.go
@@ -7,9 +7,9 @@
 // This file owns what a follower knows of drivers that renew at a machine from which nothing arrives here.
 //
 // Each core machine reports the leases that are renewed at it to all others. Where the link between two followers is
-// cut, both still have contact by the leader, but each lacks the leases of the other's drivers: they would expire here
-// while they are renewed there. Such a machine asks the leader, which has both. Until the leader has answered, its list
-// of drivers may lack some: it is not given out as complete, and nobody expires.
+// cut, both still have contact by the leader, but each lacks the leases of the other's drivers: they would expire
+// here while they are renewed there. Such a machine asks the leader, which has both. Until the leader has answered,
+// its list of drivers may lack some: it is not given out as complete, and nobody expires.
 
 const (
 	// coreSilentMs is after how long without a digest another core machine counts as silent: two digests may be lost.
@@ -45,8 +45,8 @@
 	l.heardAt = heardAt
 }
 
-// lacksLeases reports whether some voter's leases don't arrive here. A machine that leads lacks none: whoever is silent to
-// it has no contact, and its agents leave it.
+// lacksLeases reports whether some voter's leases don't arrive here. A machine that leads lacks none: whoever is
+// silent to it has no contact, and its agents leave it.
 func (s *softState) lacksLeases(now float64) bool {
 	if s.leadership.active {
 		return false
@@ -79,8 +79,8 @@
 	})
 }
 
-// handleLeaseSync answers another machine's request, or takes the leader's answer. A machine that doesn't lead, or that
-// may itself lack leases, gives no answer.
+// handleLeaseSync answers another machine's request, or takes the leader's answer. A machine that doesn't lead, or
+// that may itself lack leases, gives no answer.
 func (s *softState) handleLeaseSync(from *link, frame *controlmsg.Frame, now float64) {
 	sync := frame.LeaseSync
 	if sync.Request {
@@ -96,8 +96,8 @@
 	s.leaseSync.confirmedAt = now
 }
 
-// syncAnswer is the leader's answer to a machine whose list of drivers has the hash: that it is the same and how long all
-// leases hold, or the leases.
+// syncAnswer is the leader's answer to a machine whose list of drivers has the hash: that it is the same and how long
+// all leases hold, or the leases.
 func (d *driverLeases) syncAnswer(hash uint64, now float64) *controlmsg.Frame {
 	drivers := d.table.Drivers()
 	shortest := ms(driverLeaseDuration)
--- a/internal/controlplane/loop.go
+++ b/internal/controlplane/loop.go
@@ -68,6 +68,7 @@
 	leader          consensus.Voter // that is followed, or this machine; the zero value: none
 	voterSilent     bool            // another machine of the core is silent, as the soft state was notified last
 	voters          string          // ids, as logged last
+	drifting        map[string]bool // ids of voters whose clocks were logged to drift
 
 	diskFailures int // in a row
 	syncs        uint64
@@ -192,6 +193,7 @@
 	}
 	c.followLeader()
 	c.watchVoters()
+	c.watchClocks()
 	c.notifyLeadership()
 }
 
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -1,12 +1,9 @@
 package controlplane
 
 import (
-	"slices"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"weirwind/internal/controlplane/config"
-	"weirwind/internal/controlplane/consensus"
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/controlplane/failover"
 	"weirwind/internal/util/events"
@@ -124,16 +121,3 @@
 	}
 	return out
 }
-
-// watchVoters notifies the soft state when another machine of the core falls silent, and when none is silent any more.
-func (c *consensusLoop) watchVoters() {
-	silent := slices.ContainsFunc(c.node.PeerStatuses(c.server.now()), func(peer consensus.PeerStatus) bool {
-		return peer.Silent < 0 || peer.Silent > voterSilentMs
-	})
-	if silent == c.voterSilent {
-		return
-	}
-	c.voterSilent = silent
-	s := c.server.state
-	s.do(func() { s.failovers.setVoterSilent(silent, c.server.now()) })
-}
--- a/internal/dataplane/memberconn/doc.go
+++ b/internal/dataplane/memberconn/doc.go
@@ -18,9 +18,10 @@
 //
 // # Errors
 //
-// An error of Dial wraps ErrWrongMember if another server answers at the member's address, and ErrAttachRejected if the
-// member accepted the connection and opened no session; it carries the step and the peer. An error of a batch or reply is an idempotency.NoResponseError, which tells whether the
-// member may have run the queries. A FAIL is none for ReadReply, and a MemberError for Query and QueryStatus.
+// An error of Dial wraps ErrWrongMember if another server answers at the member's address, and ErrAttachRejected if
+// the member accepted the connection and opened no session; it carries the step and the peer. An error of a batch or
+// reply is an idempotency.NoResponseError, which tells whether the member may have run the queries. A FAIL is none
+// for ReadReply, and a MemberError for Query and QueryStatus.
 //
 // A Conn is used by one goroutine at a time.
 package memberconn
--- a/internal/standin/cluster/takeover.go
+++ b/internal/standin/cluster/takeover.go
@@ -17,7 +17,7 @@
 // Strangers counts the connections that came to addresses of crashed members after others had taken them over.
 type Strangers struct {
 	Rejected int      // they named a member that is no longer there
-	Unnamed  []string // what connections said that did not name service and member, so that a session would have been opened
+	Unnamed  []string // what connections said that named no service and member: a session would have been opened
 }
 
 // TakeOver has a member of a service, which may be this one, answer at the address of a crashed member of this one.
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -25,6 +25,7 @@
 	ContactRegained Event = 207
 	ContactLost     Event = 208
 	LeavingCore     Event = 209
+	ClockDrift      Event = 210
 )
 
 // Events of the operator's configuration.
@@ -102,7 +103,9 @@
 	JoinRequested:   "a machine without state asks the core to become a voter",
 	ContactRegained: "this core machine has contact with a majority again: it answers calls and serves agents",
 	ContactLost:     "this core machine has lost contact with a majority: it answers 503, and its agents fail over",
-	LeavingCore:     "this core machine shuts down: it transfers leadership, and asks to be removed where enough remain",
+	ClockDrift: "a core machine's clock is proved to run at another rate (parts in a million, above 0: fast): its " +
+		"contact no longer counts; rate 0: it runs as the leader's again; own: it is the leader's, which lets another lead",
+	LeavingCore: "this core machine shuts down: it transfers leadership, and asks to be removed where enough remain",
 
 	ConfigAcknowledged: "a configuration is synced on a majority of disks and was acknowledged",
 	ConfigRejected:     "a configuration was rejected, with the reason",
--- a/internal/weirctl/status.go
+++ b/internal/weirctl/status.go
@@ -7,7 +7,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/url"
+	"slices"
 
 	"weirwind/internal/controlplane/consensus"
 )
@@ -114,7 +116,8 @@
 func printProxy(addr string, proxy *machineStatus, out io.Writer) {
 	fmt.Fprintf(out, "%s: proxy, configuration %d, %d sessions, %s drivers\n",
 		addr, proxy.Version, *proxy.Sessions, proxy.Drivers)
-	for service, group := range proxy.Groups {
+	for _, service := range slices.Sorted(maps.Keys(proxy.Groups)) {
+		group := proxy.Groups[service]
 		fmt.Fprintf(out, "  %s: slot %v (%v), %v wait, %v connections of %v a member\n",
 			service, group.Slot, group.Reason, group.Waiting, group.Connections, group.Share)
 	}
@@ -132,8 +135,8 @@
 		fmt.Fprintf(out, "  member %v of %v at %v in %v: role %v, draining %v, gone %v\n",
 			m.ID, m.Service, m.Addr, m.Zone, m.Role, m.Draining, m.Departed)
 	}
-	for service, state := range core.Failovers {
-		fmt.Fprintf(out, "  succession of %s: %s\n", service, state)
+	for _, service := range slices.Sorted(maps.Keys(core.Failovers)) {
+		fmt.Fprintf(out, "  succession of %s: %s\n", service, core.Failovers[service])
 	}
 }
 
@@ -149,6 +152,9 @@
 		default:
 			detail = fmt.Sprintf(", heard %.0f ms ago", peer.Silent)
 		}
+		if peer.ID == id && peer.ClockDrift != 0 {
+			detail += fmt.Sprintf(", its clock runs %+.1f %% off: its contact does not count", 100*peer.ClockDrift)
+		}
 	}
 	return detail
 }
