--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -55,6 +55,7 @@
 	block     *loopback.Block // of all addresses
 	basePort  int
 	meshPorts map[string]int      // the first port of processes that reach others' mesh ports there; others: basePort
+	feeds     map[string]string   // where proxies reach their agents, by proxy; others: where the agent listens
 	seeds     map[string][]string // control addresses of processes that don't know the first three machines
 	processes map[string]*exec.Cmd
 	logs      map[string]*bytes.Buffer
--- a/internal/standin/cluster/process.go
+++ b/internal/standin/cluster/process.go
@@ -108,8 +108,11 @@
 	case coreNet:
 		lines = append(lines, "listen.ctl="+d.Cores[n], "datadir="+filepath.Join(d.dir, name))
 	case frontNet:
-		lines = append(lines, "listen.front="+d.ProxyAddr(n), "listen.readyAddr="+d.readyAddr(n),
-			"listen.feed="+d.address(frontNet, n, feedPort))
+		feed := d.address(frontNet, n, feedPort)
+		if relayed := d.feeds[name]; relayed != "" {
+			feed = relayed
+		}
+		lines = append(lines, "listen.front="+d.ProxyAddr(n), "listen.readyAddr="+d.readyAddr(n), "listen.feed="+feed)
 	default:
 		lines = append(lines, "listen.front="+d.address(kind.network, n, clientPort),
 			"listen.readyAddr="+d.address(kind.network, n, readyPort))
--- a/internal/standin/cluster/resets_test.go
+++ b/internal/standin/cluster/resets_test.go
@@ -115,6 +115,88 @@
 	}
 }
 
+// Links of agents to the core and of proxies to their agents are reset at random bytes, while the configuration changes
+// and the primary falls: no agent goes back to an older configuration, each change is in force at each proxy within its
+// time, and clients are served throughout. It fails without addCommitted, which gives an agent what its link lost.
+func TestAgentsLinksAreResetAtDrawnBytes(t *testing.T) {
+	const fronts = 2
+	var relays []*links.ResettingRelay
+	relay := func(listen, target string) {
+		r, err := links.NewResettingRelay(listen, target, uint64(len(relays)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		relays = append(relays, r)
+	}
+	limit := func(bytes int) {
+		for _, r := range relays {
+			r.SetByteLimit(bytes)
+		}
+	}
+	d := newDeployment(t, 3, 0, func(d *Deployment) {
+		apart, feedOffset := 10, 14
+		d.meshPorts, d.feeds = map[string]int{}, map[string]string{}
+		for core := range 3 { // agents dial core machines at their own mesh port
+			relay(d.address(coreNet, core, apart), d.address(coreNet, core, 0))
+		}
+		for n := range fronts {
+			agent, proxy := fmt.Sprint("agent", n), fmt.Sprint("proxy", n)
+			d.meshPorts[agent], d.meshPorts[proxy] = d.basePort+apart, d.basePort+apart
+			d.feeds[proxy] = d.address(frontNet, n, feedOffset)
+			relay(d.feeds[proxy], d.address(frontNet, n, feedPort))
+		}
+	}, direct)
+	for n := range fronts {
+		d.Start(fmt.Sprint("agent", n), true)
+		d.Start(fmt.Sprint("proxy", n), true)
+	}
+	d.Configure(fronts)
+	limit(1500)
+	stop := startWrites(d, fronts, 2)
+	const changes = 12
+	for version := 2; version < 2+changes; version++ {
+		host := fmt.Sprint("later", version)
+		body := strings.Replace(string(Config(version)), `"routes":[`, `"routes":[{"name":"`+host+`","host":"`+host+
+			`","prefix":"/","type":"primary","timeoutMs":3000,"svc":"svc"},`, 1)
+		d.Eventually("a change is acknowledged", func() bool {
+			code, _ := d.Call("POST", d.Cores[version%3], "/config/replace", fmt.Sprint(version-1), []byte(body))
+			return code == 200
+		})
+		for n := range fronts {
+			d.Eventually("the change is in force", func() bool { return d.serves(n, host) })
+			if d.serves(n, fmt.Sprint("later", version-1)) {
+				t.Errorf("proxy %d serves by an older configuration than version %d", n, version)
+			}
+		}
+		if version == 5 {
+			old := d.Service.Leader()
+			d.Service.Crash(old)
+			d.Eventually("another member leads", func() bool { l := d.Service.Leader(); return l != "" && l != old })
+		}
+	}
+	done, undone := stop()
+	limit(0)
+	resets := 0
+	for _, r := range relays {
+		resets += r.Resets()
+	}
+	t.Logf("%d links were reset, %d writes acknowledged, %d promised not to have run", resets, len(done), len(undone))
+	if resets < 20 || len(done) < 20 {
+		t.Error("too few resets or writes")
+	}
+	d.Service.With(func(g *replicaset.Group) {
+		for _, id := range done {
+			if n := d.Service.Executions[id]; n != 1 {
+				t.Errorf("write %s ran %d times", id, n)
+			}
+		}
+		if len(g.Lost) > 0 {
+			t.Errorf("lost %v", g.Lost)
+		}
+	})
+}
+
 // All connections of proxies and of the core to members, and of the core to the platform, are reset at random bytes,
 // also during a failover: each answer belongs to its query, each write runs at most once, those that were
 // acknowledged exactly once, and those that were promised not to have run never. The test fails where a connection
