--- a/internal/weirctl/state.go
+++ b/internal/weirctl/state.go
@@ -124,8 +124,8 @@
 	return warnOfLaterChanges(&e, out)
 }
 
-// warnOfLaterChanges says which changes a restore gives up: those that were acknowledged after the exported version. Who
-// retries one of them is told the version that is in place, and has to build on that.
+// warnOfLaterChanges says which changes a restore gives up: those that were acknowledged after the exported version.
+// Who retries one of them is told the version that is in place, and has to build on that.
 func warnOfLaterChanges(e *exported, out io.Writer) error {
 	var state config.State
 	if len(e.Entry.Value) > 0 {
