controlplane: a machine whose disk is full stays up; nobody waits for the consensus loop

And the consensus loop and the soft state each waited for room in the other's queue.

Change: writes refused for want of room are held and tried again (50 ms to 1 s), from the opening on: to consensus it is a slow disk, so it grants no vote and acknowledges nothing, its contact ages and calls get 503. Soft state goes on. Event E211, diskFull and diskWaitMs in status and weirctl. A sync that fails still ends the process. Commands to the loop that find no room are dropped: messages as on a link, requests with 503; GET /status and /shards wait for its answer for 500 ms.

Not done: room for opening the store that is kept free beforehand.

--- a/internal/controlplane/consensus/store/store.go
+++ b/internal/controlplane/consensus/store/store.go
@@ -1,4 +1,5 @@
-// Package store keeps a core machine's consensus.HardState on its disk: its vote and the newest entry that it accepted.
+// Package store keeps a core machine's consensus.HardState on its disk: its vote and the newest entry that it
+// accepted.
 //
 // The folder is a pebble database with two records in CBOR: "meta", with all but the entry, and "entry", which is
 // as large as the value and is written only where it changed. Both are written in one batch, and meta says which
@@ -48,26 +49,32 @@
 // Open opens a folder, or makes it. found is false where nothing was ever saved there. A record that isn't what was
 // saved is a *CorruptError.
 func Open(folder string) (s *Store, state consensus.HardState, found bool, err error) {
-	return open(folder, false)
+	return open(folder, FS, false)
+}
+
+// OpenPatient opens a folder as Open does, and holds each write for which the disk has no room, from the opening on,
+// for as long as full says.
+func OpenPatient(folder string, full FullDisk) (s *Store, state consensus.HardState, found bool, err error) {
+	return open(folder, &fullFS{FS, full}, false)
 }
 
 // Inspect reads a folder that no process has open, and changes nothing in it.
 func Inspect(folder string) (consensus.HardState, bool, error) {
-	s, state, found, err := open(folder, true)
+	s, state, found, err := open(folder, FS, true)
 	if err == nil {
 		err = s.Close()
 	}
 	return state, found, err
 }
 
-func open(folder string, readOnly bool) (s *Store, state consensus.HardState, found bool, err error) {
+func open(folder string, fs vfs.FS, readOnly bool) (s *Store, state consensus.HardState, found bool, err error) {
 	step := oops.In("disk").With("folder", folder)
 	defer func() {
 		if p := recover(); p != nil {
 			err = step.Errorf("open: %w", panicError(p))
 		}
 	}()
-	db, err := openDB(folder, readOnly)
+	db, err := openDB(folder, fs, readOnly)
 	if err != nil {
 		return nil, state, false, step.Wrapf(err, "open")
 	}
@@ -81,7 +88,7 @@
 }
 
 // openDB opens the database with small buffers: it holds one value.
-func openDB(folder string, readOnly bool) (*pebble.DB, error) {
+func openDB(folder string, fs vfs.FS, readOnly bool) (*pebble.DB, error) {
 	cache := pebble.NewCache(1 << 20)
 	defer cache.Unref()
 	return pebble.Open(folder, &pebble.Options{
@@ -91,7 +98,7 @@
 		MaxConcurrentCompactions: func() int { return 1 },
 		MaxManifestFileSize:      1 << 20,
 		ReadOnly:                 readOnly,
-		FS:                       FS,
+		FS:                       fs,
 		Logger:                   panicLogger{},
 	})
 }
--- a/internal/controlplane/consensus/store/store_test.go
+++ b/internal/controlplane/consensus/store/store_test.go
@@ -5,7 +5,10 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,6 +175,75 @@
 	}
 }
 
+// TestAFullDiskIsWaitedFor has a disk full for a while, as a folder is made, as changes are written, and as it is opened
+// again: each write that meets it is held, and nothing is lost or written twice. It fails without fullFS's Create, and
+// where Write begins anew behind a part that was taken.
+func TestAFullDiskIsWaitedFor(t *testing.T) {
+	dir, control := t.TempDir(), filepath.Join(t.TempDir(), "disk")
+	FS = disk.FaultyFS(control)
+	defer func() { FS = vfs.Default }()
+	fill := func() {
+		if err := os.WriteFile(control, []byte(disk.Full), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var refusals atomic.Int64
+	full := func(err error) bool {
+		if !errors.Is(err, syscall.ENOSPC) {
+			t.Errorf("waits for %v", err)
+		}
+		if refusals.Add(1)%3 == 0 { // room comes as somebody clears the disk up
+			_ = os.Remove(control)
+		}
+		return true
+	}
+	h := consensus.HardState{ID: "me", Term: 4, Last: consensus.Entry{Term: 3, Value: make([]byte, 20_000)}}
+	for range 4 {
+		fill()
+		s, back, found, err := OpenPatient(dir, full)
+		if err != nil || found && !reflect.DeepEqual(back, h) {
+			t.Fatal(err, found, back.Last.Index, h.Last.Index)
+		}
+		for range 300 { // some logs and tables
+			h.Last.Index++
+			if h.Last.Index%7 == 0 {
+				fill()
+			}
+			if err := s.Save(&h); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = os.Remove(control)
+	if back, found, err := Inspect(dir); err != nil || !found || !reflect.DeepEqual(back, h) {
+		t.Error(err, found, back.Last.Index, h.Last.Index)
+	}
+	if refusals.Load() < 100 {
+		t.Errorf("only %d writes were refused", refusals.Load())
+	}
+}
+
+// A process that is stopped waits no longer: its write fails, and its store is broken as by any fault.
+func TestAFullDiskEndsWithItsProcess(t *testing.T) {
+	dir, control := t.TempDir(), filepath.Join(t.TempDir(), "disk")
+	FS = disk.FaultyFS(control)
+	defer func() { FS = vfs.Default }()
+	s, _, _, err := OpenPatient(dir, func(error) bool { return false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(control, []byte(disk.Full), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err = s.Save(&consensus.HardState{ID: "me", Term: 1})
+	if !errors.Is(err, ErrBroken) || !errors.Is(err, syscall.ENOSPC) {
+		t.Error(err)
+	}
+}
+
 // TestAFullDiskHangsNobody has a disk full for a while: the change that meets it is refused, the next one too
 // and at once, and what was saved before is found by another process. It fails without broken in Save or in
 // Close, as pebble then waits for ever (incident on a full disk).
--- a/internal/controlplane/failovers.go
+++ b/internal/controlplane/failovers.go
@@ -89,7 +89,7 @@
 func (s *softState) handlePrimaryReport(r *controlmsg.PrimaryReport, now float64) {
 	h := s.server
 	if !s.leadership.active {
-		h.loop.do(func() {
+		h.loop.offer(func() { // drivers repeat their reports
 			if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
 				h.cores.send(leader.Addr, &controlmsg.Frame{PrimaryReport: r})
 			}
--- a/internal/controlplane/forward.go
+++ b/internal/controlplane/forward.go
@@ -57,7 +57,9 @@
 func (h *Server) attempt(request controlmsg.Request, deadline time.Time) (result answer, mayHaveRun bool) {
 	call := &routedCall{request: request, response: make(chan *controlmsg.Response, 1), done: make(chan struct{})}
 	defer close(call.done)
-	h.loop.do(func() { h.route(call) })
+	if !h.loop.offer(func() { h.route(call) }) {
+		return answerTo(errBusy), false
+	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
--- a/internal/controlplane/forward_golden_test.go
+++ b/internal/controlplane/forward_golden_test.go
@@ -75,7 +75,7 @@
 	l := linkOver(t, near, from.handleFrame, func(l *link) {
 		from.pending.failLink(l)
 		from.cores.setDialled(core, nil)
-		from.loop.do(func() { from.loop.node.LeaderDisconnected(to.settings.ControlAddr, from.now()) })
+		from.loop.offer(func() { from.loop.node.LeaderDisconnected(to.settings.ControlAddr, from.now()) })
 	})
 	from.cores.setDialled(core, l)
 	c.conns[from], c.conns[to] = append(c.conns[from], far), append(c.conns[to], far)
@@ -96,7 +96,7 @@
 			continue
 		}
 		leads := make(chan bool, 1)
-		h.loop.do(func() { leads <- h.loop.established })
+		h.loop.offer(func() { leads <- h.loop.established })
 		if <-leads {
 			all = slices.Insert(all, 0, h)
 		} else {
--- a/internal/controlplane/frames.go
+++ b/internal/controlplane/frames.go
@@ -23,7 +23,7 @@
 }
 
 func (h *Server) handleConsensusMessage(from *link, message *consensus.Message) {
-	h.loop.do(func() {
+	h.loop.offer(func() { // a message that finds no room is lost, as on a link
 		if message.From.Addr != "" {
 			h.cores.noteSender(message.From.Addr, from)
 		}
@@ -35,11 +35,13 @@
 // handleForwardedRequest has a request of another core machine decided here, and answers it over the link that it
 // came on.
 func (h *Server) handleForwardedRequest(from *link, r *controlmsg.Request) {
-	h.loop.do(func() {
-		h.loop.submit(*r, func(status int, body []byte) {
-			from.Send(&controlmsg.Frame{Response: &controlmsg.Response{Number: r.Number, Status: status, Body: body}})
-		})
-	})
+	respond := func(status int, body []byte) {
+		from.Send(&controlmsg.Frame{Response: &controlmsg.Response{Number: r.Number, Status: status, Body: body}})
+	}
+	if !h.loop.offer(func() { h.loop.submit(*r, respond) }) {
+		busy := answerTo(errBusy)
+		respond(busy.status, busy.body)
+	}
 }
 
 // handleLinkDown follows the end of a link that another process dialled.
--- a/internal/controlplane/leasesync.go
+++ b/internal/controlplane/leasesync.go
@@ -72,7 +72,7 @@
 	}
 	request := &controlmsg.Frame{LeaseSync: &controlmsg.LeaseSync{Request: true, DriversHash: s.drivers.table.Digest()}}
 	h := s.server
-	h.loop.do(func() {
+	h.loop.offer(func() { // repeated with the next digest
 		if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
 			h.cores.send(leader.Addr, request)
 		}
--- a/internal/controlplane/loop.go
+++ b/internal/controlplane/loop.go
@@ -32,7 +32,8 @@
 	consensusTick      = 50 * time.Millisecond
 	requestTimeout     = 3 * time.Second
 	maxPendingRequests = 64
-	maxLoopCommands    = 256 // commands that wait for the loop before their senders wait
+	maxLoopCommands    = 256 // commands that wait for the loop; more are dropped
+	loopAnswerTimeout  = 500 * time.Millisecond
 	// leaveTimeout is for how long a process that is stopped waits until another leads, or until it votes no longer.
 	leaveTimeout = time.Second
 	leaveLinger  = 50 * time.Millisecond // in which its last messages are written
@@ -43,15 +44,17 @@
 )
 
 // consensusLoop owns the consensus node, its disk and the queue of orders. One goroutine, run, touches them; others
-// send it commands through do.
+// send it commands through offer.
 //
 // The loop sends nothing that the disk doesn't hold yet. Each turn takes all commands that have arrived, ticks
 // the node, and flushes: sync the hard state, then send the messages that follow from it, take what became committed,
 // and decide orders, until nothing more follows. Commands that arrived together thus share one sync. A disk that
 // hangs holds up this loop, and so the contact's renewal, but not the soft state: heartbeats and driver leases go on.
 //
-// The loop sends commands to the soft state, and the soft state to the loop. Neither waits for the other's reply, so
-// that they can't wait for each other; only HTTP handlers wait (commandqueue.Queue.Wait).
+// The loop sends commands to the soft state, and waits where that has many. Nobody waits for the loop to take a
+// command: whoever sends it one that finds no room is told (offer), so that the two can't wait for each other, and a
+// disk that hangs holds up no link and no table. Only HTTP handlers wait for the loop's answers, and for a bounded
+// time.
 type consensusLoop struct {
 	server *Server
 	node   *consensus.Node
@@ -70,6 +73,7 @@
 	voters          string          // ids, as logged last
 	drifting        map[string]bool // ids of voters whose clocks were logged to drift
 
+	diskWait     *diskWait
 	diskFailures int // in a row
 	syncs        uint64
 	lastSyncMs   float64
@@ -84,7 +88,8 @@
 // openConsensusLoop opens the disk, and founds the core or joins it where the disk is empty.
 func openConsensusLoop(ctx context.Context, server *Server) (*consensusLoop, error) {
 	s := server.settings
-	disk, hardState, found, err := store.Open(s.DataDir)
+	wait := &diskWait{ctx: ctx, log: server.log, now: server.now}
+	disk, hardState, found, err := store.OpenPatient(s.DataDir, wait.waitForRoom)
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +100,8 @@
 		}
 	}
 	queueCtx, closeQueue := context.WithCancel(context.WithoutCancel(ctx))
-	c := &consensusLoop{server: server, store: disk, queue: commandqueue.New(queueCtx, maxLoopCommands), close: closeQueue,
+	c := &consensusLoop{server: server, store: disk, diskWait: wait, close: closeQueue,
+		queue:  commandqueue.New(queueCtx, maxLoopCommands),
 		orders: orders.New(orders.Limits{Pending: maxPendingRequests, Timeout: ms(requestTimeout)})}
 	options := consensus.Options{Addr: s.ControlAddr, Seeds: s.Peers, MinVoters: 2*s.TolerateNodes + 1,
 		HeartbeatInterval: ms(heartbeatInterval), ElectionTimeout: ms(electionTimeout), RemoveAfter: ms(removeAfter),
@@ -128,11 +134,27 @@
 	return float64(binary.LittleEndian.Uint32(b[:])) / math.MaxUint32
 }
 
-// do queues a command for the loop.
-func (c *consensusLoop) do(command func()) { c.queue.Do(command) }
+// offer queues a command for the loop. It is dropped, and false returned, where the queue is full, as the loop waits
+// for its disk: nobody else may wait with it. So a command is one that is repeated by itself, or whose caller is
+// told.
+func (c *consensusLoop) offer(command func()) bool { return c.queue.Offer(command) }
 
-// call runs a command in the loop and waits until it has run, as softState.call does.
-func (c *consensusLoop) call(command func()) error { return c.queue.Wait(c.server.ctx, command) }
+// askLoop has the loop read something, and waits for it for loopAnswerTimeout at most; false: there is no answer.
+func askLoop[T any](c *consensusLoop, read func() T) (value T, ok bool) {
+	values := make(chan T, 1) // has room for one: the loop never waits for a caller that has given up
+	if !c.offer(func() { values <- read() }) {
+		return value, false
+	}
+	timer := time.NewTimer(loopAnswerTimeout)
+	defer timer.Stop()
+	select {
+	case value = <-values:
+		return value, true
+	case <-timer.C:
+	case <-c.server.ctx.Done():
+	}
+	return value, false
+}
 
 // run is the owner's goroutine. When ctx ends the node first leaves in order: it transfers its leadership, and asks
 // to be removed from the voters where enough others vote. After a failure it sends nothing more.
@@ -201,7 +223,9 @@
 // take it for loss on the way, and retry.
 func (c *consensusLoop) sync() bool {
 	began := c.server.now()
+	c.diskWait.begin(began)
 	err := c.store.Save(&c.node.HardState)
+	c.diskWait.end()
 	c.lastSyncMs = c.server.now() - began
 	c.maxSyncMs = max(c.maxSyncMs, c.lastSyncMs)
 	c.syncs++
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -58,7 +58,7 @@
 	}
 	r.nextProposalAt = now + rosterIntervalMs
 	loop := r.owner.server.loop
-	loop.do(func() { loop.proposeRoster(change) })
+	loop.offer(func() { loop.proposeRoster(change) }) // proposed again at the next step
 }
 
 // change compares the live members with the roster.
--- a/internal/controlplane/shardsresource.go
+++ b/internal/controlplane/shardsresource.go
@@ -46,15 +46,13 @@
 func (s *shardsResource) show(w http.ResponseWriter, _ *http.Request) {
 	var view ShardsView
 	err := s.server.state.call(func() { view = s.server.state.shardsView() })
-	if err == nil {
-		err = s.server.loop.call(func() {
-			leader, _ := s.server.loop.node.Leader()
-			view.Leader = leader.Addr
-		})
-	}
 	if err != nil {
 		return
 	}
+	view.Leader, _ = askLoop(s.server.loop, func() string { // "" where the loop doesn't answer
+		leader, _ := s.server.loop.node.Leader()
+		return leader.Addr
+	})
 	s.server.setContactHeader(w)
 	w.Header().Set(headerContentType, contentTypeJSON)
 	_ = json.NewEncoder(w).Encode(view)
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 
 	"weirwind/internal/controlplane/consensus"
@@ -21,6 +22,8 @@
 	Changes     *int                   `json:"changes,omitempty"`
 	Committed   bool                   `json:"committed"`
 	CoreLinks   int                    `json:"coreLinks"`
+	DiskFull    bool                   `json:"diskFull,omitempty"`
+	DiskWaitMs  float64                `json:"diskWaitMs,omitempty"` // for which a write has kept the loop waiting
 	DriverCount int                    `json:"driverCount"`
 	Drivers     *[]driverStatus        `json:"drivers,omitempty"`
 	Version     *uint64                `json:"gen,omitempty"`
@@ -104,12 +107,12 @@
 	status := serverStatus{Machine: h.settings.Hostname, Traffic: trafficStatus{
 		Accepted: controlmsg.ReadTraffic(&h.accepted), Dialled: controlmsg.ReadTraffic(&h.dialled)}}
 	err := h.state.call(func() { h.state.reportStatus(&status, brief) })
-	if err == nil {
-		err = h.loop.call(func() { h.loop.reportStatus(&status) })
-	}
 	if err != nil {
 		return
 	}
+	if !h.loop.fillStatus(&status) {
+		status.DiskWaitMs, status.DiskFull = math.Round(h.loop.diskWait.writingFor(h.now())), h.loop.diskWait.isFull()
+	}
 	w.Header().Set(headerContentType, contentTypeJSON)
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
@@ -133,6 +136,22 @@
 	status.InContact, status.Members, status.Drivers, status.Failovers = &inContact, &memberList, &driverList, &failovers
 }
 
+// fillStatus fills in the loop's part; false: the loop doesn't answer, as it waits for its disk, or the process ends.
+// Then the status has the other parts alone.
+func (c *consensusLoop) fillStatus(status *serverStatus) (answered bool) {
+	part, answered := askLoop(c, func() (part serverStatus) {
+		c.reportStatus(&part)
+		return part
+	})
+	if answered {
+		status.ID, status.Term, status.Leader, status.Voters = part.ID, part.Term, part.Leader, part.Voters
+		status.Index, status.Committed, status.Peers = part.Index, part.Committed, part.Peers
+		status.Syncs, status.LastSyncMs, status.MaxSyncMs = part.Syncs, part.LastSyncMs, part.MaxSyncMs
+		status.Version, status.Changes = part.Version, part.Changes
+	}
+	return answered
+}
+
 // reportStatus fills in the loop's part.
 func (c *consensusLoop) reportStatus(status *serverStatus) {
 	leader, _ := c.node.Leader()
--- a/internal/standin/disk/pebble.go
+++ b/internal/standin/disk/pebble.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/pebble/vfs"
@@ -18,6 +19,7 @@
 	Stall      = "stall"  // writes and syncs wait for as long as it is there
 	Refuse     = "refuse" // they fail
 	SlowSync   = "slow"   // a sync takes its time
+	Full       = "full"   // they fail for want of room; a write takes a part of the bytes
 	TearWrites = "tear"   // half of an unsynced write is found after a loss of power, else nothing of it
 )
 
@@ -45,6 +47,8 @@
 		switch text := string(b); {
 		case strings.Contains(text, Refuse):
 			return text, ErrRefused
+		case strings.Contains(text, Full):
+			return text, syscall.ENOSPC
 		case !strings.Contains(text, Stall):
 			return text, nil
 		}
@@ -89,12 +93,17 @@
 // Write keeps bytes until the next sync; with TearWrites half of them reach the folder.
 func (f *faultyFile) Write(b []byte) (int, error) {
 	faults, err := f.fs.faults()
-	if err != nil {
+	if errors.Is(err, syscall.ENOSPC) {
+		b = b[:len(b)/2]
+	} else if err != nil {
 		return 0, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unsynced = append(f.unsynced, b...)
+	if err != nil {
+		return len(b), err
+	}
 	if strings.Contains(faults, TearWrites) {
 		if more := len(f.unsynced)/2 - f.written; more > 0 {
 			n, err := f.File.Write(f.unsynced[f.written : f.written+more])
@@ -109,7 +118,7 @@
 // Sync implements vfs.File.
 func (f *faultyFile) Sync() error {
 	faults, err := f.fs.faults()
-	if err != nil {
+	if err != nil && !errors.Is(err, syscall.ENOSPC) { // room that a write was given is there
 		return err
 	}
 	if strings.Contains(faults, SlowSync) {
--- a/internal/util/commandqueue/commandqueue.go
+++ b/internal/util/commandqueue/commandqueue.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// Offer queues a command if the queue has room, and doesn't wait. It reports whether it did.
+func (q *Queue) Offer(command func()) bool {
+	select {
+	case q.Commands <- Command{run: command}:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait queues a command and waits until it has run. It gives up as Call does; what the command writes must not be read
 // then.
 func (q *Queue) Wait(ctx context.Context, command func()) error {
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -26,6 +26,7 @@
 	ContactLost     Event = 208
 	LeavingCore     Event = 209
 	ClockDrift      Event = 210
+	DiskFull        Event = 211
 )
 
 // Events of the operator's configuration.
@@ -105,6 +106,8 @@
 	ContactLost:     "this core machine has lost contact with a majority: it answers 503, and its agents fail over",
 	ClockDrift: "a core machine's clock is proved to run at another rate (parts in a million, above 0: fast): its " +
 		"contact no longer counts; rate 0: it runs as the leader's again; own: it is the leader's, which lets another lead",
+	DiskFull: "the disk has no room: what is to be written waits, and until then this machine grants no vote and " +
+		"acknowledges nothing; it passes heartbeats and records on",
 	LeavingCore: "this core machine shuts down: it transfers leadership, and asks to be removed where enough remain",
 
 	ConfigAcknowledged: "a configuration is synced on a majority of disks and was acknowledged",
--- a/internal/weirctl/status.go
+++ b/internal/weirctl/status.go
@@ -37,6 +37,8 @@
 	Index       uint64                 `json:"index"`
 	Voters      []consensus.Voter      `json:"voters"`
 	Peers       []consensus.PeerStatus `json:"others"` // the other voters, where this machine leads
+	DiskFull    bool                   `json:"diskFull"`
+	DiskWaitMs  float64                `json:"diskWaitMs"` // above 0: the machine waits for its disk, and says no more
 	Syncs       uint64                 `json:"syncs"`
 	LastSyncMs  float64                `json:"lastSyncMs"`
 	SlowestSync float64                `json:"mostSyncMs"` // milliseconds
@@ -136,6 +138,13 @@
 func printCore(addr string, core *machineStatus, out io.Writer) {
 	fmt.Fprintf(out, "%s: core %s, leads %v, leader %s, term %d, entry %d, configuration %s\n",
 		addr, core.Machine, core.Leading, core.Leader, core.Term, core.Index, versionText(core.Version))
+	if core.DiskWaitMs > 0 {
+		reason := "stalls"
+		if core.DiskFull {
+			reason = "is full"
+		}
+		fmt.Fprintf(out, "  the disk %s: it has been waited for %.0f ms\n", reason, core.DiskWaitMs)
+	}
 	fmt.Fprintf(out, "  disk: %d syncs, the last %.1f ms, the slowest %.1f ms\n",
 		core.Syncs, core.LastSyncMs, core.SlowestSync)
 	for _, voter := range core.Voters {
