--- a/internal/control/golden_test.go
+++ b/internal/control/golden_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"weirwind/internal/fleet/membership"
 	"weirwind/internal/fleet/mesh"
@@ -148,9 +149,10 @@
 
 // recorder keeps the requests that a client sends and gives one answer to all.
 type recorder struct {
-	sent   []string
-	status int
-	body   string
+	sent    []string
+	status  int
+	body    string
+	timeout time.Duration // of the newest call, rounded to seconds
 }
 
 func (r *recorder) RoundTrip(q *http.Request) (*http.Response, error) {
@@ -158,6 +160,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if deadline, ok := q.Context().Deadline(); ok {
+		r.timeout = time.Until(deadline).Round(time.Second)
+	}
 	r.sent = append(r.sent, fmt.Sprintf("%s %s %v %s", q.Method, q.URL, q.Header, body))
 	return &http.Response{StatusCode: r.status, Status: fmt.Sprintf("%d %s", r.status, http.StatusText(r.status)),
 		Body: io.NopCloser(strings.NewReader(r.body)), Request: q}, nil
@@ -187,7 +192,10 @@
 			c.http.Transport = &answer
 			err := calls[name](c)
 			cases = append(cases, golden.Of(fmt.Sprintf("%s %d", name, answer.status), fmt.Sprintf("%s | %v | %v",
-				strings.Join(answer.sent, "; "), err, c.http.Timeout)))
+				strings.Join(answer.sent, "; "), err, answer.timeout)))
+			if c.http.Timeout != callTimeout {
+				t.Errorf("%s leaves other calls a timeout of %v", name, c.http.Timeout)
+			}
 		}
 	}
 	golden.Text(t, "testdata/calls.txt", cases)
