directory: who left by its own word stays gone, whatever heartbeats come late or go on

Cause: a heartbeat with a lower number that came after a member's leave began a new incarnation at once, and one with a higher number did so 3.6 s after it; of two machines' records the one with the higher number won, so that a heartbeat on its way at another machine undid an acknowledged leave. Drivers then went on sending to a member that serves on for a while, or to its address.

Change: a leave is the last word of its incarnation, before numbers; later numbers of that process change nothing, and a lower one is its next process only after 15 s without any. Expired and replaced members come back as before. A machine that has just started answers 503 to the leave of a member that it doesn't know: the acknowledgement left other machines' records as they were.

--- a/internal/controlplane/directory/members.go
+++ b/internal/controlplane/directory/members.go
@@ -29,7 +29,8 @@
 	// lasts while the same incarnation says that it is leaving.
 	Draining bool `cbor:"8,keyasint,omitempty"`
 	// Tombstone marks a member that left or expired: the record is kept so that late words of it don't revive it. It
-	// implies Draining, and is lifted only by a higher incarnation.
+	// implies Draining, and is lifted only by a higher incarnation. With Leaving the member left by its own word, and
+	// no heartbeat of the same process counts any more.
 	Tombstone bool `cbor:"9,keyasint,omitempty"`
 	// Leaving is the member's own wish to leave. Drivers still use it: its role may have to be handed over first.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
@@ -39,11 +40,18 @@
 	Revision    uint64 `cbor:"13,keyasint"` // rises with what the control plane adds to the member's own word
 }
 
-// supersedes says whether m is the later one of two records of the same member.
+// HasLeft says that the member left by its own word.
+func (m *Member) HasLeft() bool { return m.Tombstone && m.Leaving }
+
+// supersedes says whether m is the later one of two records of the same member. That it left is its incarnation's last
+// word, though heartbeats that it sent before, or goes on sending, have higher numbers.
 func (m *Member) supersedes(other *Member) bool {
 	if m.Incarnation != other.Incarnation {
 		return m.Incarnation > other.Incarnation
 	}
+	if m.HasLeft() != other.HasLeft() {
+		return m.HasLeft()
+	}
 	if m.Seq != other.Seq {
 		return m.Seq > other.Seq
 	}
@@ -98,9 +106,20 @@
 	return record, true, changed
 }
 
+// returnAfter is for how long, in milliseconds, nothing was heard of a member that left before a lower number is
+// taken for its next process: heartbeats may come seconds late, and out of order.
+const returnAfter = 15_000.0
+
 // incarnationOf says which incarnation a heartbeat is of; fresh is false for one that is late.
 func (e *entry) incarnationOf(seq uint64, now, timeout float64) (incarnation uint64, fresh bool) {
 	old := &e.record
+	if old.HasLeft() {
+		if seq >= old.Seq { // the process that left goes on for a while
+			e.record.Seq, e.lastHeartbeat = seq, max(e.lastHeartbeat, now)
+			return old.Incarnation, false
+		}
+		return old.Incarnation + 1, now-max(e.tombstoneAt, e.lastHeartbeat) > returnAfter // else it is a late one
+	}
 	switch {
 	case seq < old.Seq && (now-e.lastHeartbeat > timeout || old.Tombstone): // its sequence started again
 		return old.Incarnation + 1, true
@@ -117,16 +136,32 @@
 	}
 }
 
-// Leave makes a member's record a tombstone; false where there is none, or is one already.
+// Leave notes that a member left by its own word; false where there is none, or it did already.
 func (t *Members) Leave(id string, now float64) (Member, bool) {
+	e := t.entries[id]
+	if e == nil || e.record.HasLeft() {
+		return Member{}, false
+	}
+	e.record.Leaving = true
+	return t.bury(e, now), true
+}
+
+// Remove makes a member's record a tombstone, as it is silent or its address is another's; false where there is none,
+// or is one already.
+func (t *Members) Remove(id string, now float64) (Member, bool) {
 	e := t.entries[id]
 	if e == nil || e.record.Tombstone {
 		return Member{}, false
 	}
+	return t.bury(e, now), true
+}
+
+// bury makes a record a tombstone.
+func (t *Members) bury(e *entry, now float64) Member {
 	e.record.Tombstone, e.record.Draining, e.tombstoneAt = true, true, now
 	e.record.Revision++
 	t.digestValid = false
-	return e.record, true
+	return e.record
 }
 
 // StartDraining makes the drain of a leaving member take effect at drivers; false where it isn't leaving, or drains
@@ -179,7 +214,7 @@
 		if e.record.Tombstone || now-e.lastHeartbeat <= keep {
 			continue
 		}
-		if m, ok := t.Leave(id, now); ok {
+		if m, ok := t.Remove(id, now); ok {
 			expired = append(expired, m)
 		}
 	}
@@ -189,7 +224,11 @@
 // PurgeTombstones deletes tombstones older than keep. Members that are silent stay.
 func (t *Members) PurgeTombstones(now, keep float64) {
 	for id, e := range t.entries {
-		if e.record.Tombstone && now-e.tombstoneAt > keep {
+		since := e.tombstoneAt
+		if e.record.HasLeft() {
+			since = max(since, e.lastHeartbeat) // its process may go on
+		}
+		if e.record.Tombstone && now-since > keep {
 			delete(t.entries, id)
 		}
 	}
--- a/internal/controlplane/errors.go
+++ b/internal/controlplane/errors.go
@@ -20,6 +20,8 @@
 	// errLeaderLost is a request that was forwarded to a machine that leads no longer, or whose link ended. It may have
 	// been carried out.
 	errLeaderLost = errors.New("who led the core leads no longer, or can't be reached")
+	// errUnknownMember is the leave of a member that this machine, which has just started, doesn't know yet.
+	errUnknownMember = errors.New("this machine does not know the member yet; ask another")
 	// errBusy is a request for which the consensus loop has no room, as it waits for its disk. It was not decided.
 	errBusy = errors.New("this machine waits for its disk; ask another")
 	// errEarlierLeader is a read that a leader of an earlier version doesn't know.
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -88,12 +88,22 @@
 	}
 }
 
-// leave notes that a member has ended.
-func (m *membership) leave(id string, now float64) {
+// leave notes that a member left by its own word. It reports whether the member is known here.
+func (m *membership) leave(id string, now float64) (known bool) {
 	if record, ok := m.table.Leave(id, now); ok {
 		m.log.Event(events.MemberRemoved, "member", id, "why", "left")
 		m.publish([]directory.Member{record})
 	}
+	_, known = m.table.Get(id)
+	return known
+}
+
+// remove notes that a member has ended, without its word: it comes back by a heartbeat if it hasn't.
+func (m *membership) remove(id string, now float64) {
+	if record, ok := m.table.Remove(id, now); ok {
+		m.log.Event(events.MemberRemoved, "member", id, "why", "left")
+		m.publish([]directory.Member{record})
+	}
 }
 
 // endReplaced notes the end of members whose address another now has: a member that crashed comes back with its log
@@ -103,7 +113,7 @@
 	for _, old := range m.table.Snapshot() {
 		sameAddress := old.Service == by.Service && old.Addr == by.Addr && old.ID != by.ID
 		if sameAddress && !old.Tombstone && m.table.HeartbeatAge(old.ID, now) > replacedIntervals*m.heartbeatInterval {
-			m.leave(old.ID, now)
+			m.remove(old.ID, now)
 		}
 	}
 }
--- a/internal/controlplane/membersresource.go
+++ b/internal/controlplane/membersresource.go
@@ -58,21 +58,26 @@
 
 // leave takes a member's notice that it ends.
 func (m *membersResource) leave(w http.ResponseWriter, r *http.Request) {
-	m.removeMember(r.PathValue("id"))
-	m.acknowledge(w)
+	id, state := r.PathValue("id"), m.server.state
+	known := false
+	err := state.call(func() { known = state.members.leave(id, m.server.now()) })
+	switch {
+	case err != nil:
+		writeError(w, errStopping)
+	case !known && m.server.now() < ms(recoveryPeriod):
+		writeError(w, errUnknownMember) // another machine's record of it would stay
+	default:
+		m.acknowledge(w)
+	}
 }
 
 // forget removes a member that is gone for good from the roster, by an operator's call: its group waits for it no
 // longer. What it alone held is given up.
 func (m *membersResource) forget(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	m.removeMember(id)
-	writeAnswer(w, m.server.submit(controlmsg.Request{ForgetMember: id}), contentTypeText)
-}
-
-func (m *membersResource) removeMember(id string) {
 	state := m.server.state
-	state.do(func() { state.members.leave(id, m.server.now()) })
+	state.do(func() { state.members.remove(id, m.server.now()) })
+	writeAnswer(w, m.server.submit(controlmsg.Request{ForgetMember: id}), contentTypeText)
 }
 
 // acknowledge answers a member whose record is in the table here. Without contact it would be in no other: the member
