The members' protocol is a family of its own; sites' lease messages stand below the control plane

internal/dataplane/wire and memberconn were used by both planes and made the only arrow from the control plane up to the data plane: they are internal/member/wire and internal/member/memberconn. internal/session imported internal/controlplane for a message and a duration: sites.Renewal and sites.LeaseDuration. No behaviour changes.

--- a/internal/controlplane/failover/catchup.go
+++ b/internal/controlplane/failover/catchup.go
@@ -1,6 +1,6 @@
 package failover
 
-import "weirwind/internal/dataplane/wire"
+import "weirwind/internal/member/wire"
 
 // This file has phaseCatchingUp: the candidate catches up with all that the paused replicas, or the old primary, have.
 
--- a/internal/controlplane/failover/controller.go
+++ b/internal/controlplane/failover/controller.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // Controller is the state machine for one service. Times are milliseconds of the caller's clock.
--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // A transcript of the paths that matter, step by step.
--- a/internal/controlplane/failover/coverage.go
+++ b/internal/controlplane/failover/coverage.go
@@ -1,6 +1,6 @@
 package failover
 
-import "weirwind/internal/dataplane/wire"
+import "weirwind/internal/member/wire"
 
 // This file decides when a member that has departed may leave the roster.
 //
--- a/internal/controlplane/failover/coverage_test.go
+++ b/internal/controlplane/failover/coverage_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"testing"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 func answer(primary bool, number uint64) wire.MemberStatus {
--- a/internal/controlplane/failover/observation.go
+++ b/internal/controlplane/failover/observation.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // observation is what a member reported, and which queries to it are under way.
--- a/internal/controlplane/failover/watching.go
+++ b/internal/controlplane/failover/watching.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // This file has the failure detector: when a failover or switchover begins.
--- a/internal/controlplane/forget_test.go
+++ b/internal/controlplane/forget_test.go
@@ -7,7 +7,7 @@
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/controlplane/failover"
-	"weirwind/internal/dataplane/memberconn"
+	"weirwind/internal/member/memberconn"
 	"weirwind/internal/util/events"
 	"weirwind/internal/util/settings"
 )
--- a/internal/controlplane/memberclient.go
+++ b/internal/controlplane/memberclient.go
@@ -8,8 +8,8 @@
 	"github.com/samber/oops"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/idempotency"
 )
 
--- a/internal/controlplane/shardmoves.go
+++ b/internal/controlplane/shardmoves.go
@@ -9,7 +9,7 @@
 
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/memberconn"
+	"weirwind/internal/member/memberconn"
 	"weirwind/internal/shard/shardmap"
 	"weirwind/internal/util/events"
 )
--- a/internal/controlplane/siteleases.go
+++ b/internal/controlplane/siteleases.go
@@ -8,12 +8,11 @@
 	"weirwind/internal/util/events"
 )
 
-// A site counts SiteLeaseDuration from the moment at which it sent the renewal, the leader from the moment at which it
-// granted the lease, which is later. The leader has the lease expire only siteLeaseSlack after that: the slack covers
-// clocks whose rates differ by up to a tenth, and what an answer takes.
+// A site counts sites.LeaseDuration from the moment at which it sent the renewal, the leader from the moment at which
+// it granted the lease, which is later. The leader has the lease expire only siteLeaseSlack after that: the slack
+// covers clocks whose rates differ by up to a tenth, and what an answer takes.
 const (
-	SiteLeaseDuration = 1500 * time.Millisecond
-	siteLeaseSlack    = 300 * time.Millisecond
+	siteLeaseSlack = 300 * time.Millisecond
 )
 
 // siteLeases are the leases of the sites of open sessions, while this machine leads. It belongs to softState.
@@ -47,7 +46,7 @@
 			l.incarnations[name], l.grantedAt[name] = site.Incarnation, now
 		}
 		heldSince := max(l.grantedAt[name], s.leadership.since)
-		if site.State == sites.StateRemoved || now-heldSince < ms(SiteLeaseDuration+siteLeaseSlack) {
+		if site.State == sites.StateRemoved || now-heldSince < ms(sites.LeaseDuration+siteLeaseSlack) {
 			continue
 		}
 		l.grantedAt[name] = now
--- a/internal/controlplane/sitesresource.go
+++ b/internal/controlplane/sitesresource.go
@@ -13,18 +13,9 @@
 // sitesResource serves the sites that hold open sessions.
 type sitesResource struct{ server *Server }
 
-// SiteRenewal is the body of a site's renewal of its lease; the answer is the map of sites.
-type SiteRenewal struct {
-	Addr        string `json:"addr"` // where other sites and edges reach it
-	HTTPAddr    string `json:"http"`
-	Zone        string `json:"zone"`
-	Region      string `json:"region"`
-	Incarnation uint64 `json:"life"` // of the site's process
-}
-
 // renew grants a site's lease. A site that has not joined, or whose earlier incarnation had, joins first.
 func (s *sitesResource) renew(w http.ResponseWriter, r *http.Request) {
-	var renewal SiteRenewal
+	var renewal sites.Renewal
 	name := r.PathValue("name")
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes)).Decode(&renewal)
 	if err != nil || renewal.Addr == "" || renewal.Incarnation == 0 {
@@ -34,7 +25,7 @@
 	lease := controlmsg.Request{SiteLease: &controlmsg.SiteLeaseRequest{Site: name, Incarnation: renewal.Incarnation}}
 	a := s.server.submit(lease)
 	if a.status == http.StatusConflict {
-		a = s.server.submit(controlmsg.Request{SiteChange: renewal.join(name)})
+		a = s.server.submit(controlmsg.Request{SiteChange: renewal.Join(name)})
 		if a.status == http.StatusOK {
 			a = s.server.submit(lease)
 		}
@@ -42,12 +33,6 @@
 	writeJSONAnswer(w, a)
 }
 
-// join gives the change by which the site joins.
-func (r *SiteRenewal) join(name string) *sites.Change {
-	return &sites.Change{Kind: sites.ChangeJoin, Name: name,
-		Site: sites.Site{Addr: r.Addr, HTTPAddr: r.HTTPAddr, Zone: r.Zone, Region: r.Region, Incarnation: r.Incarnation}}
-}
-
 // change gives the handler of an operator's change of a site. The site's epoch is in the query, and for a drain the
 // number of sessions that are handed on a second.
 func (s *sitesResource) change(kind sites.ChangeKind) http.HandlerFunc {
--- a/internal/dataplane/group/digest_test.go
+++ b/internal/dataplane/group/digest_test.go
@@ -10,7 +10,7 @@
 	"testing"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // history plays one seeded history of a group in virtual time and records each decision.
--- a/internal/dataplane/group/group_test.go
+++ b/internal/dataplane/group/group_test.go
@@ -6,7 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 func at(term, number uint64) wire.Position { return wire.Position{Term: term, Number: number} }
--- a/internal/dataplane/group/health.go
+++ b/internal/dataplane/group/health.go
@@ -1,6 +1,6 @@
 package group
 
-import "weirwind/internal/dataplane/wire"
+import "weirwind/internal/member/wire"
 
 // Failure detection. Times are in milliseconds.
 const (
--- a/internal/dataplane/group/member.go
+++ b/internal/dataplane/group/member.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // Distance is how far a member's zone is from the proxy's.
--- a/internal/dataplane/group/routing.go
+++ b/internal/dataplane/group/routing.go
@@ -3,7 +3,7 @@
 import (
 	"math/rand/v2"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 const (
--- a/internal/dataplane/group/watermarks.go
+++ b/internal/dataplane/group/watermarks.go
@@ -1,6 +1,6 @@
 package group
 
-import "weirwind/internal/dataplane/wire"
+import "weirwind/internal/member/wire"
 
 // Bounds of the watermarks that are kept, in milliseconds.
 const (
--- a/internal/dataplane/proxy/attempt.go
+++ b/internal/dataplane/proxy/attempt.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/memberconn"
 	"weirwind/internal/dataplane/sessionstate"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/idempotency"
 )
 
--- a/internal/dataplane/proxy/bench_test.go
+++ b/internal/dataplane/proxy/bench_test.go
@@ -8,8 +8,8 @@
 
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardmap"
 	"weirwind/internal/util/events"
 	"weirwind/internal/util/settings"
--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -7,9 +7,9 @@
 
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/memberconn"
 	"weirwind/internal/dataplane/sessionstate"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 )
 
 const (
--- a/internal/dataplane/proxy/connpool_test.go
+++ b/internal/dataplane/proxy/connpool_test.go
@@ -4,9 +4,9 @@
 	"net"
 	"testing"
 
-	"weirwind/internal/dataplane/memberconn"
 	"weirwind/internal/dataplane/sessionstate"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 )
 
 // poolOf returns a pool of idle connections, each of which holds one value: those given, in order.
--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -5,7 +5,7 @@
 
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
 )
 
--- a/internal/dataplane/proxy/dispatch_test.go
+++ b/internal/dataplane/proxy/dispatch_test.go
@@ -8,8 +8,8 @@
 
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
 	"weirwind/internal/util/settings"
 )
--- a/internal/dataplane/proxy/errors.go
+++ b/internal/dataplane/proxy/errors.go
@@ -4,7 +4,7 @@
 	"errors"
 	"strings"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardnode"
 )
 
--- a/internal/dataplane/proxy/errors_test.go
+++ b/internal/dataplane/proxy/errors_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 func TestFailCode(t *testing.T) {
--- a/internal/dataplane/proxy/message.go
+++ b/internal/dataplane/proxy/message.go
@@ -4,7 +4,7 @@
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/dataplane/group"
 	"weirwind/internal/dataplane/sessionstate"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // internalQueryID is the id of the proxy's own queries to members. No client may use it.
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -15,7 +15,7 @@
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
 	"weirwind/internal/util/settings"
 	"weirwind/internal/util/transport"
--- a/internal/dataplane/proxy/reply.go
+++ b/internal/dataplane/proxy/reply.go
@@ -4,8 +4,8 @@
 	"strings"
 	"time"
 
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 )
 
 const (
--- a/internal/dataplane/proxy/reporter_test.go
+++ b/internal/dataplane/proxy/reporter_test.go
@@ -6,7 +6,7 @@
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // A primary that answers nothing, then answers, then takes no connection: a report at each interval while it is
--- a/internal/dataplane/proxy/retry_test.go
+++ b/internal/dataplane/proxy/retry_test.go
@@ -14,7 +14,7 @@
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
 	"weirwind/internal/util/settings"
 )
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -7,7 +7,7 @@
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/directory"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/commandqueue"
 	"weirwind/internal/util/events"
 )
--- a/internal/dataplane/proxy/session.go
+++ b/internal/dataplane/proxy/session.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"weirwind/internal/controlplane/config"
-	"weirwind/internal/dataplane/memberconn"
 	"weirwind/internal/dataplane/sessionstate"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
 )
 
--- a/internal/dataplane/proxy/statement.go
+++ b/internal/dataplane/proxy/statement.go
@@ -5,8 +5,8 @@
 
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardnode"
 	"weirwind/internal/util/idempotency"
 )
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -6,8 +6,8 @@
 
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/dataplane/group"
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardnode"
 	"weirwind/internal/util/idempotency"
 )
--- a/internal/lab/hollow/members.go
+++ b/internal/lab/hollow/members.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // memberProcess runs members that send heartbeats and answer the leader's status queries; they run no statement.
--- a/internal/dataplane/memberconn/conn.go
+++ b/internal/member/memberconn/conn.go
@@ -4,7 +4,7 @@
 	"net"
 	"syscall"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // Conn is a connection to a member, with a session open on it.
--- a/internal/dataplane/memberconn/dial.go
+++ b/internal/member/memberconn/dial.go
@@ -9,7 +9,7 @@
 	"github.com/samber/oops"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/transport"
 )
 
--- a/internal/dataplane/memberconn/golden_test.go
+++ b/internal/member/memberconn/golden_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/standin/golden"
 	"weirwind/internal/util/idempotency"
 )
--- a/internal/dataplane/memberconn/query.go
+++ b/internal/member/memberconn/query.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/oops"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/idempotency"
 )
 
--- a/internal/dataplane/memberconn/reply.go
+++ b/internal/member/memberconn/reply.go
@@ -6,7 +6,7 @@
 
 	"github.com/samber/oops"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/util/idempotency"
 )
 
--- a/internal/session/site/core.go
+++ b/internal/session/site/core.go
@@ -14,7 +14,6 @@
 
 	"github.com/samber/oops"
 
-	"weirwind/internal/controlplane"
 	"weirwind/internal/session/sites"
 )
 
@@ -60,7 +59,7 @@
 }
 
 // renew renews a site's lease and gives the map. errIncarnationEnded: the site has to join by another incarnation.
-func (c coreClient) renew(ctx context.Context, site string, renewal controlplane.SiteRenewal) (*sites.Map, error) {
+func (c coreClient) renew(ctx context.Context, site string, renewal sites.Renewal) (*sites.Map, error) {
 	body, err := json.Marshal(renewal)
 	if err != nil {
 		return nil, err
--- a/internal/session/site/lease.go
+++ b/internal/session/site/lease.go
@@ -7,7 +7,6 @@
 	"errors"
 	"time"
 
-	"weirwind/internal/controlplane"
 	"weirwind/internal/session/queue"
 	"weirwind/internal/session/sites"
 	"weirwind/internal/util/commandqueue"
@@ -37,7 +36,7 @@
 
 func (r *runner) renewLease(ctx context.Context, incarnation uint64) {
 	askedAt := r.now()
-	m, err := r.core.renew(ctx, r.settings.Hostname, controlplane.SiteRenewal{Addr: r.meshAddr(),
+	m, err := r.core.renew(ctx, r.settings.Hostname, sites.Renewal{Addr: r.meshAddr(),
 		HTTPAddr: r.settings.ReadyAddr, Zone: r.settings.Zone, Region: r.settings.Region, Incarnation: incarnation})
 	switch {
 	case err == nil:
@@ -65,7 +64,7 @@
 	r.decider.ApplyMap(m, r.incarnation, r.now())
 	self := m.Sites[r.settings.Hostname]
 	if self.Incarnation == r.incarnation && self.State != sites.StateRemoved {
-		r.decider.ExtendLease(askedAt + float64(controlplane.SiteLeaseDuration.Milliseconds()))
+		r.decider.ExtendLease(askedAt + float64(sites.LeaseDuration.Milliseconds()))
 		if self.State != r.state {
 			r.state = self.State
 			r.log.Event(events.SiteStateChanged, "site", r.settings.Hostname, "what", string(self.State), "epoch", self.Epoch)
--- a/internal/standin/cluster/client.go
+++ b/internal/standin/cluster/client.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // Eventually waits for a condition and fails the test where it does not hold within 20 s.
--- a/internal/standin/cluster/node.go
+++ b/internal/standin/cluster/node.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"weirwind/internal/controlplane/directory"
-	"weirwind/internal/dataplane/memberconn"
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/memberconn"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardnode"
 	"weirwind/internal/standin/replicaset"
 )
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardnode"
 	"weirwind/internal/standin/replicaset"
 )
--- a/internal/standin/cluster/takeover.go
+++ b/internal/standin/cluster/takeover.go
@@ -8,7 +8,7 @@
 	"net"
 	"strings"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // occupant is a member that has taken over the address of another one.
--- a/internal/standin/replicaset/replicaset.go
+++ b/internal/standin/replicaset/replicaset.go
@@ -9,7 +9,7 @@
 import (
 	"slices"
 
-	"weirwind/internal/dataplane/wire"
+	"weirwind/internal/member/wire"
 )
 
 // Entry is a commit in a log.
