--- a/internal/fleet/membership/drains.go
+++ b/internal/fleet/membership/drains.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		byAge := cmp.Compare(stored.Revision, d.all[oldest].Revision)
-		if !found || cmp.Or(byAge, cmp.Compare(key.member, oldest.member)) < 0 {
+		if !found || cmp.Or(byAge, cmp.Compare(key.member, oldest.member), cmp.Compare(key.source, oldest.source)) < 0 {
 			oldest, found = key, true
 		}
 	}
