--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -12,10 +12,11 @@
 )
 
 var role = process.Role{
-	Name:    "agent",
-	Summary: "the agent beside a proxy",
-	Check:   checkSettings,
-	Run:     agent.Run,
+	Name:          "agent",
+	Summary:       "the agent beside a proxy",
+	Check:         checkSettings,
+	ServesMetrics: true,
+	Run:           agent.Run,
 }
 
 func main() { os.Exit(process.Main(role, os.Args[1:], os.Stdout)) }
--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -13,10 +13,11 @@
 )
 
 var role = process.Role{
-	Name:    "controlplane",
-	Summary: "a machine of the core, the control plane",
-	Check:   checkSettings,
-	Run:     controlplane.Run,
+	Name:          "controlplane",
+	Summary:       "a machine of the core, the control plane",
+	Check:         checkSettings,
+	ServesMetrics: true,
+	Run:           controlplane.Run,
 }
 
 func main() { os.Exit(process.Main(role, os.Args[1:], os.Stdout)) }
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -12,10 +12,11 @@
 )
 
 var role = process.Role{
-	Name:    "proxy",
-	Summary: "the proxy between clients and members",
-	Check:   checkSettings,
-	Run:     proxy.Run,
+	Name:          "proxy",
+	Summary:       "the proxy between clients and members",
+	Check:         checkSettings,
+	ServesMetrics: true,
+	Run:           proxy.Run,
 }
 
 func main() { os.Exit(process.Main(role, os.Args[1:], os.Stdout)) }
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -14,6 +14,7 @@
 	"weirwind/internal/shard/shardmap"
 	"weirwind/internal/util/commandqueue"
 	"weirwind/internal/util/events"
+	"weirwind/internal/util/metrics"
 	"weirwind/internal/util/settings"
 	"weirwind/internal/util/transport"
 )
@@ -85,6 +86,7 @@
 	defer feed.Close()
 	go a.servePeers(mesh)
 	go a.serveProxies(feed)
+	defer metrics.Register(a.figures)()
 	log.Event(events.Started, "agent", a.self.Name, "mesh", a.self.Addr)
 	a.run(ctx.Done()) // links to peers end with the inner context, after ctx
 	a.shutdown()
--- /dev/null
+++ b/internal/controlplane/agent/metrics.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"weirwind/internal/controlplane/controlmsg"
+	"weirwind/internal/util/commandqueue"
+	"weirwind/internal/util/events"
+	"weirwind/internal/util/metrics"
+)
+
+// This file owns the agent's own figures, as Prometheus fetches them.
+
+// metricsTimeout bounds a fetch's wait for the agent's loop.
+const metricsTimeout = time.Second
+
+// snapshot is a copy of the agent's figures.
+type snapshot struct {
+	configVersion, shardMapVersion          uint64
+	members, drivers, cores, proxies, peers int
+	linked                                  bool
+	failedAttempts                          int
+}
+
+func (a *Agent) snapshot() snapshot {
+	s := snapshot{configVersion: a.configVersion, members: len(a.members.Snapshot()), drivers: len(a.drivers),
+		cores: len(a.coreAddrs), proxies: len(a.proxies), peers: len(a.peers), linked: a.core != nil,
+		failedAttempts: a.attempts}
+	if a.shardMap != nil {
+		s.shardMapVersion = a.shardMap.Version
+	}
+	return s
+}
+
+// figures writes the agent's figures.
+func (a *Agent) figures(set metrics.Set) {
+	events.Figures(a.log, set)
+	controlmsg.Figures(set, "weirwind_agent", "core", &CoreTraffic)
+	controlmsg.Figures(set, "weirwind_agent", "peers", &PeerTraffic)
+	controlmsg.Figures(set, "weirwind_agent", "proxy", &ProxyTraffic)
+	ctx, stop := context.WithTimeout(a.ctx, metricsTimeout)
+	defer stop()
+	s, err := commandqueue.Call(ctx, a.commands, a.snapshot)
+	if err != nil {
+		return
+	}
+	linked := 0.0
+	if s.linked {
+		linked = 1
+	}
+	set.Gauge("weirwind_agent_core_linked", "1 while a core machine serves this agent.", linked)
+	set.Gauge("weirwind_agent_core_attempts", "Attempts to reach a core machine since a link was stable.",
+		float64(s.failedAttempts))
+	set.Gauge("weirwind_agent_config_version", "Newest configuration that is known; 0: none.", float64(s.configVersion))
+	set.Gauge("weirwind_agent_shard_map_version", "Newest shard map that is known; 0: none.", float64(s.shardMapVersion))
+	set.Gauge("weirwind_agent_members", "Members that are known, those that ended of late included.", float64(s.members))
+	set.Gauge("weirwind_agent_drivers", "Drivers that are known.", float64(s.drivers))
+	set.Gauge("weirwind_agent_core_machines", "Core machines that are known.", float64(s.cores))
+	set.Gauge("weirwind_agent_proxies", "Proxies that are fed; 1 while the machine's own is up.", float64(s.proxies))
+	set.Gauge("weirwind_agent_peers", "Agents to which a link is kept.", float64(s.peers))
+}
--- a/internal/controlplane/failover/phase.go
+++ b/internal/controlplane/failover/phase.go
@@ -51,6 +51,9 @@
 	return fmt.Sprintf("%s: %s after %s", c.phase, cmp.Or(c.candidate, "?"), cmp.Or(c.oldPrimary, "?"))
 }
 
+// Phase is the phase's name, as State has it.
+func (c *Controller) Phase() string { return c.phase.String() }
+
 func (c *Controller) enter(next phase, now float64) {
 	c.phase, c.phaseStart, c.nextQueryAt = next, now, now
 }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -12,6 +12,7 @@
 
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/util/events"
+	"weirwind/internal/util/metrics"
 	"weirwind/internal/util/settings"
 	"weirwind/internal/util/transport"
 )
@@ -108,6 +109,7 @@
 		h.loop.run(h.ctx)
 	}()
 	go h.state.run()
+	defer metrics.Register(h.figures)()
 	h.log.Event(events.Started, "ctl", h.settings.ControlAddr, "mesh", mesh.Addr().String())
 
 	<-h.ctx.Done()
--- a/internal/dataplane/group/health.go
+++ b/internal/dataplane/group/health.go
@@ -24,8 +24,17 @@
 	RefusedLagging                   // its log does not reach the required position
 	NoAnswer                         // the connection ended, or the deadline passed
 	ConnectFailed                    // no connection could be made
+
+	OutcomeCount // of them
 )
 
+// outcomeNames are labels of figures, and stay as they are.
+var outcomeNames = [OutcomeCount]string{"answered", "answered_as_primary", "refused_read_only", "refused_lagging",
+	"no_answer", "connect_failed"}
+
+// String is the outcome's name in figures.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // RecordSend notes a request to a member at now. commit: its answer waits for replicas too.
 func (g *Group) RecordSend(member *Member, now float64, commit bool) {
 	member.pendingSends = append(member.pendingSends, now)
--- a/internal/dataplane/group/member.go
+++ b/internal/dataplane/group/member.go
@@ -57,6 +57,9 @@
 	return m.distance < other.distance || m.distance == other.distance && rand.IntN(2) == 0
 }
 
+// Ejected says whether routing leaves the member out at now.
+func (m *Member) Ejected(now float64) bool { return m.ejectedUntil > now }
+
 // responded notes that the member answered: it is neither suspected nor ejected any more.
 func (m *Member) responded(now float64) {
 	m.lastResponse, m.Suspected, m.ejectedUntil, m.ejection = now, false, 0, 0
--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -184,6 +184,7 @@
 		p.open--
 	default:
 		p.open--
+		grp.figures.outcomes[group.ConnectFailed]++
 		grp.routing.RecordOutcome(member, startedAt, r.proxy.now(), group.ConnectFailed, wire.Position{})
 		r.logSlot(grp)
 	}
--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -48,6 +48,7 @@
 func (r *router) enqueue(service string, request *connRequest) {
 	g := r.group(service)
 	if !g.queue.push(request) {
+		g.figures.overflown++
 		request.reply <- lentConn{err: errRetryLater}
 		return
 	}
@@ -71,6 +72,7 @@
 		// A request without enough time for an answer would time out, and its connection be closed with it: while
 		// many wait, every connection would be, and no request would ever be answered.
 		if now >= request.deadline-min(2*latency, (request.deadline-request.startedAt)/3) {
+			grp.figures.expired++
 			request.reply <- lentConn{err: errRetryLater}
 			r.logRejection(grp, request, now)
 			return true
@@ -81,6 +83,7 @@
 			return false
 		}
 		if pool := grp.pool(target.Member.ID); len(pool.idle) > 0 {
+			grp.figures.queueWait.Observe((now - request.startedAt) / 1000)
 			request.reply <- r.checkOut(grp, pool, request, target, now)
 			return true
 		}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"weirwind/internal/dataplane/group"
 	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
+	"weirwind/internal/util/metrics"
 	"weirwind/internal/util/settings"
 	"weirwind/internal/util/transport"
 )
@@ -75,6 +76,7 @@
 	go p.followAgent()
 	go p.warmUp()
 	go p.accept(front)
+	defer metrics.Register(p.figures)()
 	log.Event(events.Started, "front", s.FrontAddr, "ready", s.ReadyAddr)
 	<-ctx.Done()
 	p.shutDown(front)
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -49,7 +49,9 @@
 	queue      waitQueue[*connRequest]
 	maxConns   int // connections that each member may have from all drivers; 0: not configured
 	loggedSlot string
+	slotSince  float64 // when loggedSlot changed last, in milliseconds
 	rejections rejectionLog
+	figures    groupFigures
 	reporter   reporter
 }
 
@@ -159,6 +161,7 @@
 
 // recordOutcome notes how a request ended on a connection that stays lent.
 func (r *router) recordOutcome(lent *lentConn, sentAt float64, outcome group.Outcome, position wire.Position) {
+	lent.group.figures.outcomes[outcome]++
 	lent.group.routing.RecordOutcome(lent.member, sentAt, r.proxy.now(), outcome, position)
 	r.logSlot(lent.group)
 }
@@ -169,7 +172,7 @@
 	if holder == grp.loggedSlot {
 		return
 	}
-	grp.loggedSlot = holder
+	grp.loggedSlot, grp.slotSince = holder, r.proxy.now()
 	service, reason, queued := grp.routing.Service, grp.routing.SlotReason, grp.queue.len()
 	if holder == "" {
 		r.proxy.log.Event(events.SlotEmptied, "svc", service, "why", reason, "held", queued)
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -7,11 +7,12 @@
 
 // Events of processes: start, end, settings.
 const (
-	Started     Event = 101
-	Stopping    Event = 102
-	Stopped     Event = 103
-	Reloaded    Event = 104
-	BadSettings Event = 105
+	Started       Event = 101
+	Stopping      Event = 102
+	Stopped       Event = 103
+	Reloaded      Event = 104
+	BadSettings   Event = 105
+	MetricsFailed Event = 106
 )
 
 // Events of consensus among the core machines.
@@ -90,11 +91,12 @@
 
 // Catalogue says what each event means, as docs/events.md prints it. No line of the log holds these texts.
 var Catalogue = map[Event]string{
-	Started:     "a process has read its settings and serves",
-	Stopping:    "SIGTERM: graceful shutdown begins; nothing new is accepted, and what is open is let end",
-	Stopped:     "the process has shut down in order; with an error: it failed",
-	Reloaded:    "the settings file was read again; the peers that it names",
-	BadSettings: "the settings file can't be read; the settings in force stay",
+	Started:       "a process has read its settings and serves",
+	Stopping:      "SIGTERM: graceful shutdown begins; nothing new is accepted, and what is open is let end",
+	Stopped:       "the process has shut down in order; with an error: it failed",
+	Reloaded:      "the settings file was read again; the peers that it names",
+	MetricsFailed: "the process's own figures can't be served; it serves all else",
+	BadSettings:   "the settings file can't be read; the settings in force stay",
 
 	BecameLeader:    "this core machine is the leader from now on, in the term given, which is also its fencing token",
 	LostLeadership:  "this core machine is no longer the leader",
--- a/internal/util/events/events.go
+++ b/internal/util/events/events.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -29,6 +30,20 @@
 type Log struct {
 	logger logr.Logger
 	recent *recentLines
+	counts *counts
+}
+
+// counts are how often each event was logged, by its number.
+type counts [maxEvent + 1]atomic.Uint64
+
+// maxEvent bounds the numbers of events; one beyond it is counted as event 0.
+const maxEvent = 1099
+
+func (c *counts) add(event Event) {
+	if event < 0 || event > maxEvent {
+		event = 0
+	}
+	c[event].Add(1)
 }
 
 // recentLines keeps the newest lines, at most maxRecent and at least three quarters of that once so many were logged.
@@ -67,14 +82,20 @@
 		defer mu.Unlock()
 		_, _ = io.WriteString(w, line+"\n") // a log that can't be written must not stop the process
 	}, funcr.Options{})
-	return Log{logger.WithName(name), recent}
+	return Log{logger.WithName(name), recent, &counts{}}
 }
 
 // Discard returns a log that keeps and writes nothing.
-func Discard() Log { return Log{logr.Discard(), &recentLines{}} }
+func Discard() Log { return Log{logr.Discard(), &recentLines{}, &counts{}} }
 
 // Event logs an event with pairs of keys and values.
-func (l Log) Event(event Event, pairs ...any) { l.logger.Info(message(event), pairs...) }
+func (l Log) Event(event Event, pairs ...any) {
+	l.counts.add(event)
+	l.logger.Info(message(event), pairs...)
+}
+
+// Count is how often an event was logged by this process.
+func (l Log) Count(event Event) uint64 { return l.counts[event].Load() }
 
 // Error logs an event with an error. One made by package oops adds its domain as the step, and its context, such as
 // the peer.
@@ -85,6 +106,7 @@
 			pairs = append(pairs, k, v)
 		}
 	}
+	l.counts.add(event)
 	l.logger.Info(message(event), append(pairs, "error", err.Error())...)
 }
 
--- /dev/null
+++ b/internal/util/metrics/metrics.go
@@ -0,0 +1,113 @@
+// Package metrics serves a process's own figures in Prometheus' exposition format.
+//
+// Figures are read as they are fetched: a Source asks the owners of the process's state, and writes what they answer
+// into a Set. Nothing is kept here, and nothing is counted on the way of a statement but what the owners count
+// themselves. Names follow Prometheus' conventions: weirwind_ROLE_THING_UNIT, counters end in _total. Labels are
+// services, members, purposes, events and outcomes: nothing of a client, so that nothing grows with them.
+package metrics
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/samber/oops"
+)
+
+const (
+	maxFetches    = 2               // at a time; more are answered 503
+	fetchTimeout  = 2 * time.Second // for reading the figures
+	readTimeout   = 2 * time.Second // for a request
+	writeTimeout  = 5 * time.Second // whoever doesn't read is cut off then
+	idleTimeout   = 30 * time.Second
+	maxHeaderSize = 8 << 10
+)
+
+// Source writes a process's figures into a set. It may be called from any goroutine.
+type Source func(set Set)
+
+// Set takes figures. Labels are pairs of names and values.
+type Set struct{ metrics chan<- prometheus.Metric }
+
+// Gauge is a value that rises and falls.
+func (s Set) Gauge(name, help string, value float64, labels ...string) {
+	s.add(name, help, prometheus.GaugeValue, value, labels)
+}
+
+// Counter is a value that only rises while the process lives.
+func (s Set) Counter(name, help string, value float64, labels ...string) {
+	s.add(name, help, prometheus.CounterValue, value, labels)
+}
+
+func (s Set) add(name, help string, kind prometheus.ValueType, value float64, labels []string) {
+	names, values := split(labels)
+	metric, err := prometheus.NewConstMetric(prometheus.NewDesc(name, help, names, nil), kind, value, values...)
+	if err != nil {
+		metric = prometheus.NewInvalidMetric(prometheus.NewDesc(name, help, nil, nil), err)
+	}
+	s.metrics <- metric
+}
+
+// Histogram is a distribution that an owner has observed.
+func (s Set) Histogram(name, help string, observed Histogram, labels ...string) {
+	names, values := split(labels)
+	buckets, cumulative := map[float64]uint64{}, uint64(0)
+	for i, bound := range bucketBounds {
+		cumulative += observed.counts[i]
+		buckets[bound] = cumulative
+	}
+	desc := prometheus.NewDesc(name, help, names, nil)
+	metric, err := prometheus.NewConstHistogram(desc, observed.total, observed.sum, buckets, values...)
+	if err != nil {
+		metric = prometheus.NewInvalidMetric(desc, err)
+	}
+	s.metrics <- metric
+}
+
+// split takes pairs of names and values apart.
+func split(labels []string) (names, values []string) {
+	for i := 0; i+1 < len(labels); i += 2 {
+		names, values = append(names, labels[i]), append(values, labels[i+1])
+	}
+	return names, values
+}
+
+// collector is a source as the registry calls it. It describes nothing beforehand: services and members come and go.
+type collector struct{ source Source }
+
+// Describe implements prometheus.Collector.
+func (collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(metrics chan<- prometheus.Metric) { c.source(Set{metrics}) }
+
+// Handler answers with the figures of some sources.
+func Handler(sources ...Source) http.Handler {
+	registry := prometheus.NewRegistry()
+	for _, source := range sources {
+		registry.MustRegister(collector{source})
+	}
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{
+		ErrorHandling:       promhttp.ContinueOnError,
+		MaxRequestsInFlight: maxFetches,
+		Timeout:             fetchTimeout,
+	})
+}
+
+// Serve answers at an address and a path until the context ends. It returns once it listens.
+func Serve(ctx context.Context, addr, path string, sources ...Source) error {
+	listener, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return oops.In("metrics").With("addr", addr).Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /"+path, Handler(sources...))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderSize}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }() // until Close
+	return nil
+}
--- a/internal/util/process/process.go
+++ b/internal/util/process/process.go
@@ -12,14 +12,18 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/samber/oops"
 
 	"weirwind/internal/util/events"
+	"weirwind/internal/util/metrics"
 	"weirwind/internal/util/settings"
 )
 
@@ -30,6 +34,8 @@
 	exitUsage   = 2 // the command line is wrong
 )
 
+const maxPort = 65535
+
 // gcPercent is by how much the heap may grow between two collections.
 const gcPercent = 60
 
@@ -43,6 +49,8 @@
 	Summary string // one line for the usage
 	// Check reports what the role lacks in settings that can be read; nil: it needs nothing beyond them.
 	Check func(*settings.Settings) error
+	// ServesMetrics says that Run registers the process's own figures with package metrics.
+	ServesMetrics bool
 	// Run serves until the context ends, and then shuts down. An error means that it failed.
 	Run func(context.Context, *settings.Settings, events.Log) error
 }
@@ -50,7 +58,8 @@
 // commandLine is a program's parsed arguments.
 type commandLine struct {
 	settingsFile string
-	checkOnly    bool // the settings are read and checked, and nothing is run
+	checkOnly    bool   // the settings are read and checked, and nothing is run
+	metrics      string // PORT/PATH of the process's own figures; "": they are not served
 }
 
 // Main runs a role's program and returns its exit code: 0 for a shutdown in order, 1 for a failure, 2 for a wrong
@@ -75,6 +84,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	defer reloadOnHangup(line.settingsFile, role, log)()
+	if port, path, ok := strings.Cut(line.metrics, "/"); ok {
+		addr, untilTheEnd := net.JoinHostPort(set.IP, port), context.WithoutCancel(ctx)
+		if err := metrics.Serve(untilTheEnd, addr, path, metrics.Registered); err != nil {
+			log.Error(events.MetricsFailed, err) // the role serves all the same
+		}
+	}
 	if err := role.Run(ctx, set, log); err != nil {
 		log.Error(events.Stopped, err)
 		return exitFailure
@@ -90,8 +105,13 @@
 	flags.StringVar(&line.settingsFile, "settings", os.Getenv(settings.EnvVariable),
 		"settings `file`; else the variable "+settings.EnvVariable+" names it")
 	flags.BoolVar(&line.checkOnly, "check", false, "read and check the settings, and end")
+	usage := "[-settings FILE] [-check]"
+	if role.ServesMetrics {
+		flags.StringVar(&line.metrics, "metrics", "", "`PORT/PATH` at which the process's own figures are served")
+		usage += " [-metrics PORT/PATH]"
+	}
 	flags.Usage = func() {
-		fmt.Fprintf(out, "%s: %s\n\nUsage: %s [-settings FILE] [-check]\n\n", role.Name, role.Summary, role.Name)
+		fmt.Fprintf(out, "%s: %s\n\nUsage: %s %s\n\n", role.Name, role.Summary, role.Name, usage)
 		flags.PrintDefaults()
 		fmt.Fprintln(out, "\nSIGHUP reads the settings again, SIGTERM ends in order. "+
 			"The log, on standard error, has numbered events: docs/events.md.")
@@ -102,13 +122,20 @@
 		}
 		return nil, exitUsage
 	}
-	if flags.NArg() > 0 || line.settingsFile == "" {
+	if flags.NArg() > 0 || line.settingsFile == "" || line.metrics != "" && !validMetrics(line.metrics) {
 		flags.Usage()
 		return nil, exitUsage
 	}
 	return line, exitOK
 }
 
+// validMetrics says whether a text is PORT/PATH.
+func validMetrics(text string) bool {
+	port, path, ok := strings.Cut(text, "/")
+	n, err := strconv.Atoi(port)
+	return ok && err == nil && n > 0 && n <= maxPort && path != "" && !strings.ContainsAny(path, " {}")
+}
+
 // reloadOnHangup reads and checks the settings again at each SIGHUP, and logs the result; the settings in force stay.
 // It returns a function that ends this; a SIGHUP after that is ignored, as the process is about to end.
 func reloadOnHangup(file string, role Role, log events.Log) (stop func()) {
--- a/internal/util/process/processtest/processtest.go
+++ b/internal/util/process/processtest/processtest.go
@@ -35,6 +35,7 @@
 		{"no settings file", "", nil, 2, string(help)},
 		{"an argument too many", "", []string{"-settings", file, "more"}, 2, string(help)},
 		{"an unknown flag", "", []string{"-wrong"}, 2, "flag provided but not defined: -wrong\n" + string(help)},
+		{"figures at no port", "", []string{"-settings", file, "-metrics", "metrics"}, 2, metricsOut(role, help)},
 		{"a file that is not there", "", []string{"-check", "-settings", file + "s"}, 1, ""},
 		{"bad settings", "hostname=h\n", []string{"-check", "-settings", file}, 1, ""},
 		{"settings without what the role needs", minimal, []string{"-check", "-settings", file}, 1, ""},
@@ -58,3 +59,11 @@
 		t.Errorf("%v, want %s", err, lacking)
 	}
 }
+
+// metricsOut is what a role prints where its figures are to be served at a place that is none.
+func metricsOut(role process.Role, help []byte) string {
+	if role.ServesMetrics {
+		return string(help)
+	}
+	return "flag provided but not defined: -metrics\n" + string(help)
+}
