--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -104,11 +104,14 @@
 
 func (s *loopSnapshot) write(set metrics.Set) {
 	set.Gauge("weirwind_controlplane_term", "Term of consensus.", float64(s.term))
-	set.Gauge("weirwind_controlplane_commit_index", "Index of the newest entry that is known committed.", float64(s.commit))
+	set.Gauge("weirwind_controlplane_commit_index", "Index of the newest entry that is known committed.",
+		float64(s.commit))
 	set.Gauge("weirwind_controlplane_last_index", "Index of the newest entry on this disk.", float64(s.last))
-	set.Gauge("weirwind_controlplane_config_version", "Version of the committed configuration; 0: none.", float64(s.version))
+	set.Gauge("weirwind_controlplane_config_version", "Version of the committed configuration; 0: none.",
+		float64(s.version))
 	set.Gauge("weirwind_controlplane_voters", "Machines that vote.", float64(s.voters))
-	set.Gauge("weirwind_controlplane_silent_voters", "Other voters that are silent; known by the leader.", float64(s.silent))
+	set.Gauge("weirwind_controlplane_silent_voters", "Other voters that are silent; known by the leader.",
+		float64(s.silent))
 	set.Gauge("weirwind_controlplane_lagging_voters", "Other voters that lack the last entry; known by the leader.",
 		float64(s.behind))
 	set.Gauge("weirwind_controlplane_drifting_voters", "Voters whose clocks run at another rate; known by the leader.",
