--- a/internal/controlplane/agent/metrics.go
+++ b/internal/controlplane/agent/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/util/commandqueue"
@@ -12,9 +11,6 @@
 
 // This file owns the agent's own figures, as Prometheus fetches them.
 
-// metricsTimeout bounds a fetch's wait for the agent's loop.
-const metricsTimeout = time.Second
-
 // snapshot is a copy of the agent's figures.
 type snapshot struct {
 	configVersion, shardMapVersion          uint64
@@ -39,7 +35,7 @@
 	controlmsg.Figures(set, "weirwind_agent", "core", &CoreTraffic)
 	controlmsg.Figures(set, "weirwind_agent", "peers", &PeerTraffic)
 	controlmsg.Figures(set, "weirwind_agent", "proxy", &ProxyTraffic)
-	ctx, stop := context.WithTimeout(a.ctx, metricsTimeout)
+	ctx, stop := context.WithTimeout(a.ctx, metrics.OwnerTimeout)
 	defer stop()
 	s, err := commandqueue.Call(ctx, a.commands, a.snapshot)
 	if err != nil {
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"time"
 
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/util/commandqueue"
@@ -13,9 +12,6 @@
 
 // This file owns a core machine's own figures, as Prometheus fetches them.
 
-// metricsTimeout bounds a fetch's wait for the soft state.
-const metricsTimeout = time.Second
-
 // loopSnapshot is a copy of the consensus loop's figures.
 type loopSnapshot struct {
 	term, commit, last, version uint64
@@ -95,7 +91,7 @@
 	if loop, ok := askLoop(h.loop, h.loop.snapshot); ok {
 		loop.write(set)
 	}
-	ctx, stop := context.WithTimeout(h.ctx, metricsTimeout)
+	ctx, stop := context.WithTimeout(h.ctx, metrics.OwnerTimeout)
 	defer stop()
 	if state, err := commandqueue.Call(ctx, h.state.queue, h.state.snapshot); err == nil {
 		state.write(set)
--- a/internal/dataplane/proxy/metrics.go
+++ b/internal/dataplane/proxy/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"weirwind/internal/dataplane/group"
 	"weirwind/internal/util/commandqueue"
@@ -12,9 +11,6 @@
 
 // This file owns the proxy's own figures, as Prometheus fetches them.
 
-// metricsTimeout bounds a fetch's wait for the router.
-const metricsTimeout = time.Second
-
 // groupFigures are what the router counts of a group for its operators.
 type groupFigures struct {
 	queueWait metrics.Histogram // of requests that were lent a connection, from the statement's arrival
@@ -82,7 +78,7 @@
 	}
 	set.Gauge("weirwind_proxy_agent_linked", "1 while the agent on this machine feeds this proxy.", linked)
 	events.Figures(p.log, set)
-	ctx, stop := context.WithTimeout(p.ctx, metricsTimeout)
+	ctx, stop := context.WithTimeout(p.ctx, metrics.OwnerTimeout)
 	defer stop()
 	all, err := commandqueue.Call(ctx, p.router.commands, p.router.snapshot)
 	if err != nil {
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -50,7 +50,8 @@
 const timeout = 90 * time.Second
 
 // fleetsAtOnce is how many fleets, of five drivers or six, run at once on this machine for each of its processors,
-// whichever tests run them. With twice as many, drivers get too little processor to renew their leases.
+// whichever tests run them. Of four times as many, beside other work, drivers got too little processor to renew their
+// leases.
 const fleetsAtOnce = 2
 
 var allDrivers = []int{0, 1, 2, 3, 4}
--- a/internal/util/metrics/metrics.go
+++ b/internal/util/metrics/metrics.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	maxFetches    = 2               // at a time; more are answered 503
-	fetchTimeout  = 2 * time.Second // for reading the figures
+	maxFetches   = 2               // at a time; more are answered 503
+	fetchTimeout = 2 * time.Second // for reading the figures
+	// OwnerTimeout bounds a source's wait for an owner of state, whose figures are left out then.
+	OwnerTimeout  = time.Second
 	readTimeout   = 2 * time.Second // for a request
 	writeTimeout  = 5 * time.Second // whoever doesn't read is cut off then
 	idleTimeout   = 30 * time.Second
