controlplane: a drain or leave is acknowledged once a majority can have its record

Cause: contact lasts for up to 1.5 s after a cut. In that time a machine that had just been cut off acknowledged drains and leaves that the other side could not learn, and the fronts there went on sending to the member; even without a cut the leader did not know a leave as it was acknowledged elsewhere.

Change: the answer waits, 0.7 s at most, until contact is newer than the record's sending; messages between machines are in order. Then 200, else 503, at which the member calls the next machine.

TestLeavesAreKnownToAMajorityBeforeTheyAreAcknowledged, seen to fail without it in all three ways.

--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"weirwind/internal/controlplane/consensus"
 	"weirwind/internal/controlplane/controlmsg"
@@ -28,6 +29,31 @@
 
 func (h *Server) inContact() bool { return h.contactAge() <= consensus.ContactLease }
 
+const (
+	// leavingTimeout bounds the wait for contact before a member's drain or leave is acknowledged. The member calls the
+	// next machine after a second.
+	leavingTimeout = 700 * time.Millisecond
+	contactPoll    = 20 * time.Millisecond
+)
+
+// awaitContact waits until contact is newer than a moment, in ms; false where it is not in time. Messages to a machine
+// are in order: by then a majority, the leader among it, has what this machine had sent before.
+func (h *Server) awaitContact(since float64, timeout time.Duration) bool {
+	tick := time.NewTicker(contactPoll)
+	defer tick.Stop()
+	for end := since + ms(timeout); h.contact.at() < since; {
+		select {
+		case <-tick.C:
+		case <-h.ctx.Done():
+			return false
+		}
+		if h.now() > end {
+			return false
+		}
+	}
+	return true
+}
+
 // rejectWithoutContact answers with an error where there is no contact, so that the caller turns to another machine
 // at once.
 func (h *Server) rejectWithoutContact(w http.ResponseWriter) bool {
--- a/internal/controlplane/leave_test.go
+++ b/internal/controlplane/leave_test.go
@@ -1,9 +1,12 @@
 package controlplane
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
+
+	"weirwind/internal/controlplane/controlmsg"
 )
 
 // The leave of a member that a machine doesn't know is acknowledged only once the machine would know it: before, another
@@ -40,3 +43,43 @@
 		}
 	})
 }
+
+// A drain or leave at a machine that has just been cut off, whose contact is still young, is not acknowledged: the other
+// side would not learn of it. One that is acknowledged is known to the leader. It fails without awaitContact, where both
+// are answered 200.
+func TestLeavesAreKnownToAMajorityBeforeTheyAreAcknowledged(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		machines := newTrio(t, newTranscript())
+		time.Sleep(6 * time.Second)
+		all := machines.elected(t, "")
+		leader, follower := all[0], all[1]
+		for seq, id := range []string{"a", "b", "c"} {
+			heartbeat(follower, id, "svc", fmt.Sprint("10.0.1.1:", seq+1), "replica", "up", seq+1)
+		}
+		time.Sleep(time.Second)
+		leave := func(id string) int {
+			return call(nil, follower, http.MethodPost, "/members/"+id+"/leave", nil, "").Code
+		}
+		if got := leave("a"); got != http.StatusOK {
+			t.Fatalf("a leave: %d", got)
+		}
+		err := leader.state.call(func() {
+			if m, _ := leader.state.members.table.Get("a"); !m.HasLeft() {
+				t.Errorf("the leader does not know an acknowledged leave: %+v", m)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		machines.setDrops(func(from, to *Server, _ *controlmsg.Frame) bool { return from == follower || to == follower })
+		if !follower.inContact() {
+			t.Fatal("its contact is over already")
+		}
+		if got := leave("b"); got != http.StatusServiceUnavailable {
+			t.Errorf("a leave just after the cut: %d", got)
+		}
+		if got := heartbeat(follower, "c", "svc", "10.0.1.1:3", "replica", "draining", 9); got != http.StatusServiceUnavailable {
+			t.Errorf("a drain just after the cut: %d", got)
+		}
+	})
+}
--- a/internal/controlplane/membersresource.go
+++ b/internal/controlplane/membersresource.go
@@ -53,6 +53,10 @@
 		writeError(w, errStopping)
 		return
 	}
+	if record.Leaving {
+		m.acknowledgeLeaving(w)
+		return
+	}
 	m.acknowledge(w)
 }
 
@@ -67,7 +71,7 @@
 	case !known && m.server.now() < ms(recoveryPeriod):
 		writeError(w, errUnknownMember) // another machine's record of it would stay
 	default:
-		m.acknowledge(w)
+		m.acknowledgeLeaving(w)
 	}
 }
 
@@ -80,6 +84,17 @@
 	writeAnswer(w, m.server.submit(controlmsg.Request{ForgetMember: id}), contentTypeText)
 }
 
+// acknowledgeLeaving answers a member that drains or leaves, once a majority has been in contact since its record was
+// sent to the other machines. What is acknowledged binds all drivers: where the core has just been cut apart, contact
+// still lasts for a moment, and the other side would never learn of it.
+func (m *membersResource) acknowledgeLeaving(w http.ResponseWriter) {
+	if m.server.inContact() && !m.server.awaitContact(m.server.now(), leavingTimeout) {
+		writeError(w, errNoContact)
+		return
+	}
+	m.acknowledge(w)
+}
+
 // acknowledge answers a member whose record is in the table here. Without contact it would be in no other: the member
 // is to repeat its call to another machine.
 func (m *membersResource) acknowledge(w http.ResponseWriter) {
--- a/internal/controlplane/metrics_test.go
+++ b/internal/controlplane/metrics_test.go
@@ -33,7 +33,7 @@
 			t.Fatal(w.Code, w.Body)
 		}
 		for _, id := range []string{"a", "b"} {
-			heartbeat(leader, id, "s", "10.0.9.1:"+id, "replica", "up", 1)
+			heartbeat(leader, id, "s", "10.0.9.1:"+map[string]string{"a": "1", "b": "2"}[id], "replica", "up", 1)
 		}
 		time.Sleep(2 * time.Second)
 		expect := func(h *Server, lines ...string) {
