Read once more: flags, ends of members and checks of transfers stand once; a preview learns nothing

- metrics.Set.Flag in place of five blocks and gaugeOf that made 1 of true; the proxy's readiness is asked at one place by the platform's call and by its figure.
- zones: the load of zones no longer writes what it learns, the step that plans does; Simulate had saved and restored it around the call.
- consensus: mayTransfer in place of three copies of one condition. membership: publishEnd in place of two copies. process: PORT/PATH is taken apart at one place. store: a Sync that only forwarded is gone.

--- a/internal/controlplane/agent/metrics.go
+++ b/internal/controlplane/agent/metrics.go
@@ -41,11 +41,7 @@
 	if err != nil {
 		return
 	}
-	linked := 0.0
-	if s.linked {
-		linked = 1
-	}
-	set.Gauge("weirwind_agent_core_linked", "1 while a core machine serves this agent.", linked)
+	set.Flag("weirwind_agent_core_linked", "1 while a core machine serves this agent.", s.linked)
 	set.Gauge("weirwind_agent_core_attempts", "Attempts to reach a core machine since a link was stable.",
 		float64(s.failedAttempts))
 	set.Gauge("weirwind_agent_config_version", "Newest configuration that is known; 0: none.", float64(s.configVersion))
--- a/internal/controlplane/consensus/node.go
+++ b/internal/controlplane/consensus/node.go
@@ -124,7 +124,7 @@
 	case n.role != Leader: // no quorum, or voted out
 	case n.leaving():
 		n.transferOrLeave(now)
-	case n.ownClockDrifts() && !n.InFlight() && now >= n.nextTransfer:
+	case n.ownClockDrifts() && n.mayTransfer(now):
 		n.transferLeadership(now)
 	default:
 		n.maintainVoters(now)
--- a/internal/controlplane/consensus/shutdown.go
+++ b/internal/controlplane/consensus/shutdown.go
@@ -56,7 +56,7 @@
 // the rest votes without it first (its successor could else need a vote that went with it); where not,
 // another is asked to stand, and one more if that one did not.
 func (n *Node) transferOrLeave(now float64) {
-	if n.InFlight() || now < n.nextTransfer {
+	if !n.mayTransfer(now) {
 		return
 	}
 	last := &n.HardState.Last
@@ -96,10 +96,13 @@
 	n.progress[successor.ID].lastResponse = newest - 2*n.options.HeartbeatInterval // the next attempt is another's
 }
 
+// mayTransfer says that no entry is in flight, and that the last successor that was asked has had its time.
+func (n *Node) mayTransfer(now float64) bool { return !n.InFlight() && now >= n.nextTransfer }
+
 // TransferLeadership has this leader let another voter lead, or itself in a later term where it votes alone or nobody
 // else holds its last entry. It does nothing while an entry is in flight: the caller asks again.
 func (n *Node) TransferLeadership(now float64) {
-	if n.role != Leader || n.InFlight() || now < n.nextTransfer {
+	if n.role != Leader || !n.mayTransfer(now) {
 		return
 	}
 	n.transferLeadership(now)
--- a/internal/controlplane/consensus/store/fullfs.go
+++ b/internal/controlplane/consensus/store/fullfs.go
@@ -88,7 +88,9 @@
 	return f.try(func() error { return f.FS.MkdirAll(dir, mode) })
 }
 
-// fullFile is a file of a fullFS.
+// fullFile is a file of a fullFS. Its Sync is the file's own: a file system that gives blocks to bytes only as it writes
+// them may find there that it has none left, and whether a later sync writes what this one failed to isn't certain. So
+// that fails as any other fault.
 type fullFile struct {
 	vfs.File
 	fs *fullFS
@@ -120,7 +122,3 @@
 	}
 	return nil
 }
-
-// Sync syncs the file. A file system that gives blocks to bytes only as it writes them may find here that it has none
-// left. Whether bytes that it failed to write are written by a later sync isn't certain: this fails as any other fault.
-func (f *fullFile) Sync() error { return f.File.Sync() }
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -91,8 +91,7 @@
 // leave notes that a member left by its own word. It reports whether the member is known here.
 func (m *membership) leave(id string, now float64) (known bool) {
 	if record, ok := m.table.Leave(id, now); ok {
-		m.log.Event(events.MemberRemoved, "member", id, "why", "left")
-		m.publish([]directory.Member{record})
+		m.publishEnd(record)
 	}
 	_, known = m.table.Get(id)
 	return known
@@ -101,11 +100,16 @@
 // remove notes that a member has ended, without its word: it comes back by a heartbeat if it hasn't.
 func (m *membership) remove(id string, now float64) {
 	if record, ok := m.table.Remove(id, now); ok {
-		m.log.Event(events.MemberRemoved, "member", id, "why", "left")
-		m.publish([]directory.Member{record})
+		m.publishEnd(record)
 	}
 }
 
+// publishEnd logs and publishes that a member has ended.
+func (m *membership) publishEnd(record directory.Member) {
+	m.log.Event(events.MemberRemoved, "member", record.ID, "why", "left")
+	m.publish([]directory.Member{record})
+}
+
 // endReplaced notes the end of members whose address another now has: a member that crashed comes back with its log
 // and another id. The old id stays on the roster until it may be removed, which takes a live primary, but nobody
 // waits for it to expire.
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -65,14 +65,6 @@
 	return snapshot
 }
 
-// gaugeOf is 1 for true.
-func gaugeOf(state bool) float64 {
-	if state {
-		return 1
-	}
-	return 0
-}
-
 // figures writes the machine's figures. What an owner doesn't answer in time is left out.
 func (h *Server) figures(set metrics.Set) {
 	events.Figures(h.log, set)
@@ -82,12 +74,12 @@
 		set.Gauge("weirwind_controlplane_contact_age_seconds",
 			"Since this machine last knew all that was acknowledged anywhere.", age/1000)
 	}
-	set.Gauge("weirwind_controlplane_in_contact", "1 while this machine answers calls by a majority.",
-		gaugeOf(h.inContact()))
+	set.Flag("weirwind_controlplane_in_contact", "1 while this machine answers calls by a majority.",
+		h.inContact())
 	set.Gauge("weirwind_controlplane_disk_wait_seconds", "For which a write has kept the consensus loop waiting.",
 		h.loop.diskWait.writingFor(h.now())/1000)
-	set.Gauge("weirwind_controlplane_disk_full", "1 while the disk has no room for the present write.",
-		gaugeOf(h.loop.diskWait.isFull()))
+	set.Flag("weirwind_controlplane_disk_full", "1 while the disk has no room for the present write.",
+		h.loop.diskWait.isFull())
 	if loop, ok := askLoop(h.loop, h.loop.snapshot); ok {
 		loop.write(set)
 	}
@@ -120,9 +112,9 @@
 }
 
 func (s *stateSnapshot) write(set metrics.Set) {
-	set.Gauge("weirwind_controlplane_leads", "1 while this machine leads.", gaugeOf(s.leads))
-	set.Gauge("weirwind_controlplane_directory_complete", "1 while nothing that others know is missing here.",
-		gaugeOf(s.complete))
+	set.Flag("weirwind_controlplane_leads", "1 while this machine leads.", s.leads)
+	set.Flag("weirwind_controlplane_directory_complete", "1 while nothing that others know is missing here.",
+		s.complete)
 	set.Gauge("weirwind_controlplane_members", "Members that have not ended.", float64(s.members))
 	set.Gauge("weirwind_controlplane_driver_leases", "Drivers that hold a lease.", float64(s.drivers))
 	set.Gauge("weirwind_controlplane_agents", "Agents that renew at this machine.", float64(s.agents))
--- a/internal/dataplane/proxy/metrics.go
+++ b/internal/dataplane/proxy/metrics.go
@@ -67,16 +67,9 @@
 // figures writes the proxy's figures. Without the router's answer in time those of groups are left out.
 func (p *Proxy) figures(set metrics.Set) {
 	set.Gauge("weirwind_proxy_sessions", "Clients' sessions that are open.", float64(p.clientConns.Load()))
-	ready := 0.0
-	if p.phase() == serving && p.config.Load() != nil {
-		ready = 1
-	}
-	set.Gauge("weirwind_proxy_ready", "1 while the platform is told that this proxy is ready.", ready)
-	linked := 0.0
-	if p.agent.Load() != nil {
-		linked = 1
-	}
-	set.Gauge("weirwind_proxy_agent_linked", "1 while the agent on this machine feeds this proxy.", linked)
+	set.Flag("weirwind_proxy_ready", "1 while the platform is told that this proxy is ready.", p.ready())
+	set.Flag("weirwind_proxy_agent_linked", "1 while the agent on this machine feeds this proxy.",
+		p.agent.Load() != nil)
 	events.Figures(p.log, set)
 	ctx, stop := context.WithTimeout(p.ctx, metrics.OwnerTimeout)
 	defer stop()
@@ -93,11 +86,8 @@
 
 // write writes a group's figures.
 func (g *groupSnapshot) write(set metrics.Set) {
-	filled := 0.0
-	if g.slot != "" {
-		filled = 1
-	}
-	set.Gauge("weirwind_proxy_slot_filled", "1 while the writer slot names a primary.", filled, "service", g.service)
+	set.Flag("weirwind_proxy_slot_filled", "1 while the writer slot names a primary.",
+		g.slot != "", "service", g.service)
 	set.Gauge("weirwind_proxy_slot_age_seconds", "Since the writer slot changed last.", g.slotAge, "service", g.service)
 	set.Gauge("weirwind_proxy_queued_requests", "Requests that wait for a connection.", float64(g.waiting),
 		"service", g.service)
@@ -124,10 +114,6 @@
 		set.Gauge("weirwind_proxy_connections", "Connections to members, by what they do.", float64(n),
 			"service", service, "member", m.id, "state", state)
 	}
-	ejected := 0.0
-	if m.ejected {
-		ejected = 1
-	}
-	set.Gauge("weirwind_proxy_member_ejected", "1 while routing leaves the member out.", ejected,
+	set.Flag("weirwind_proxy_member_ejected", "1 while routing leaves the member out.", m.ejected,
 		"service", service, "member", m.id)
 }
--- a/internal/dataplane/proxy/status.go
+++ b/internal/dataplane/proxy/status.go
@@ -34,8 +34,11 @@
 	return mux
 }
 
+// ready says whether clients may come: there is a configuration, and no shutdown has begun.
+func (p *Proxy) ready() bool { return p.phase() == serving && p.config.Load() != nil }
+
 func (p *Proxy) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if p.phase() != serving || p.config.Load() == nil {
+	if !p.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/fleet/zones/flows.go
+++ b/internal/fleet/zones/flows.go
@@ -14,14 +14,15 @@
 
 // stepFlows solves for the flows that are due, and shifts the plan's flows toward them as fast as they may.
 func (z *Coordinator) stepFlows(now float64, next *Plan, names []string, reports []Report) {
-	loads := z.zoneLoads(next, names, reports)
+	loads, readsPerMember := z.zoneLoads(next, names, reports)
+	z.readsPerMember = readsPerMember
 	var solution []Flow
 	var binding []string
 	if z.needsFlows(next, loads) {
 		solution, binding = solveFlows(loads, z.options.Limits, next.reaches)
 	}
-	// Another goal only where zones are no longer the same, or the old one is far off after a while: demand is noisy, and
-	// of several solutions that cost the same the solver gives any.
+	// Another goal only where zones are no longer the same, or the old one is far off after a while: demand is noisy,
+	// and of several solutions that cost the same the solver gives any.
 	changed := !slices.Equal(next.Zones, z.plan.Zones) ||
 		!slices.Equal(next.Partitions, z.plan.Partitions) ||
 		z.goalSetAt == 0
@@ -54,8 +55,8 @@
 	})
 }
 
-// rateLimitedFlows shifts the shares of the plan held toward the goal, no faster than Options.MaxShiftRate. From a zone
-// without capacity and to an ejected one they shift at once.
+// rateLimitedFlows shifts the shares of the plan held toward the goal, no faster than Options.MaxShiftRate. From a
+// zone without capacity and to an ejected one they shift at once.
 func (z *Coordinator) rateLimitedFlows(now float64, next *Plan, names []string) (flows []Flow) {
 	maxShift := z.options.MaxShiftRate * (now - z.flowsChangedAt) / 1000
 	goal := &Plan{Flows: z.goalFlows}
@@ -129,8 +130,10 @@
 	return c.reads / c.reporters * c.drivers
 }
 
-// zoneLoads are the zones with their demand and capacity, both in reads a second.
-func (z *Coordinator) zoneLoads(plan *Plan, names []string, reports []Report) (loads []ZoneLoad) {
+// zoneLoads are the zones with their demand and capacity, both in reads a second, and what a member serves by these
+// reports. It teaches the leader nothing: stepFlows keeps that.
+func (z *Coordinator) zoneLoads(plan *Plan, names []string, reports []Report) (
+	loads []ZoneLoad, readsPerMember float64) {
 	counts := z.countZones(reports)
 	demand, members := 0.0, 0.0
 	for _, name := range names {
@@ -139,23 +142,24 @@
 			members += c.members
 		}
 	}
-	z.learnCapacity(demand, members)
+	readsPerMember = z.learnedCapacity(demand, members)
 	for _, name := range names {
 		l := ZoneLoad{Name: name, Region: z.regionOf[name]}
 		if c := counts[name]; c != nil {
 			l.Demand = c.demand()
-			l.Capacity = c.reachable * z.readsPerMember * plan.zone(name).Capacity
+			l.Capacity = c.reachable * readsPerMember * plan.zone(name).Capacity
 		}
 		loads = append(loads, l)
 	}
-	return loads
+	return loads, readsPerMember
 }
 
-// learnCapacity takes what a member serves from the demand while nothing is wrong: it follows a rise at once and a fall
-// slowly.
-func (z *Coordinator) learnCapacity(demand, members float64) {
+// learnedCapacity takes what a member serves from the demand while nothing is wrong: it follows a rise at once and a
+// fall slowly.
+func (z *Coordinator) learnedCapacity(demand, members float64) float64 {
 	healthy := len(z.assessment.Causes) == 0 && len(z.assessment.Partitions) == 0
 	if demand > 0 && members > 0 && (healthy || z.readsPerMember == 0) {
-		z.readsPerMember = max(demand/(members*z.options.BaselineUtilization), 0.98*z.readsPerMember)
+		return max(demand/(members*z.options.BaselineUtilization), 0.98*z.readsPerMember)
 	}
+	return z.readsPerMember
 }
--- a/internal/fleet/zones/status.go
+++ b/internal/fleet/zones/status.go
@@ -34,9 +34,8 @@
 			p.Zones[i].Capacity = 0
 		}
 	}
-	learned := z.readsPerMember
-	defer func() { z.readsPerMember = learned }() // a preview teaches the leader nothing
-	preview := Preview{Zones: z.zoneLoads(&p, z.zoneNames(), z.recentReports(now))}
+	loads, _ := z.zoneLoads(&p, z.zoneNames(), z.recentReports(now)) // a preview teaches the leader nothing
+	preview := Preview{Zones: loads}
 	preview.Flows, preview.BindingConstraints = solveFlows(preview.Zones, z.options.Limits, p.reaches)
 	return preview, nil
 }
--- a/internal/util/metrics/metrics.go
+++ b/internal/util/metrics/metrics.go
@@ -39,6 +39,15 @@
 	s.add(name, help, prometheus.GaugeValue, value, labels)
 }
 
+// Flag is a gauge that is 1 while something is so, else 0.
+func (s Set) Flag(name, help string, state bool, labels ...string) {
+	value := 0.0
+	if state {
+		value = 1
+	}
+	s.Gauge(name, help, value, labels...)
+}
+
 // Counter is a value that only rises while the process lives.
 func (s Set) Counter(name, help string, value float64, labels ...string) {
 	s.add(name, help, prometheus.CounterValue, value, labels)
--- a/internal/util/process/process.go
+++ b/internal/util/process/process.go
@@ -84,7 +84,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	defer reloadOnHangup(line.settingsFile, role, log)()
-	if port, path, ok := strings.Cut(line.metrics, "/"); ok {
+	if port, path, ok := splitMetrics(line.metrics); ok {
 		addr, untilTheEnd := net.JoinHostPort(set.IP, port), context.WithoutCancel(ctx)
 		if err := metrics.Serve(untilTheEnd, addr, path, metrics.Registered); err != nil {
 			log.Error(events.MetricsFailed, err) // the role serves all the same
@@ -122,18 +122,24 @@
 		}
 		return nil, exitUsage
 	}
-	if flags.NArg() > 0 || line.settingsFile == "" || line.metrics != "" && !validMetrics(line.metrics) {
+	if flags.NArg() > 0 || line.settingsFile == "" || !validMetrics(line.metrics) {
 		flags.Usage()
 		return nil, exitUsage
 	}
 	return line, exitOK
 }
 
-// validMetrics says whether a text is PORT/PATH.
-func validMetrics(text string) bool {
-	port, path, ok := strings.Cut(text, "/")
+// splitMetrics takes PORT/PATH apart; ok is false for a text that is none.
+func splitMetrics(text string) (port, path string, ok bool) {
+	port, path, found := strings.Cut(text, "/")
 	n, err := strconv.Atoi(port)
-	return ok && err == nil && n > 0 && n <= maxPort && path != "" && !strings.ContainsAny(path, " {}")
+	return port, path, found && err == nil && n > 0 && n <= maxPort && path != "" && !strings.ContainsAny(path, " {}")
+}
+
+// validMetrics says whether a text is PORT/PATH, or empty.
+func validMetrics(text string) bool {
+	_, _, ok := splitMetrics(text)
+	return ok || text == ""
 }
 
 // reloadOnHangup reads and checks the settings again at each SIGHUP, and logs the result; the settings in force stay.
