--- a/internal/controlplane/consensus/store/fullfs.go
+++ b/internal/controlplane/consensus/store/fullfs.go
@@ -10,10 +10,10 @@
 
 // This file owns what becomes of writes that a full disk refuses.
 //
-// Pebble can't be used after a write that failed: its process would have to end, and again at each start until the disk
-// has room, with its members, agents and votes gone each time. So a write that is refused for want of room is held and
-// tried again, by the FullDisk function's leave: to pebble and to who waits for the sync it is a slow disk. Nothing
-// that depends on the write is said meanwhile, as nothing is sent before its sync.
+// Pebble can't be used after a write that failed: its process would have to end, and again at each start until the
+// disk has room, with its members, agents and votes gone each time. So a write that is refused for want of room is
+// held and tried again, by the FullDisk function's leave: to pebble and to who waits for the sync it is a slow disk.
+// Nothing that depends on the write is said meanwhile, as nothing is sent before its sync.
 
 // FullDisk is called with the error of a write that the disk refused for want of room. It returns when the write is to
 // be tried again, or false where it is to fail. Several goroutines may call it at once: pebble has some of its own.
@@ -88,9 +88,9 @@
 	return f.try(func() error { return f.FS.MkdirAll(dir, mode) })
 }
 
-// fullFile is a file of a fullFS. Its Sync is the file's own: a file system that gives blocks to bytes only as it writes
-// them may find there that it has none left, and whether a later sync writes what this one failed to isn't certain. So
-// that fails as any other fault.
+// fullFile is a file of a fullFS. Its Sync is the file's own: a file system that gives blocks to bytes only as it
+// writes them may find there that it has none left, and whether a later sync writes what this one failed to isn't
+// certain. So that fails as any other fault.
 type fullFile struct {
 	vfs.File
 	fs *fullFS
