--- a/internal/standin/cluster/deployment_test.go
+++ b/internal/standin/cluster/deployment_test.go
@@ -109,6 +109,9 @@
 func TestOperators(t *testing.T) {
 	d := New(t, 3, 1)
 	d.Configure(1)
+	d.Eventually("all have contact", func() bool { // a machine without answers 503, whatever it is asked
+		return d.contactStatus(0).InContact && d.contactStatus(1).InContact && d.contactStatus(2).InContact
+	})
 	var lines []string
 	call := func(core int, method, path, base, body string) {
 		code, answer := d.Call(method, d.Cores[core], path, base, []byte(body))
