config, controlmsg, settings: the forms of tenants, their keys and quotas; nothing reads them yet

The shared deployments name tenants in the configuration, contracts and bounds of quotas in the settings. This commit has the types alone, so that the parts can be built beside each other: config.Tenant and Route.Public, the contracts and the bounds of quotas among the settings, and the two messages by which drivers share a quota.

--- a/internal/controlplane/config/config.go
+++ b/internal/controlplane/config/config.go
@@ -24,6 +24,9 @@
 	Attempts      int     `json:"tries" reported:"Tries" validate:"gte=0"`
 	MaxStaleness  float64 `json:"maxStaleMs" reported:"MaxStale" validate:"gte=0"` // milliseconds
 
+	// Public routes serve any client; others serve those that attach with a tenant's key, where there are tenants.
+	Public bool `json:"public"`
+
 	// Shard names the shard whose owner serves the route, whatever Service says; "": Service does.
 	Shard string `json:"shard"`
 }
@@ -38,6 +41,17 @@
 	SyncReplicas int `json:"syncN" reported:"SyncN" validate:"gte=0"`
 }
 
+// Tenant is a customer. Its clients attach with one of its keys; members are told its name, never a key.
+type Tenant struct {
+	Name     string   `json:"name" validate:"required"`
+	Keys     []string `json:"keys" reported:"Keys" validate:"dive,required"` // may be empty: nobody attaches with it
+	Priority int      `json:"prio" reported:"Prio" validate:"gte=0"`         // 0 is the highest
+
+	// Its operations, over all drivers, are bounded by a token bucket: Rate a second, Burst at once.
+	Rate  float64 `json:"perS" reported:"PerS" validate:"gte=0"`
+	Burst float64 `json:"burst" reported:"Burst" validate:"gte=0"`
+}
+
 // Limits bound what clients may do.
 type Limits struct {
 	// IdleInTransactionTimeout ends an open transaction whose client is idle for so long, in milliseconds; 0: unbounded.
@@ -52,6 +66,7 @@
 	Routes   []Route   `json:"routes" validate:"dive"`
 	Services []Service `json:"svcs" reported:"Svcs" validate:"dive"`
 	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenants" validate:"dive"` // none: every client is served
 
 	routeByHost   map[string]*Route // of several routes of a host, the first with the shortest prefix
 	serviceByName map[string]*Service
--- a/internal/controlplane/controlmsg/frame.go
+++ b/internal/controlplane/controlmsg/frame.go
@@ -18,4 +18,6 @@
 	Response      *Response          `cbor:"9,keyasint,omitempty"`
 	Leases        []DriverLease      `cbor:"10,keyasint,omitempty"`
 	LeaseSync     *LeaseSync         `cbor:"11,keyasint,omitempty"` // Leases with it are all that the leader has
+	QuotaReport   *QuotaReport       `cbor:"12,keyasint,omitempty"`
+	QuotaGrant    *QuotaGrant        `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/controlplane/controlmsg/purpose.go
+++ b/internal/controlplane/controlmsg/purpose.go
@@ -23,6 +23,7 @@
 	ConsensusEntries            // and with one
 	PrimaryReports              // what proxies observe of primaries
 	OperatorCalls               // forwarded to the leader, and their answers
+	Quotas                      // shares of tenants' quotas
 	purposeCount
 )
 
@@ -42,6 +43,7 @@
 	ConsensusEntries:    "agreement entries",
 	PrimaryReports:      "primary reports",
 	OperatorCalls:       "operator calls",
+	Quotas:              "quotas",
 }
 
 // String returns the purpose's name in a process's status.
@@ -73,6 +75,8 @@
 		return MemberHeartbeats
 	case f.PrimaryReport != nil:
 		return PrimaryReports
+	case f.QuotaReport != nil, f.QuotaGrant != nil:
+		return Quotas
 	case f.Request != nil, f.Response != nil:
 		return OperatorCalls
 	case f.Leases != nil, f.LeaseSync != nil:
--- a/internal/util/settings/reader.go
+++ b/internal/util/settings/reader.go
@@ -112,17 +112,25 @@
 	return value
 }
 
-// addresses reads a list of them, separated by commas.
-func (r *reader) addresses(key string) (addrs []string) {
-	for _, addr := range strings.Split(r.text(key), ",") {
-		if addr = strings.TrimSpace(addr); addr != "" {
-			r.checkAddress(key, addr)
-			addrs = append(addrs, addr)
-		}
+// addresses reads a list of them.
+func (r *reader) addresses(key string) []string {
+	addrs := r.list(key)
+	for _, addr := range addrs {
+		r.checkAddress(key, addr)
 	}
 	return addrs
 }
 
+// list reads words, separated by commas.
+func (r *reader) list(key string) (words []string) {
+	for _, word := range strings.Split(r.text(key), ",") {
+		if word = strings.TrimSpace(word); word != "" {
+			words = append(words, word)
+		}
+	}
+	return words
+}
+
 func (r *reader) checkAddress(key, addr string) {
 	host, port, err := net.SplitHostPort(addr)
 	n, portErr := strconv.Atoi(port)
--- a/internal/util/settings/settings.go
+++ b/internal/util/settings/settings.go
@@ -7,6 +7,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -57,10 +58,25 @@
 	ApplyBound   time.Duration // bounds.applyMs: from a configuration's acknowledgement until all in contact apply it
 	RecoverBound time.Duration // bounds.recoverS: until a service is back once its machines are
 
+	// Contracts names the parts of the platform's rules that are in force.
+	Contracts []string // contracts
+
+	// Bounds of what a tenant may have run in a window, of all drivers together: its configured limit times
+	// 1 + QuotaExcess, and QuotaExtra more.
+	QuotaWindow time.Duration // bounds.quotaWinS
+	QuotaExcess float64       // bounds.quotaExcess: a fraction
+	QuotaExtra  float64       // bounds.quotaExtra: operations
+
 	PlatformAddr string // cloudApi.addr: the platform's calls; empty: there are none
 	Fencing      bool   // bounds.fencing: the platform rejects calls with an old fencing token
 }
 
+// ContractTenants is the contract by which clients attach with a tenant's key.
+const ContractTenants = "tenants"
+
+// HasContract reports whether a part of the platform's rules is in force.
+func (s *Settings) HasContract(name string) bool { return slices.Contains(s.Contracts, name) }
+
 // minPorts is how many ports PortRange has at least.
 const minPorts = 3
 
@@ -96,6 +112,10 @@
 		GracePeriod:       r.seconds("bounds.graceS", 6),
 		ApplyBound:        r.milliseconds("bounds.applyMs", 4000),
 		RecoverBound:      r.seconds("bounds.recoverS", 12),
+		Contracts:         r.list("contracts"),
+		QuotaWindow:       r.seconds("bounds.quotaWinS", 5),
+		QuotaExcess:       r.number("bounds.quotaExcess", 0),
+		QuotaExtra:        r.number("bounds.quotaExtra", 0),
 		PlatformAddr:      r.address("cloudApi.addr"),
 		Fencing:           r.boolean("bounds.fencing"),
 		Regions:           r.regions(),
