--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -17,6 +17,7 @@
 // connRequest asks for a member connection on which a statement, or a transaction, can be run. A session makes one
 // for each statement and uses it for all its attempts; while it is queued, the router owns it.
 type connRequest struct {
+	tenant      string // name of the tenant whose client asks; "": there are no tenants, or the route is public
 	requirement group.Requirement
 	commit      bool   // the answer to what is sent waits for replicas
 	valuesHash  uint64 // of the session's values: a connection that holds them already is preferred
