quotalimit: the token bucket of a tenant over all drivers, one function for both sides

Proxies and the control plane share a tenant's quota out and have to compute the same limit. Half of the rule's tolerance is used, half is left as a margin. Nothing calls it yet.

--- /dev/null
+++ b/internal/controlplane/config/quotalimit/quotalimit_test.go
@@ -0,0 +1,42 @@
+package quotalimit
+
+import (
+	"math"
+	"testing"
+
+	"weirwind/internal/controlplane/config"
+)
+
+func TestLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		tenant      *config.Tenant
+		rate, burst float64
+		limited     bool
+	}{
+		"rate and burst":  {&config.Tenant{Rate: 100, Burst: 40}, 105, 52, true},
+		"rate alone":      {&config.Tenant{Rate: 100}, 105, 10, true},
+		"burst alone":     {&config.Tenant{Burst: 40}, 0, 52, true},
+		"without a quota": {&config.Tenant{}, 0, 0, false},
+		"no tenant":       {nil, 0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rate, burst, limited := Of(c.tenant, 0.1, 20)
+			if math.Abs(rate-c.rate) > 1e-9 || math.Abs(burst-c.burst) > 1e-9 || limited != c.limited {
+				t.Errorf("%v a second, burst %v, limited %v; want %v, %v, %v",
+					rate, burst, limited, c.rate, c.burst, c.limited)
+			}
+		})
+	}
+}
+
+// What the bucket admits in a window stays below what the rule allows in it, by half of the tolerance.
+func TestLimitLeavesAMargin(t *testing.T) {
+	const window, excess, extra = 5, 0.1, 20
+	tenant := &config.Tenant{Rate: 30, Burst: 15}
+	rate, burst, _ := Of(tenant, excess, extra)
+	plain := tenant.Rate*window + tenant.Burst
+	tolerance := plain*excess + extra
+	if margin := plain + tolerance - (rate*window + burst); math.Abs(margin-tolerance/2) > 1e-9 {
+		t.Errorf("a margin of %v, want half of %v", margin, tolerance)
+	}
+}
