config: a key of two tenants makes a configuration invalid; tenants by key and name

Operators' configurations in which two tenants had one key, or one name, were taken, and nobody could look up whose a key is. Cause: Parse checked the fields of tenants, but never compared them.

Parse now indexes tenants by name and by key and refuses a second owner of either (reasons same_tenant and shared_key). The errors leave keys out: they are answered to operators and logged. A key that a tenant has twice is harmless, and a tenant may have none: it may have lost all of them.

Amendments validate their result as a whole, so a key may be passed on from one tenant to another, or two tenants may exchange theirs, in one amendment; one that leaves a key with both is refused.

Before: TestKeyOfTwoTenantsIsRefused "<nil>, want shared_key", TestTwoTenantsOfOneNameAreRefused "<nil>, want same_tenant", TestAmendmentsThatLeaveAKeyWithTwoTenantsAreRefused "<nil>".

--- a/internal/controlplane/config/config.go
+++ b/internal/controlplane/config/config.go
@@ -70,6 +70,8 @@
 
 	routeByHost   map[string]*Route // of several routes of a host, the first with the shortest prefix
 	serviceByName map[string]*Service
+	tenantByName  map[string]*Tenant
+	tenantByKey   map[string]*Tenant
 }
 
 // RouteForHost gives the route of a host, nil for none.
@@ -77,3 +79,9 @@
 
 // Service gives a service, nil for none.
 func (c *Config) Service(name string) *Service { return c.serviceByName[name] }
+
+// Tenant gives a tenant, nil for none.
+func (c *Config) Tenant(name string) *Tenant { return c.tenantByName[name] }
+
+// TenantByKey gives the tenant that holds a key, nil for none.
+func (c *Config) TenantByKey(key string) *Tenant { return c.tenantByKey[key] }
--- a/internal/controlplane/config/errors.go
+++ b/internal/controlplane/config/errors.go
@@ -34,6 +34,8 @@
 	reasonDuplicateRoute   = "same_name"
 	reasonDuplicateMatch   = "same_place"
 	reasonUnknownService   = "unknown_service"
+	reasonDuplicateTenant  = "same_tenant"
+	reasonSharedKey        = "shared_key"
 	reasonVersion          = "old_version"
 	reasonBaseMismatch     = "other_base"
 	reasonBaseAhead        = "base_ahead"
--- a/internal/controlplane/config/parse.go
+++ b/internal/controlplane/config/parse.go
@@ -27,6 +27,9 @@
 	if err := c.indexRoutes(); err != nil {
 		return nil, err
 	}
+	if err := c.indexTenants(); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -102,3 +105,22 @@
 	}
 	return nil
 }
+
+// indexTenants leaves keys out of its errors, which operators see and logs keep: keys are secrets.
+func (c *Config) indexTenants() error {
+	c.tenantByName, c.tenantByKey = map[string]*Tenant{}, map[string]*Tenant{}
+	for i := range c.Tenants {
+		tenant := &c.Tenants[i]
+		if c.tenantByName[tenant.Name] != nil {
+			return invalid(reasonDuplicateTenant, "two tenants are named %q", tenant.Name)
+		}
+		c.tenantByName[tenant.Name] = tenant
+		for _, key := range tenant.Keys {
+			if other := c.tenantByKey[key]; other != nil && other != tenant {
+				return invalid(reasonSharedKey, "tenants %q and %q have a key in common", other.Name, tenant.Name)
+			}
+			c.tenantByKey[key] = tenant
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlplane/config/tenants_test.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// tenantsInPlace is what amendments of tenants begin from.
+const tenantsInPlace = `{"gen":5,"tenants":[{"name":"a","keys":["a1","a2"],"perS":9,"burst":3,"more":{"x":1}},` +
+	`{"name":"b","keys":["b1"]}]}`
+
+// withTenants gives a configuration with a list of tenants.
+func withTenants(tenants string) []byte { return fmt.Appendf(nil, `{"gen":1,"tenants":[%s]}`, tenants) }
+
+func TestKeyOfTwoTenantsIsRefused(t *testing.T) {
+	requireReason(t, `{"name":"a","keys":["k","l"]},{"name":"b","keys":["m","l"]}`, reasonSharedKey)
+}
+
+func TestTwoTenantsOfOneNameAreRefused(t *testing.T) {
+	requireReason(t, `{"name":"a","keys":["k"]},{"name":"a","keys":["l"]}`, reasonDuplicateTenant)
+}
+
+func requireReason(t *testing.T, tenants, reason string) {
+	t.Helper()
+	var rejected *RejectedError
+	if _, err := Parse(withTenants(tenants)); !errors.As(err, &rejected) || rejected.Reason != reason {
+		t.Errorf("%s: %v, want %s", tenants, err, reason)
+	}
+}
+
+// Tenants without keys are valid, as one is that has lost all of them, and so is a key that a tenant has twice.
+func TestTenantsAreFoundByKeyAndName(t *testing.T) {
+	c, err := Parse(withTenants(`{"name":"a","keys":["k","l","k"]},{"name":"b"},{"name":"c","keys":[]},` +
+		`{"name":"d","keys":["m"],"prio":2,"perS":7.5,"burst":4}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]string{"k": "a", "l": "a", "m": "d"} {
+		if tenant := c.TenantByKey(key); tenant == nil || tenant.Name != want {
+			t.Errorf("%s is of %v, want %s", key, tenant, want)
+		}
+	}
+	for _, key := range []string{"", "x", "a", "K"} {
+		if tenant := c.TenantByKey(key); tenant != nil {
+			t.Errorf("%q is of %v, want no tenant", key, tenant)
+		}
+	}
+	if d := c.Tenant("d"); d == nil || d.Rate != 7.5 || d.Burst != 4 || d.Priority != 2 {
+		t.Errorf("tenant d is %+v", d)
+	}
+	if b, x := c.Tenant("b"), c.Tenant("x"); b == nil || x != nil {
+		t.Errorf("tenant b is %v, tenant x %v", b, x)
+	}
+}
+
+func TestAmendmentsOfTenants(t *testing.T) {
+	for name, c := range map[string]struct {
+		body string
+		want map[string]string // tenants by key, "" for none
+	}{
+		"a key passed on in one amendment": {
+			`{"gen":6,"upsert":{"tenants":[{"name":"b","keys":["b1","a2"]},{"name":"a","keys":["a1"]}]}}`,
+			map[string]string{"a1": "a", "a2": "b", "b1": "b"}},
+		"keys exchanged": {
+			`{"gen":6,"upsert":{"tenants":[{"name":"a","keys":["b1"]},{"name":"b","keys":["a1","a2"]}]}}`,
+			map[string]string{"a1": "b", "a2": "b", "b1": "a"}},
+		"the keys of a tenant that is removed": {
+			`{"gen":6,"upsert":{"tenants":[{"name":"c","keys":["a1"]}]},"del":{"tenants":["a"]}}`,
+			map[string]string{"a1": "c", "a2": "", "b1": "b"}},
+		"a key removed": {
+			`{"gen":6,"upsert":{"tenants":[{"name":"a","keys":["a1"]}]}}`,
+			map[string]string{"a1": "a", "a2": "", "b1": "b"}},
+		"all keys of a tenant removed": {
+			`{"gen":6,"upsert":{"tenants":[{"name":"b","keys":[]}]}}`,
+			map[string]string{"a1": "a", "b1": ""}},
+		"a tenant removed": {
+			`{"gen":6,"del":{"tenants":["a"]}}`,
+			map[string]string{"a1": "", "a2": "", "b1": "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			amended, err := amendTenants(c.body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for key, want := range c.want {
+				if tenant := amended.TenantByKey(key); want != nameOf(tenant) {
+					t.Errorf("key %s is of %q, want %q", key, nameOf(tenant), want)
+				}
+			}
+		})
+	}
+}
+
+func TestAmendmentsThatLeaveAKeyWithTwoTenantsAreRefused(t *testing.T) {
+	for _, body := range []string{
+		`{"gen":6,"upsert":{"tenants":[{"name":"b","keys":["b1","a2"]}]}}`,
+		`{"gen":6,"upsert":{"tenants":[{"name":"c","keys":["a1"]}]}}`,
+	} {
+		var rejected *RejectedError
+		if _, err := amendTenants(body); !errors.As(err, &rejected) || rejected.Reason != reasonSharedKey {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+}
+
+func TestAmendmentsKeepUnknownFieldsOfTenants(t *testing.T) {
+	state := &State{Version: 5, Raw: []byte(tenantsInPlace)}
+	raw, err := state.amendRaw([]byte(`{"gen":6,"upsert":{"tenants":[{"name":"b","keys":["b2"],"other":4}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range []string{`"more":{"x":1}`, `"other":4`} {
+		if !strings.Contains(string(raw), field) {
+			t.Errorf("%s lacks %s", raw, field)
+		}
+	}
+}
+
+func amendTenants(body string) (*Config, error) {
+	state := &State{Version: 5, Raw: []byte(tenantsInPlace)}
+	raw, err := state.amendRaw([]byte(body))
+	if err != nil {
+		return nil, err
+	}
+	return Parse(raw)
+}
+
+func nameOf(tenant *Tenant) string {
+	if tenant == nil {
+		return ""
+	}
+	return tenant.Name
+}
