config: differences and errors for people print no tenant's keys

Cause: both printed items as they were sent.

Keys are now numbered in the order in which they are met: "key 1" is the same key wherever it stands in one output, so that a key that was added, removed or passed on can still be seen. No digest is shown, as short keys could be found from it. Items without keys are printed as before (recorded texts unchanged). GET /config/show still answers with the configuration as it was sent: the operator reads it back.

--- a/internal/controlplane/config/amend.go
+++ b/internal/controlplane/config/amend.go
@@ -104,7 +104,8 @@
 	for _, item := range upserts {
 		name := itemName(item)
 		if name == "" || upserted[name] {
-			return nil, nil, invalid(reasonInvalidField, "an item without a name of its own: %.80s", item)
+			text := keyMask{}.text(item)
+			return nil, nil, invalid(reasonInvalidField, "an item without a name of its own: %.80s", text)
 		}
 		upserted[name] = true
 		if i, found := index[name]; found {
--- a/internal/controlplane/config/diff.go
+++ b/internal/controlplane/config/diff.go
@@ -9,8 +9,8 @@
 )
 
 // Diff says for people what differs between two configurations, in lines: + for an item that only after has, - for
-// one that only before has, ~ for what changed. Keys are in order; items are in the order of after, followed by the
-// removed ones by name.
+// one that only before has, ~ for what changed. Fields are in order; items are in the order of after, followed by the
+// removed ones by name. Keys of tenants are masked.
 func Diff(before, after []byte) ([]string, error) {
 	oldDoc, newDoc := map[string]json.RawMessage{}, map[string]json.RawMessage{}
 	if err := decodeStrict(before, &oldDoc); err != nil {
@@ -22,39 +22,40 @@
 	keys := map[string]json.RawMessage{} // not a clone: a document that is null decodes to a nil map
 	maps.Copy(keys, oldDoc)
 	maps.Copy(keys, newDoc)
+	mask := keyMask{}
 	var lines []string
 	for _, key := range slices.Sorted(maps.Keys(keys)) {
-		lines = append(lines, diffKey(key, oldDoc[key], newDoc[key])...)
+		lines = append(lines, diffKey(mask, key, oldDoc[key], newDoc[key])...)
 	}
 	return lines, nil
 }
 
 // diffKey compares item by item where both values are lists.
-func diffKey(key string, before, after json.RawMessage) []string {
+func diffKey(mask keyMask, key string, before, after json.RawMessage) []string {
 	var oldItems, newItems []json.RawMessage
 	lists := json.Unmarshal(before, &oldItems) == nil && json.Unmarshal(after, &newItems) == nil
 	if lists && (oldItems != nil || newItems != nil) {
-		return diffList(key, oldItems, newItems)
+		return diffList(mask, key, oldItems, newItems)
 	}
-	if oldText, newText := compact(before), compact(after); oldText != newText {
-		return []string{fmt.Sprintf("~ %s: %s -> %s", key, oldText, newText)}
+	if compact(before) != compact(after) {
+		return []string{fmt.Sprintf("~ %s: %s -> %s", key, mask.text(before), mask.text(after))}
 	}
 	return nil
 }
 
-func diffList(list string, oldItems, newItems []json.RawMessage) (lines []string) {
-	removed := map[string]string{} // texts by name
+func diffList(mask keyMask, list string, oldItems, newItems []json.RawMessage) (lines []string) {
+	removed := map[string]json.RawMessage{} // by name
 	for _, item := range oldItems {
-		removed[itemName(item)] = compact(item)
+		removed[itemName(item)] = item
 	}
 	for _, item := range newItems {
-		name, text := itemName(item), compact(item)
-		oldText, found := removed[name]
+		name := itemName(item)
+		oldItem, found := removed[name]
 		switch {
 		case !found:
-			lines = append(lines, fmt.Sprintf("+ %s %s: %s", list, name, text))
-		case oldText != text:
-			lines = append(lines, fmt.Sprintf("~ %s %s: %s -> %s", list, name, oldText, text))
+			lines = append(lines, fmt.Sprintf("+ %s %s: %s", list, name, mask.text(item)))
+		case compact(oldItem) != compact(item):
+			lines = append(lines, fmt.Sprintf("~ %s %s: %s -> %s", list, name, mask.text(oldItem), mask.text(item)))
 		}
 		delete(removed, name)
 	}
--- a/internal/controlplane/config/tenants_test.go
+++ b/internal/controlplane/config/tenants_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -133,3 +134,56 @@
 	}
 	return tenant.Name
 }
+
+func TestDiffPrintsNoKeys(t *testing.T) {
+	after := `{"gen":5,"tenants":[{"burst":3,"name":"a","KEYS":["a1","c1"],"nested":{"keys":["a1"]}},` +
+		`{"name":"c","keys":["a2"]}]}`
+	lines, err := Diff([]byte(tenantsInPlace), []byte(after))
+	want := []string{
+		`~ tenants a: {"burst":3,"keys":["key 1","key 2"],"more":{"x":1},"name":"a","perS":9} -> ` +
+			`{"KEYS":["key 1","key 3"],"burst":3,"name":"a","nested":{"keys":["key 1"]}}`,
+		`+ tenants c: {"keys":["key 2"],"name":"c"}`,
+		`- tenants b`,
+	}
+	if err != nil || !slices.Equal(lines, want) {
+		t.Errorf("%s (%v), want %s", strings.Join(lines, "\n"), err, strings.Join(want, "\n"))
+	}
+}
+
+func TestChangedKeyIsADifferenceThoughBothAreMasked(t *testing.T) {
+	lines, err := Diff(withTenants(`{"name":"a","keys":["k"]}`), withTenants(`{"name":"a","keys":["l"]}`))
+	want := `~ tenants a: {"keys":["key 1"],"name":"a"} -> {"keys":["key 2"],"name":"a"}`
+	if err != nil || !slices.Equal(lines, []string{want}) {
+		t.Errorf("%q (%v), want %s", lines, err, want)
+	}
+}
+
+// A first list of tenants, and one that is none, are told as whole values.
+func TestDiffOfWholeListsPrintsNoKeys(t *testing.T) {
+	for _, other := range []string{`{"gen":1}`, `{"gen":1,"tenants":{"keys":{"x":["secret"]}}}`} {
+		for _, documents := range [][2][]byte{
+			{[]byte(other), withTenants(`{"name":"a","keys":["secret"]}`)},
+			{withTenants(`{"name":"a","keys":["secret"]}`), []byte(other)},
+		} {
+			lines, err := Diff(documents[0], documents[1])
+			if err != nil || len(lines) != 1 || strings.Contains(lines[0], "secret") {
+				t.Errorf("%q (%v)", lines, err)
+			}
+		}
+	}
+}
+
+// What is answered to an operator's invalid change is logged, too.
+func TestErrorsPrintNoKeys(t *testing.T) {
+	for _, body := range []string{
+		`{"gen":6,"upsert":{"tenants":[{"keys":["secret"]}]}}`,
+		`{"gen":6,"upsert":{"tenants":[{"name":"c","keys":["secret"]},{"name":"c","keys":["secret"]}]}}`,
+		`{"gen":6,"upsert":{"tenants":[{"name":"c","keys":["secret"]},{"name":"d","keys":["secret"]}]}}`,
+		`{"gen":6,"upsert":{"tenants":[{"name":"c","keys":"secret"}]}}`,
+		`{"gen":6,"upsert":{"tenants":[{"name":"c","keys":["secret",""]}]}}`,
+	} {
+		if _, err := amendTenants(body); err == nil || strings.Contains(err.Error(), "secret") {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+}
