dataplane/quota: a proxy admits tenants' operations by leased shares of their limits

Deciding package, not used yet: token buckets by the shares that the leader grants, the lease that ends them, and the reports by which a proxy says what it holds and what its clients ask for.

--- /dev/null
+++ b/internal/dataplane/quota/report.go
@@ -0,0 +1,86 @@
+package quota
+
+import "weirwind/internal/controlplane/controlmsg"
+
+const (
+	reportIntervalMs = 1000.0 // between reports while there are shares or demand
+	soonestReportMs  = 150.0  // behind the last one, if it is answered and the leader doesn't know a demand
+	answerTimeoutMs  = 400.0  // after which an answer is no longer waited for, where clients lack a share
+	grownDemand      = 1.5    // times what was reported: the leader is told at once
+)
+
+// need says how soon the next report is due.
+type need uint8
+
+const (
+	atInterval  need = iota
+	knownDemand      // a tenant lacks a share, which the leader knows
+	newDemand        // a tenant lacks tokens, and the leader doesn't know its demand
+)
+
+// reportState is what is known of the reports that were sent.
+type reportState struct {
+	seq         uint64 // of the newest; 0: there was none
+	sentAt      float64
+	outstanding bool // the newest isn't answered
+	need        need
+	checkedAt   float64 // when there was nothing to report
+	listed      bool    // the newest listed tenants
+}
+
+// due reports whether the next report may be sent.
+func (r *reportState) due(now float64) bool {
+	if r.seq == 0 {
+		return r.need > atInterval || now-r.checkedAt >= reportIntervalMs
+	}
+	passed := now - r.sentAt
+	switch {
+	case passed >= reportIntervalMs:
+		return r.need > atInterval || now-r.checkedAt >= reportIntervalMs
+	case r.need == atInterval:
+		return false
+	case r.outstanding || r.need == knownDemand:
+		return passed >= answerTimeoutMs
+	}
+	return passed >= soonestReportMs
+}
+
+// answeredBy reports whether a grant is the first answer to the newest report.
+func (r *reportState) answeredBy(grant *controlmsg.QuotaGrant, incarnation uint64) bool {
+	return r.outstanding && grant.Incarnation == incarnation && grant.Seq == r.seq
+}
+
+// NextReport returns the report that is due, nil for none. The caller sends it at once: from now on no earlier report's
+// answer is applied.
+func (l *Limiter) NextReport(now float64) *controlmsg.QuotaReport {
+	l.expire(now)
+	if !l.reports.due(now) {
+		return nil
+	}
+	listed := l.listTenants(now)
+	if len(listed) == 0 && !l.reports.listed {
+		l.reports.checkedAt, l.reports.need = now, atInterval
+		return nil
+	}
+	l.reports = reportState{seq: l.reports.seq + 1, sentAt: now, outstanding: true, checkedAt: l.reports.checkedAt,
+		listed: len(listed) > 0}
+	return &controlmsg.QuotaReport{Incarnation: l.incarnation, Seq: l.reports.seq, Tenants: listed}
+}
+
+// listTenants lists what is held and asked for. Shares of tenants without demand are given up at this moment: that a
+// tenant isn't listed says that none is held.
+func (l *Limiter) listTenants(now float64) (listed []controlmsg.QuotaDemand) {
+	l.hasShares = false
+	for _, name := range l.names {
+		t := l.tenants[name]
+		if t.demand.idle(now) {
+			l.setShare(t, 0, now)
+			t.lacks, t.denied, t.reported = false, false, 0
+			continue
+		}
+		t.reported = t.demand.perSecond(now)
+		l.hasShares = l.hasShares || t.share > 0
+		listed = append(listed, controlmsg.QuotaDemand{Tenant: name, Share: t.share, Demand: t.reported})
+	}
+	return listed
+}
