proxy: operations of a tenant wait or are refused beyond this proxy's share of its quota

Callers saw that a tenant got any number of operations: nothing counted them. Reports go to the agent, grants come back the same way. Nothing of it is in force without the contract.

Evidence: with the check taken out, TestHotTenantIsBoundedAndDelaysNobody says '900 operations are admitted, 0 refused'; the tests of the first share, the order, the wait and the lease fail too.

--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -23,8 +23,10 @@
 	valuesHash  uint64 // of the session's values: a connection that holds them already is preferred
 	// Milliseconds: when its statement came, and when it must be answered at the latest.
 	startedAt, deadline float64
-	avoid               []string // members at which earlier attempts failed
-	dialing             string   // the member that a connection is being made to on its behalf, "" for none
+	avoid               []string     // members at which earlier attempts failed
+	dialing             string       // the member that a connection is being made to on its behalf, "" for none
+	admitted            bool         // its operation was counted: further attempts are not
+	refusal             *clientError // why it was refused by its tenant's quota
 	reply               chan lentConn
 }
 
@@ -45,8 +47,24 @@
 	err error // why there is no connection; nothing else is set then
 }
 
-// enqueue queues a request for a connection to a group, or answers it at once.
+// failure is what its client is answered with when it got no connection.
+func (q *connRequest) failure() error {
+	if q.refusal != nil {
+		return q.refusal
+	}
+	return errRetryLater
+}
+
+// enqueue queues a request for a connection to a group, or answers it at once. A request whose tenant's quota is used
+// up is refused, or waits elsewhere.
 func (r *router) enqueue(service string, request *connRequest) {
+	if r.admit(service, request) {
+		r.enqueueAdmitted(service, request)
+	}
+}
+
+// enqueueAdmitted is enqueue for a request that is within its tenant's quota.
+func (r *router) enqueueAdmitted(service string, request *connRequest) {
 	g := r.group(service)
 	if !g.queue.push(request) {
 		g.figures.overflown++
--- a/internal/dataplane/proxy/errors.go
+++ b/internal/dataplane/proxy/errors.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math"
+	"strconv"
 	"strings"
 
 	"weirwind/internal/member/wire"
@@ -61,6 +63,11 @@
 	errIdleTooLong    = &clientError{aborted, "it rested for too long"}
 )
 
+// retryAfterError says that nothing of the statement was sent, and when to come back.
+func retryAfterError(ms float64) *clientError {
+	return &clientError{unavailable, "come back after " + strconv.Itoa(int(math.Ceil(ms))) + " ms"}
+}
+
 func databaseError(host string) error  { return &clientError{unknownDatabase, host} }
 func statementError(name string) error { return &clientError{unknownStatement, name} }
 
--- a/internal/dataplane/proxy/metrics.go
+++ b/internal/dataplane/proxy/metrics.go
@@ -40,12 +40,16 @@
 	drivers int
 	version uint64
 	groups  []groupSnapshot
+	quotas  *quotaSnapshot // nil: nothing is limited
 }
 
 // snapshot copies the figures, for another goroutine.
 func (r *router) snapshot() routerSnapshot {
 	now := r.proxy.now()
 	all := routerSnapshot{drivers: r.driverCount}
+	if r.quotas != nil {
+		all.quotas = r.quotas.snapshot(now)
+	}
 	if r.config != nil {
 		all.version = r.config.Version
 	}
@@ -79,6 +83,9 @@
 	}
 	set.Gauge("weirwind_proxy_config_version", "Version of the configuration in force; 0: none.", float64(all.version))
 	set.Gauge("weirwind_proxy_drivers", "Drivers that share members' connections.", float64(all.drivers))
+	if all.quotas != nil {
+		all.quotas.write(set)
+	}
 	for i := range all.groups {
 		all.groups[i].write(set)
 	}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -113,6 +113,9 @@
 			if f.Update != nil {
 				p.router.do(func() { p.router.update(f.Update) })
 			}
+			if f.QuotaGrant != nil {
+				p.router.do(func() { p.router.applyGrant(f.QuotaGrant) })
+			}
 		},
 		func() { p.agent.Store(nil) })
 }
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -40,6 +40,7 @@
 	driverCount int // drivers (proxies) with a lease, by the agent's last update; at least 1
 	groups      map[string]*memberGroup
 	shards      *shardRouter
+	quotas      *quotas // nil: without the contract nothing is limited
 }
 
 // memberGroup is a replication group with this proxy's connections to its members.
@@ -64,6 +65,7 @@
 		driverCount: 1,
 		groups:      map[string]*memberGroup{},
 		shards:      newShardRouter(),
+		quotas:      newQuotas(proxy.settings, uint64(proxy.startedAt.UnixNano())),
 	}
 }
 
@@ -76,6 +78,7 @@
 func (r *router) tick() {
 	now := r.proxy.now()
 	r.shards.dispatch(now)
+	r.tickQuotas(now)
 	for _, g := range r.groups {
 		g.routing.SuspectPrimary(now)
 		r.dispatch(g)
@@ -114,6 +117,7 @@
 	first := r.config == nil
 	r.config = cfg
 	r.proxy.config.Store(cfg)
+	r.updateQuotas(cfg)
 	r.proxy.log.Event(events.ConfigApplied, "gen", cfg.Version, "routes", len(cfg.Routes))
 	for i := range cfg.Services {
 		r.group(cfg.Services[i].Name).maxConns = cfg.Services[i].MaxConnections
--- a/internal/dataplane/proxy/statement.go
+++ b/internal/dataplane/proxy/statement.go
@@ -60,7 +60,7 @@
 	}
 	s.rowsForwarded = false
 	if !attemptUntilAnswered(e.attempt) {
-		s.replyError(errRetryLater, wire.StateIdle)
+		s.replyError(e.request.failure(), wire.StateIdle)
 	}
 }
 
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -22,6 +22,8 @@
 	startedAt float64 // milliseconds, when the BEGIN came
 	route     *config.Route
 
+	admitted bool // it was counted in its tenant's quota
+
 	pinned *lentConn // nil: it has not begun at a member, or has ended there
 	ran    bool      // a statement went to a member and was answered
 	wrote  bool      // one that writes ran, or may have run
@@ -164,9 +166,11 @@
 	} else {
 		request.requirement = group.Requirement{Write: true}
 	}
+	request.admitted = tx.admitted
 	if !attemptUntilAnswered(func(int) verdict { return s.attemptPin(tx, request) }) {
-		return errRetryLater
+		return request.failure()
 	}
+	tx.admitted = true
 	return nil
 }
 
--- a/internal/dataplane/quota/limiter.go
+++ b/internal/dataplane/quota/limiter.go
@@ -12,10 +12,12 @@
 	maxTokenWaitMs  = 250.0 // a client waits for a token that is due within it
 	shareWaitMs     = 400.0 // from a tenant's first operation without a share, for which clients wait for one
 	noShareRetryMs  = 500.0 // after which a client comes back where there is no share
-	minRetryAfterMs = 50.0
 	maxRetryAfterMs = 5000.0
 )
 
+// MinRetryAfterMs bounds from below when a client that was refused is told to come back, in milliseconds.
+const MinRetryAfterMs = 50.0
+
 // Limit is a tenant's limit over all proxies.
 type Limit struct {
 	Rate  float64 // operations a second
@@ -35,8 +37,8 @@
 // Decision is the answer to one operation.
 type Decision struct {
 	Verdict Verdict
-	// AfterMs is when to try again, in milliseconds: for a client that was refused, or for one that waits. Of one that
-	// waits for a share it isn't known, and infinite.
+	// AfterMs is when to try again, in milliseconds: for a client that was refused, or for one that waits. Where there is
+	// no share it is a guess.
 	AfterMs float64
 }
 
@@ -126,11 +128,11 @@
 	case due <= maxTokenWaitMs:
 		return Decision{Waiting, due}
 	case t.share == 0 && !t.denied && now-t.lackingSince < shareWaitMs:
-		return Decision{Waiting, math.Inf(1)}
+		return Decision{Waiting, noShareRetryMs}
 	case math.IsInf(due, 1): // no token ever comes by this share
 		return Decision{Refused, noShareRetryMs}
 	}
-	return Decision{Refused, min(max(due, minRetryAfterMs), maxRetryAfterMs)}
+	return Decision{Refused, min(max(due, MinRetryAfterMs), maxRetryAfterMs)}
 }
 
 // noteLack notes that an operation found no token: the leader is to be told soon if it doesn't know of the demand.
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -65,6 +65,8 @@
 const (
 	MalformedMessage   Event = 701
 	StatementsRejected Event = 702
+	QuotaRefusals      Event = 704
+	QuotaLeaseExpired  Event = 705
 )
 
 // Events of links between the system's processes.
@@ -134,6 +136,11 @@
 	MalformedMessage:   "a client sent bytes that are no message; its connection was closed",
 	StatementsRejected: "statements were rejected, unsent (at most a line a second for a group): what they waited for",
 
+	QuotaRefusals: "operations of a tenant were refused as its quota is used up (at most a line a second for a tenant): " +
+		"how many since the last line, the share that this proxy holds, and what its clients ask for, a second",
+	QuotaLeaseExpired: "the lease of this proxy's shares of quotas expired: it admits nothing of tenants with a quota " +
+		"until the leader grants it shares again",
+
 	LinkUp:       "a link to another process of the system is up",
 	LinkDown:     "a link to another process of the system ended",
 	CoreFailover: "an agent failed over to another core machine, and why",
--- a/internal/util/settings/settings.go
+++ b/internal/util/settings/settings.go
@@ -74,6 +74,9 @@
 // ContractTenants is the contract by which clients attach with a tenant's key.
 const ContractTenants = "tenants"
 
+// ContractQuota is the contract by which a tenant's operations are bounded over all drivers.
+const ContractQuota = "quota"
+
 // HasContract reports whether a part of the platform's rules is in force.
 func (s *Settings) HasContract(name string) bool { return slices.Contains(s.Contracts, name) }
 
