controlplane, agent: quota reports go to the leader, and its grants back to the proxies

The leader begins each lead with an empty book, and grants only while it has contact with a quorum, asked for at that moment.

--- a/internal/controlplane/agent/corelink.go
+++ b/internal/controlplane/agent/corelink.go
@@ -174,6 +174,9 @@
 		}
 		a.applyUpdate(update)
 	}
+	if frame.QuotaGrant != nil {
+		a.sendGrantToProxies(frame.QuotaGrant)
+	}
 	if frame.Digest != nil {
 		a.reconcile(core.link, frame.Digest)
 	}
--- a/internal/controlplane/agent/proxies.go
+++ b/internal/controlplane/agent/proxies.go
@@ -39,13 +39,31 @@
 // driverCount is how many drivers there are, this one included though the core may not have listed it yet.
 func (a *Agent) driverCount() int { return max(len(a.drivers), 1) }
 
-// takeFromProxy forwards what the proxy observes of primaries to the core machine in use. Without one it is dropped:
-// the proxy reports again.
+// takeFromProxy takes a frame of the proxy.
 func (a *Agent) takeFromProxy(_ *controlLink, frame *controlmsg.Frame) {
-	a.do(func() {
-		if frame.PrimaryReport != nil && a.core != nil {
-			frame.PrimaryReport.Driver = a.self.Name
-			a.core.link.Send(frame)
-		}
-	})
+	a.do(func() { a.forwardToCore(frame) })
+}
+
+// forwardToCore forwards what the proxy observes of primaries, and its quota reports, to the core machine in use.
+// Without one they are dropped: the proxy reports again.
+func (a *Agent) forwardToCore(frame *controlmsg.Frame) {
+	if a.core == nil {
+		return
+	}
+	switch {
+	case frame.PrimaryReport != nil:
+		frame.PrimaryReport.Driver = a.self.Name
+		a.core.link.Send(frame)
+	case frame.QuotaReport != nil:
+		frame.QuotaReport.Driver = a.self.Name
+		a.core.link.Send(frame)
+	}
+}
+
+// sendGrantToProxies passes the core's answer to a quota report on. A proxy drops an answer that isn't to its own
+// newest report.
+func (a *Agent) sendGrantToProxies(grant *controlmsg.QuotaGrant) {
+	for link := range a.proxies {
+		link.Send(&controlmsg.Frame{QuotaGrant: grant})
+	}
 }
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -42,6 +42,7 @@
 	roster     rosterTracker
 	shardMoves shardMoves
 	siteLeases siteLeases
+	quotas     quotas
 
 	memberClient *memberClient // for the questions of failovers and shardMoves
 }
@@ -71,6 +72,7 @@
 	s.roster = newRosterTracker(s)
 	s.shardMoves = newShardMoves(s)
 	s.siteLeases = newSiteLeases(s)
+	s.quotas = newQuotas(server.settings)
 	return s
 }
 
@@ -117,8 +119,8 @@
 	return d
 }
 
-// setLeadership begins or ends this machine's lead. What an earlier lead knew of failovers and transfers is
-// forgotten: another machine may have led since.
+// setLeadership begins or ends this machine's lead. What an earlier lead knew of failovers, transfers and
+// quotas is forgotten: another machine may have led since.
 func (s *softState) setLeadership(active bool, term uint64) {
 	s.leadership = leadership{active: active, term: term, since: s.server.now()}
 	s.memberClient.closeAll()
@@ -126,6 +128,7 @@
 	s.roster.reset()
 	s.shardMoves.reset()
 	s.siteLeases.reset()
+	s.quotas.reset(active, s.config, s.leadership.since)
 }
 
 // applyCommitted takes a newly committed state, and notifies the agents of what is new in it.
@@ -150,6 +153,7 @@
 	}
 	if parsed, err := config.Parse(next.Raw); err == nil {
 		s.config = parsed
+		s.quotas.setConfig(parsed, s.server.now())
 	}
 	s.agents.notify(&controlmsg.StateUpdate{ConfigVersion: next.Version, Config: next.Raw, CoreAddrs: s.coreAddrs})
 }
@@ -174,6 +178,10 @@
 		s.members.observe(frame.Heartbeats, now)
 	case frame.PrimaryReport != nil:
 		s.handlePrimaryReport(frame.PrimaryReport, now)
+	case frame.QuotaReport != nil:
+		s.handleQuotaReport(from, frame.QuotaReport, now)
+	case frame.QuotaGrant != nil:
+		s.handleQuotaGrant(frame.QuotaGrant)
 	case frame.LeaseSync != nil:
 		s.handleLeaseSync(from, frame, now)
 	case frame.Digest != nil:
