memberconn: a session is opened in the name that the caller gives

A member's ATTACH names whom its statements are run for, and every connection said "weirwind" whoever asked. A name that is no single field of a message is not sent, nor is a connection opened for it (ErrInvalidName, wire.IsField): it would end the field, or begin another message.

The code DENIED joins those that promise nothing. Nothing uses either yet.

--- a/internal/member/memberconn/dial.go
+++ b/internal/member/memberconn/dial.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// clientName is what the system attaches as.
-	clientName = "weirwind"
+	// systemName is what the system attaches as for itself, and for clients without a tenant.
+	systemName = "weirwind"
 	// userTimeout is how long a member may leave bytes unacknowledged.
 	userTimeout = 4 * time.Second
 )
@@ -27,11 +27,22 @@
 // address is another's now.
 var ErrWrongMember = errors.New("another member's address")
 
-// Dial connects to a member and opens a session. absent: the member is not at its address, as nothing accepts
-// connections there, or another server does (ErrWrongMember). The deadline stays that of the connection until a batch
-// sets another.
+// ErrInvalidName is the error of a name that is no single field of a message: it is not sent.
+var ErrInvalidName = errors.New("the name is no single field")
+
+// Dial connects to a member and opens a session of the system's own. Its results are those of DialAs.
 func Dial(member directory.Member, deadline time.Time) (c *Conn, absent bool, err error) {
+	return DialAs(member, systemName, deadline)
+}
+
+// DialAs connects to a member and opens a session in the name of a tenant. absent: the member is not at its address, as
+// nothing accepts connections there, or another server does (ErrWrongMember). The deadline stays that of the connection
+// until a batch sets another.
+func DialAs(member directory.Member, name string, deadline time.Time) (c *Conn, absent bool, err error) {
 	step := oops.In("dial").With("peer", member.Addr)
+	if !wire.IsField(name) {
+		return nil, false, step.Wrap(ErrInvalidName)
+	}
 	conn, err := net.DialTimeout("tcp4", member.Addr, time.Until(deadline))
 	if err != nil {
 		return nil, !isTimeout(err), step.Wrap(err)
@@ -39,17 +50,17 @@
 	transport.SetUserTimeout(conn, userTimeout)
 	conn.SetDeadline(deadline)
 	c = &Conn{NetConn: conn, Reader: wire.NewReader(conn)}
-	if err := c.attach(member, step); err != nil {
+	if err := c.attach(member, name, step); err != nil {
 		conn.Close()
 		return nil, errors.Is(err, ErrWrongMember), err
 	}
 	return c, false, nil
 }
 
-// attach opens the session. It names the service and the member, as other services reuse the addresses of members that
-// are gone; a server that is not this member answers so, and no statement is sent to it.
-func (c *Conn) attach(member directory.Member, step oops.OopsErrorBuilder) error {
-	request := wire.MsgAttach + " " + member.Service + " " + clientName + " " + member.ID + "\r\n"
+// attach opens the session in a name. It tells the service and the member too, as other services reuse the addresses of
+// members that are gone; a server that is not this member answers so, and no statement is sent to it.
+func (c *Conn) attach(member directory.Member, name string, step oops.OopsErrorBuilder) error {
+	request := wire.MsgAttach + " " + member.Service + " " + name + " " + member.ID + "\r\n"
 	if _, err := io.WriteString(c.NetConn, request); err != nil {
 		return step.Wrap(err)
 	}
--- a/internal/member/memberconn/doc.go
+++ b/internal/member/memberconn/doc.go
@@ -4,10 +4,11 @@
 //
 // # Lifecycle
 //
-// Dial opens the connection and the session on it. From then on the caller writes a batch of queries with WriteBatch,
-// then reads one reply for each with ReadReply, in order; Query does both for one query of the system's own. Between
-// batches, whoever pools connections asks Reusable, and Alive before a connection is used after a pause. Close ends
-// it, and has the member roll back a transaction that is open.
+// Dial opens the connection and the session on it in the system's own name, DialAs in a tenant's. The name stays until
+// the end of the connection. From then on the caller writes a batch of queries with WriteBatch, then reads one reply
+// for each with ReadReply, in order; Query does both for one query of the system's own. Between batches, whoever pools
+// connections asks Reusable, and Alive before a connection is used after a pause. Close ends it, and has the member
+// roll back a transaction that is open.
 //
 // # Invariant
 //
@@ -18,8 +19,9 @@
 //
 // # Errors
 //
-// An error of Dial wraps ErrWrongMember if another server answers at the member's address, and ErrAttachRejected if
-// the member accepted the connection and opened no session; it carries the step and the peer. An error of a batch or
+// An error of Dial or DialAs wraps ErrWrongMember if another server answers at the member's address, ErrAttachRejected
+// if the member accepted the connection and opened no session, and ErrInvalidName if the name can't be sent; it carries
+// the step and the peer. An error of a batch or
 // reply is an idempotency.NoResponseError, which tells whether the member may have run the queries. A FAIL is none
 // for ReadReply, and a MemberError for Query and QueryStatus.
 //
--- a/internal/member/wire/message.go
+++ b/internal/member/wire/message.go
@@ -39,11 +39,24 @@
 	CodeNoStatement    = "NOSTMT" // there is no such prepared statement
 	CodeMalformed      = "MALFORMED"
 	CodeNoDatabase     = "NODB"
+	CodeDenied         = "DENIED" // the key that the client attached with is no tenant's
 	CodeFailed         = "FAILED"
 	CodeTimeout        = "TIMEOUT"
 	CodeOutcomeUnknown = "UNKNOWN" // a write whose reply was lost
 )
 
+const deleteByte = 0x7f
+
+// IsField reports whether a text can stand as a single field within a message.
+func IsField(text string) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] == deleteByte {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // CutField splits a text around its first blank, into the next field and the rest.
 func CutField(text string) (field, rest string) {
 	field, rest, _ = strings.Cut(text, " ")
--- a/internal/member/wire/wire_test.go
+++ b/internal/member/wire/wire_test.go
@@ -72,3 +72,12 @@
 		t.Error("a role that there is not")
 	}
 }
+
+func TestIsField(t *testing.T) {
+	for text, want := range map[string]bool{"north": true, "n-1.x": true, "nörd": true, "": false, "a b": false,
+		" a": false, "a\tb": false, "a\r\nBYE": false, "a\x00": false, "a\x7f": false} {
+		if got := IsField(text); got != want {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+}
