proxy: a key that no tenant has is denied, at ATTACH and on open sessions

Nothing looked keys up. Seen before the fix, by the tests of this commit:

ATTACH db key-x: "READY I -", want "FAIL DENIED no tenant has this key" STORE x 1: "DONE m.q2 | READY I 1.1", want "FAIL DENIED ... | READY I -" STORE x 2: "DONE m.q3 | READY T 1.1", want "FAIL ABORTED its key was taken away | READY E -"

Tenants are in force by the contract or by a configuration that lists some; without both any word serves, as before, byte for byte (the transcripts are unchanged). Each ATTACH, single statement and BEGIN looks the key up in the index of the newest configuration (tenantIndex). That index is stored before the configuration, so that a session never sees a route of a version with the keys of an older one. On an open session the refusal is followed by the end of the session; NODB is checked first; public routes serve anybody.

A transaction whose key was taken away, or passed on to another tenant, is rolled back at its next statement, with ABORTED, which promises that nothing was kept. It gets no further time, though half of the apply bound would do for the bound: once a member has seen an effect of the newer version, a statement that only the older one allows is a step back 250 ms later.

Figures: weirwind_proxy_denied_total by attach, operation and transaction; E703 at most once a second, with the version in force and no key. The list of events' numbers has one more.

--- a/internal/dataplane/proxy/errors.go
+++ b/internal/dataplane/proxy/errors.go
@@ -22,6 +22,8 @@
 	invalid
 	unknownDatabase
 	unknownStatement
+	// denied: the client's key is no tenant's, and the session ends.
+	denied
 )
 
 // failCodes are the codes of FAIL by kind.
@@ -32,6 +34,7 @@
 	invalid:          wire.CodeMalformed,
 	unknownDatabase:  wire.CodeNoDatabase,
 	unknownStatement: wire.CodeNoStatement,
+	denied:           wire.CodeDenied,
 }
 
 // clientError is an error of the proxy's own that a client is answered with. Its text is part of the protocol.
@@ -59,6 +62,9 @@
 
 	errCommitOfFailed = &clientError{aborted, "the transaction had failed"}
 	errIdleTooLong    = &clientError{aborted, "it rested for too long"}
+	errKeyWithdrawn   = &clientError{aborted, "its key was taken away"}
+
+	errUnknownKey = &clientError{denied, "no tenant has this key"}
 )
 
 func databaseError(host string) error  { return &clientError{unknownDatabase, host} }
--- a/internal/dataplane/proxy/errors_test.go
+++ b/internal/dataplane/proxy/errors_test.go
@@ -20,6 +20,8 @@
 		{errTransactionOpen, "MALFORMED"},
 		{databaseError("db"), "NODB"},
 		{statementError("p"), "NOSTMT"},
+		{errUnknownKey, "DENIED"},
+		{errKeyWithdrawn, "ABORTED"},
 		{fmt.Errorf("wrapped: %w", errRetryLater), "RETRY"},
 		{wire.ErrMalformedLine, "MALFORMED"},
 		{wire.ErrMessageTooLong, "MALFORMED"},
--- a/internal/dataplane/proxy/message.go
+++ b/internal/dataplane/proxy/message.go
@@ -115,6 +115,10 @@
 		s.replyError(databaseError(s.host), wire.StateIdle)
 		return
 	}
+	if _, err := s.tenantFor(route); err != nil {
+		s.deny()
+		return
+	}
 	s.runSingle(st, route)
 }
 
--- a/internal/dataplane/proxy/metrics.go
+++ b/internal/dataplane/proxy/metrics.go
@@ -70,6 +70,7 @@
 	set.Flag("weirwind_proxy_ready", "1 while the platform is told that this proxy is ready.", p.ready())
 	set.Flag("weirwind_proxy_agent_linked", "1 while the agent on this machine feeds this proxy.",
 		p.agent.Load() != nil)
+	p.denials.figures(set)
 	events.Figures(p.log, set)
 	ctx, stop := context.WithTimeout(p.ctx, metrics.OwnerTimeout)
 	defer stop()
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -41,6 +41,8 @@
 	bufferBudget *wire.BufferBudget // for long messages that have not ended
 
 	config        atomic.Pointer[config.Config] // nil until the first came
+	tenants       atomic.Pointer[tenantIndex]   // of config, or of a newer one that is about to be stored there
+	denials       denials
 	agent         atomic.Pointer[transport.Link[controlmsg.Frame]]
 	shutdownPhase atomic.Int32 // a phase
 	clientConns   atomic.Int32
@@ -53,6 +55,8 @@
 	p := &Proxy{settings: s, log: log, ctx: ctx, startedAt: time.Now(), sessions: map[*session]struct{}{},
 		bufferBudget: wire.NewBufferBudget(int64(s.MemoryMB) << 20 / bufferBudgetDiv)}
 	p.router = newRouter(p)
+	p.tenants.Store(newTenantIndex(s, nil))
+	p.denials.proxy = p
 	return p
 }
 
@@ -88,6 +92,14 @@
 // now is the time since the proxy's start, in milliseconds: the clock of all that it decides.
 func (p *Proxy) now() float64 { return milliseconds(time.Since(p.startedAt)) }
 
+// configVersion is the version of the configuration in force, 0 for none.
+func (p *Proxy) configVersion() uint64 {
+	if cfg := p.config.Load(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
 // timeAt turns a time of now into one of the runtime's clock.
 func (p *Proxy) timeAt(ms float64) time.Time { return p.startedAt.Add(time.Duration(ms * 1e6)) }
 
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -113,6 +113,7 @@
 	}
 	first := r.config == nil
 	r.config = cfg
+	r.proxy.tenants.Store(newTenantIndex(r.proxy.settings, cfg))
 	r.proxy.config.Store(cfg)
 	r.proxy.log.Event(events.ConfigApplied, "gen", cfg.Version, "routes", len(cfg.Routes))
 	for i := range cfg.Services {
--- a/internal/dataplane/proxy/session.go
+++ b/internal/dataplane/proxy/session.go
@@ -29,6 +29,8 @@
 	reader *wire.Reader
 	out    []byte // answers that were not written yet
 	host   string // the database that the client attached to
+	key    string // that it attached with
+	ended  bool   // no further message of the client is taken
 
 	startedAt  float64 // milliseconds, as the two below
 	answeredAt float64 // of its last answer
@@ -71,7 +73,7 @@
 			}
 			continue
 		}
-		if !s.handleMessage(line) || !s.flush() {
+		if !s.handleMessage(line) || !s.flush() || s.ended {
 			return
 		}
 		s.answeredAt = s.proxy.now()
@@ -103,8 +105,8 @@
 		return false
 	}
 	word, rest := wire.CutField(line)
-	host, user := wire.CutField(rest)
-	if word != wire.MsgAttach || host == "" || user == "" {
+	host, key := wire.CutField(rest)
+	if word != wire.MsgAttach || host == "" || key == "" {
 		s.rejectSession(errAttachExpected)
 		return false
 	}
@@ -113,11 +115,17 @@
 		s.rejectSession(errNotConfigured)
 		return false
 	}
-	s.host = host
-	if cfg.RouteForHost(host) == nil {
+	s.host, s.key = host, key
+	route := cfg.RouteForHost(host)
+	if route == nil {
 		s.rejectSession(databaseError(host))
 		return false
 	}
+	if _, err := s.tenantFor(route); err != nil {
+		s.proxy.denials.record(deniedAttach)
+		s.rejectSession(err)
+		return false
+	}
 	s.replyReady(wire.StateIdle, wire.NoStamp)
 	return s.flush()
 }
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -21,6 +21,7 @@
 	readOnly  bool
 	startedAt float64 // milliseconds, when the BEGIN came
 	route     *config.Route
+	tenant    string // that it is run for, "" for none
 
 	pinned *lentConn // nil: it has not begun at a member, or has ended there
 	ran    bool      // a statement went to a member and was answered
@@ -41,7 +42,12 @@
 		s.replyError(databaseError(s.host), wire.StateIdle)
 		return
 	}
-	s.tx = &transaction{id: id, text: text, readOnly: readOnly, startedAt: s.proxy.now(), route: route}
+	tenant, err := s.tenantFor(route)
+	if err != nil {
+		s.deny()
+		return
+	}
+	s.tx = &transaction{id: id, text: text, readOnly: readOnly, startedAt: s.proxy.now(), route: route, tenant: tenant}
 	s.replyDone()
 }
 
@@ -61,6 +67,9 @@
 // refused as read-only is sent to another one, in a new transaction.
 func (s *session) runInTransaction(st *statement) {
 	tx := s.tx
+	if s.endWithdrawn(tx, st) {
+		return
+	}
 	deadline := st.receivedAt + tx.route.Timeout - deadlineMargin
 	for range maxAttempts {
 		if tx.pinned == nil {
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -65,6 +65,7 @@
 const (
 	MalformedMessage   Event = 701
 	StatementsRejected Event = 702
+	ClientsDenied      Event = 703
 )
 
 // Events of links between the system's processes.
@@ -133,6 +134,8 @@
 
 	MalformedMessage:   "a client sent bytes that are no message; its connection was closed",
 	StatementsRejected: "statements were rejected, unsent (at most a line a second for a group): what they waited for",
+	ClientsDenied: "clients whose key is no tenant's were denied (at most a line a second): how many sessions, " +
+		"operations on open sessions and open transactions since the process began, and the configuration in force",
 
 	LinkUp:       "a link to another process of the system is up",
 	LinkDown:     "a link to another process of the system ended",
