--- a/internal/dataplane/proxy/errors.go
+++ b/internal/dataplane/proxy/errors.go
@@ -24,6 +24,8 @@
 	invalid
 	unknownDatabase
 	unknownStatement
+	// denied: the client's key is no tenant's, and the session ends.
+	denied
 )
 
 // failCodes are the codes of FAIL by kind.
@@ -34,6 +36,7 @@
 	invalid:          wire.CodeMalformed,
 	unknownDatabase:  wire.CodeNoDatabase,
 	unknownStatement: wire.CodeNoStatement,
+	denied:           wire.CodeDenied,
 }
 
 // clientError is an error of the proxy's own that a client is answered with. Its text is part of the protocol.
@@ -61,6 +64,9 @@
 
 	errCommitOfFailed = &clientError{aborted, "the transaction had failed"}
 	errIdleTooLong    = &clientError{aborted, "it rested for too long"}
+	errKeyWithdrawn   = &clientError{aborted, "its key was taken away"}
+
+	errUnknownKey = &clientError{denied, "no tenant has this key"}
 )
 
 // retryAfterError says that nothing of the statement was sent, and when to come back.
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -65,6 +65,7 @@
 const (
 	MalformedMessage   Event = 701
 	StatementsRejected Event = 702
+	ClientsDenied      Event = 703
 	QuotaRefusals      Event = 704
 	QuotaLeaseExpired  Event = 705
 )
@@ -135,6 +136,8 @@
 
 	MalformedMessage:   "a client sent bytes that are no message; its connection was closed",
 	StatementsRejected: "statements were rejected, unsent (at most a line a second for a group): what they waited for",
+	ClientsDenied: "clients whose key is no tenant's were denied (at most a line a second): how many sessions, " +
+		"operations on open sessions and open transactions since the process began, and the configuration in force",
 
 	QuotaRefusals: "operations of a tenant were refused as its quota is used up (at most a line a second for a tenant): " +
 		"how many since the last line, the share that this proxy holds, and what its clients ask for, a second",
