proxy: members are told the tenant, and a connection serves its tenant alone

UNASKED: a member was told "weirwind" for every statement, whoever's key the client had attached with. Seen before the fix:

the member ran ["weirwind: STORE x 1" "weirwind: FETCH x" ...], want ["north: STORE x 1" "south: FETCH x" ...] 2 connections were made, want one for each tenant and one for the public route

runSingle and pin pass the tenant of the operation on, dials are made in its name, and idle connections remember it: take, dispatch and availability see only those of the request's tenant. A member without a free place makes one by closing the connection that has been idle for longest, which is another tenant's; the order of arrival decides who is served, as before, and dials at a time stay bounded. A pool above its share closes as many as make the new connection fit, as it would be closed on arrival otherwise.

Without tenants all requests and connections have the tenant "", and nothing changes; take has one more argument in its test. Warm-up connections are not made where there are tenants, as nobody knows whose to make.

--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -35,16 +35,23 @@
 // owns it; while it is idle, its pool does.
 type memberConn struct {
 	*memberconn.Conn
+	tenant    string // in whose name it is attached, "" for none; it serves no other
 	state     sessionstate.Conn
 	idleSince float64 // milliseconds
 }
 
-func dialMember(record directory.Member, deadline time.Time) (*memberConn, error) {
-	c, _, err := memberconn.Dial(record, deadline)
+func dialMember(record directory.Member, tenant string, deadline time.Time) (*memberConn, error) {
+	var c *memberconn.Conn
+	var err error
+	if tenant == "" {
+		c, _, err = memberconn.Dial(record, deadline)
+	} else {
+		c, _, err = memberconn.DialAs(record, tenant, deadline)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return &memberConn{Conn: c}, nil
+	return &memberConn{Conn: c, tenant: tenant}, nil
 }
 
 // queryStatus sends a member a health check, over a connection of its own.
@@ -68,15 +75,26 @@
 	dialing int
 }
 
-// take removes an idle connection, of which there must be one: the newest that holds values of the hash, else the
-// newest.
-func (p *connPool) take(valuesHash uint64) *memberConn {
-	chosen := len(p.idle) - 1
-	for i := chosen; i >= 0; i-- {
+// hasIdle reports whether a connection of the tenant is idle.
+func (p *connPool) hasIdle(tenant string) bool {
+	return slices.ContainsFunc(p.idle, func(c *memberConn) bool { return c.tenant == tenant })
+}
+
+// take removes an idle connection of the tenant, of which there must be one: the newest that holds values of the hash,
+// else the newest.
+func (p *connPool) take(tenant string, valuesHash uint64) *memberConn {
+	chosen := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].tenant != tenant {
+			continue
+		}
 		if p.idle[i].state.ValuesHash() == valuesHash {
 			chosen = i
 			break
 		}
+		if chosen < 0 {
+			chosen = i
+		}
 	}
 	c := p.idle[chosen]
 	p.idle = slices.Delete(p.idle, chosen, chosen+1)
@@ -98,15 +116,20 @@
 	p.idle = nil
 }
 
-// closeExpired closes connections that were idle for too long, but keeps a few.
+// closeExpired closes connections that were idle for too long, but keeps a few, whoever's they are.
 func (p *connPool) closeExpired(now float64) {
 	for len(p.idle) > minIdleConns && now-p.idle[0].idleSince > milliseconds(maxIdleTime) {
-		p.idle[0].Close()
-		p.idle = slices.Delete(p.idle, 0, 1)
-		p.open--
+		p.closeLongestIdle()
 	}
 }
 
+// closeLongestIdle closes the connection that has been idle for longest, of which there must be one.
+func (p *connPool) closeLongestIdle() {
+	p.idle[0].Close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.open--
+}
+
 func (g *memberGroup) pool(id string) *connPool {
 	p := g.pools[id]
 	if p == nil {
@@ -139,26 +162,31 @@
 	return max((grp.maxConns-grp.maxConns/10)/r.drivers(), minShare)
 }
 
-// availability returns a function that says whether a connection to a member is idle or may be made.
-func (r *router) availability(grp *memberGroup) func(*group.Member) bool {
+// availability returns a function that says whether a connection to a member, of the tenant that is set at the time, is
+// idle or may be made: in a free place, or in that of another tenant's idle one.
+func (r *router) availability(grp *memberGroup, tenant *string) func(*group.Member) bool {
 	share := r.connShare(grp)
 	dials := max(maxDials/r.drivers(), minDialsPerDriver)
 	return func(m *group.Member) bool {
 		p := grp.pools[m.ID]
-		return p == nil || len(p.idle) > 0 || p.open < share && p.dialing < dials
+		return p == nil || p.hasIdle(*tenant) || p.open-len(p.idle) < share && p.dialing < dials
 	}
 }
 
-// dial makes a connection, which goes to whichever request is next once it is established. It has a deadline of its
-// own: bound to that of the oldest request, which has the least time left, no connection would ever be established
-// while many wait.
-func (r *router) dial(grp *memberGroup, member *group.Member) {
+// dial makes a connection for a tenant, which goes to whichever request of that tenant is next once it is established.
+// Where there is no free place, the longest idle connection, which is another tenant's, is closed for it. It has a
+// deadline of its own: bound to that of the oldest request, which has the least time left, no connection would ever be
+// established while many wait.
+func (r *router) dial(grp *memberGroup, member *group.Member, tenant string) {
 	p := grp.pool(member.ID)
+	for share := r.connShare(grp); p.open >= share && len(p.idle) > 0; {
+		p.closeLongestIdle()
+	}
 	p.open++
 	p.dialing++
 	record, startedAt := member.Member, r.proxy.now()
 	go func() {
-		c, err := dialMember(record, time.Now().Add(dialTimeout))
+		c, err := dialMember(record, tenant, time.Now().Add(dialTimeout))
 		r.do(func() { r.dialed(grp, member, c, err, startedAt) })
 	}()
 }
@@ -208,8 +236,12 @@
 }
 
 // warmUp makes a first connection to a group's primary and to its nearest replica, so that the first requests of a
-// process don't all wait for one at the same time.
+// process don't all wait for one at the same time. Where there are tenants it makes none, as nobody knows whose the
+// first requests will be.
 func (r *router) warmUp(grp *memberGroup) {
+	if r.proxy.tenants.Load().inForce {
+		return
+	}
 	primary := grp.routing.Primary()
 	var nearest *group.Member
 	for _, m := range grp.routing.Members {
@@ -221,6 +253,6 @@
 		if m == nil || grp.pools[m.ID] != nil && grp.pools[m.ID].open > 0 {
 			continue
 		}
-		r.dial(grp, m)
+		r.dial(grp, m, "")
 	}
 }
--- a/internal/dataplane/proxy/connpool_test.go
+++ b/internal/dataplane/proxy/connpool_test.go
@@ -43,7 +43,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			pool, conns := poolOf(t, "x", "y", "x", "w")
-			if got := pool.take(sessionWith(c.value).ValuesHash()); got != conns[c.want] {
+			if got := pool.take("", sessionWith(c.value).ValuesHash()); got != conns[c.want] {
 				t.Errorf("another connection than number %d", c.want)
 			}
 			if len(pool.idle) != 3 || pool.open != 4 {
--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -58,7 +58,8 @@
 
 // dispatch answers the queued requests that can be answered, in order of arrival: with an idle connection to the
 // member that the request is routed to, or with an error once too little time is left. For others it has
-// connections made.
+// connections made. A connection serves only the tenant that it was made for; of several tenants that wait for a place
+// at a member, the order of arrival decides.
 //
 // While there is no primary, requests of writes and linearizable reads are routed nowhere and so stay queued; the
 // dispatch after the writer slot was filled releases them in order.
@@ -67,7 +68,8 @@
 		return
 	}
 	now := r.proxy.now()
-	available := r.availability(grp)
+	var tenant string // of the request that is being routed
+	available := r.availability(grp, &tenant)
 	latency := grp.routing.TypicalLatency()
 	grp.queue.removeIf(func(request *connRequest) bool {
 		// A request without enough time for an answer would time out, and its connection be closed with it: while
@@ -78,19 +80,20 @@
 			r.logRejection(grp, request, now)
 			return true
 		}
+		tenant = request.tenant
 		target := grp.routing.Route(&request.requirement, now, available,
 			func(id string) bool { return slices.Contains(request.avoid, id) })
 		if target.Member == nil {
 			return false
 		}
-		if pool := grp.pool(target.Member.ID); len(pool.idle) > 0 {
+		if pool := grp.pool(target.Member.ID); pool.hasIdle(tenant) {
 			grp.figures.queueWait.Observe((now - request.startedAt) / 1000)
 			request.reply <- r.checkOut(grp, pool, request, target, now)
 			return true
 		}
 		if request.dialing == "" {
 			request.dialing = target.Member.ID
-			r.dial(grp, target.Member)
+			r.dial(grp, target.Member, tenant)
 		}
 		return false
 	})
@@ -103,7 +106,7 @@
 	m := target.Member
 	m.InFlight++
 	grp.routing.RecordSend(m, now, request.commit)
-	return lentConn{group: grp, member: m, record: m.Member, conn: pool.take(request.valuesHash),
+	return lentConn{group: grp, member: m, record: m.Member, conn: pool.take(request.tenant, request.valuesHash),
 		minPosition: target.MinPosition, verifyPrimary: target.VerifyPrimary, sentAt: now}
 }
 
--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -18,6 +18,7 @@
 //	session.run             reads a message of the client
 //	session.handleMessage   parses it; SET, PREP, UNPREP, BEGIN and ABORT are answered by the session itself
 //	session.runStatement    passes the others to runInTransaction if a transaction is open, else to runSingle
+//	session.tenantFor       looks the client's key up before each single statement and each BEGIN
 //
 // A single statement is an execution, which makes attempts until its client is answered. Each attempt is
 //
@@ -37,6 +38,12 @@
 // Answers are collected (reply.go) and written once the answer to the statement is complete. Only rows that are too
 // many to keep are forwarded earlier; then no other member may answer the statement.
 //
+// # Tenants
+//
+// Where there are tenants, members are told whom a statement is run for by the name that its connection was attached
+// with. So a connection serves one tenant until it is closed, and a pool without a free place closes another tenant's
+// idle connection for one that is needed. A client's key never leaves its session.
+//
 // # While there is no primary
 //
 // A write, a transaction or a linearizable read is routed nowhere while the group's writer slot is empty, or its
--- a/internal/dataplane/proxy/message.go
+++ b/internal/dataplane/proxy/message.go
@@ -115,11 +115,12 @@
 		s.replyError(databaseError(s.host), wire.StateIdle)
 		return
 	}
-	if _, err := s.tenantFor(route); err != nil {
+	tenant, err := s.tenantFor(route)
+	if err != nil {
 		s.deny()
 		return
 	}
-	s.runSingle(st, route)
+	s.runSingle(st, route, tenant)
 }
 
 // route is the host's in the configuration of the moment, nil for none any more. It binds a single statement, or a
--- a/internal/dataplane/proxy/retry_test.go
+++ b/internal/dataplane/proxy/retry_test.go
@@ -31,14 +31,15 @@
 	mu     sync.Mutex
 	script map[string][]string // by text: the answers to it, one after the other; then as usual
 	ran    []string            // texts with a client's id, in order of arrival
+	ranAs  []string            // for each of ran, whom its connection was attached as
 	conns  int
 }
 
-func (m *scriptedMember) take(id, text string) string {
+func (m *scriptedMember) take(who, id, text string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if id != wire.NoStamp {
-		m.ran = append(m.ran, text)
+		m.ran, m.ranAs = append(m.ran, text), append(m.ranAs, who)
 	}
 	all := m.script[text]
 	if len(all) == 0 {
@@ -63,9 +64,11 @@
 func (m *scriptedMember) serve(c net.Conn) {
 	defer c.Close()
 	r := wire.NewReader(c)
-	if _, err := r.ReadMessage(); err != nil {
+	attach, err := r.ReadMessage()
+	if err != nil {
 		return
 	}
+	who := strings.Fields(attach)[2]
 	m.mu.Lock()
 	m.conns++
 	m.mu.Unlock()
@@ -78,7 +81,7 @@
 		}
 		_, rest := wire.CutField(line)
 		id, text := wire.CutField(rest)
-		said := m.take(id, text)
+		said := m.take(who, id, text)
 		verb, _ := wire.CutField(text)
 		stamp := "m." + id
 		switch {
--- a/internal/dataplane/proxy/statement.go
+++ b/internal/dataplane/proxy/statement.go
@@ -47,12 +47,12 @@
 	giveUp                      // no attempt is left, and nothing of the statement was kept
 )
 
-// runSingle carries out a statement outside a transaction.
-func (s *session) runSingle(st *statement, route *config.Route) {
+// runSingle carries out a statement outside a transaction, for a tenant.
+func (s *session) runSingle(st *statement, route *config.Route, tenant string) {
 	e := execution{session: s, statement: *st, route: route, write: s.writes(st),
 		deadline: st.receivedAt + route.Timeout - deadlineMargin}
-	e.request = &connRequest{startedAt: st.receivedAt, deadline: e.deadline, valuesHash: s.kept.ValuesHash(),
-		commit: e.write}
+	e.request = &connRequest{tenant: tenant, startedAt: st.receivedAt, deadline: e.deadline,
+		valuesHash: s.kept.ValuesHash(), commit: e.write}
 	if e.write {
 		e.request.requirement = group.Requirement{Write: true}
 	} else {
--- a/internal/dataplane/proxy/tenants_test.go
+++ b/internal/dataplane/proxy/tenants_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -120,6 +121,20 @@
 	}
 }
 
+// expectRan compares what the member ran, each as "whom it was told: text".
+func (f *tenantFixture) expectRan(want ...string) {
+	f.t.Helper()
+	f.member.mu.Lock()
+	defer f.member.mu.Unlock()
+	var got []string
+	for i, text := range f.member.ran {
+		got = append(got, f.member.ranAs[i]+": "+text)
+	}
+	if !slices.Equal(got, want) {
+		f.t.Errorf("the member ran %q, want %q", got, want)
+	}
+}
+
 // ROUTE: requests ran under a key that no configuration ever held.
 func TestUnknownKeysAreDenied(t *testing.T) {
 	f := newTenantFixture(t, twoTenants)
@@ -161,6 +176,25 @@
 	}
 }
 
+// UNASKED: a member was told another tenant than that of the client's key.
+func TestMembersAreToldTheTenant(t *testing.T) {
+	f := newTenantFixture(t, twoTenants)
+	north, south, other := f.attached("db", "key-n1"), f.attached("db", "key-s"), f.attached("open", "key-n1")
+	f.expect(north, "STORE x 1", "DONE m.q1 | READY I 1.1")
+	f.expect(south, "FETCH x", "ROW whole | DONE m.q1 | READY I 1.1")
+	f.expect(other, "FETCH y", "ROW whole | DONE m.q1 | READY I 1.1")
+	f.expect(south, "BEGIN", "DONE - | READY T -")
+	f.expect(south, "STORE z 1", "DONE m.q3 | READY T 1.1")
+	f.expect(north, "STORE z 2", "DONE m.q2 | READY I 1.1")
+	f.expect(south, "COMMIT", "DONE m.q4 | READY I 1.1")
+	f.expect(f.attached("db", "key-n2"), "FETCH z", "ROW whole | DONE m.q1 | READY I 1.1")
+	f.expectRan("north: STORE x 1", "south: FETCH x", "weirwind: FETCH y", "south: BEGIN", "south: STORE z 1",
+		"north: STORE z 2", "south: COMMIT", "north: FETCH z")
+	if f.member.conns != 3 {
+		t.Errorf("%d connections were made, want one for each tenant and one for the public route", f.member.conns)
+	}
+}
+
 // CONFIG: a key that was taken away was still served on open sessions.
 func TestDroppedKeysAreDeniedOnOpenSessions(t *testing.T) {
 	for _, text := range []string{"STORE x 1", "BEGIN", "FETCH x"} {
@@ -173,9 +207,7 @@
 			f.expectEnd(north)
 			f.expect(south, "FETCH y", "ROW whole | DONE m.q1 | READY I 1.1")
 			f.expect(other, "FETCH z", "ROW whole | DONE m.q1 | READY I 1.1")
-			if n := f.member.times(text); n > 0 {
-				t.Errorf("the member ran it %d times", n)
-			}
+			f.expectRan("south: FETCH y", "weirwind: FETCH z")
 		})
 	}
 }
@@ -210,6 +242,16 @@
 	}
 }
 
+// A key that was passed on to another tenant serves that one from the next operation on.
+func TestPassedOnKeysServeTheNewTenant(t *testing.T) {
+	f := newTenantFixture(t, twoTenants)
+	k := f.attached("db", "key-n1")
+	f.expect(k, "FETCH x", "ROW whole | DONE m.q1 | READY I 1.1")
+	f.configure(2, `{"name":"north","keys":[]},{"name":"south","keys":["key-n1"]}`)
+	f.expect(k, "FETCH x", "ROW whole | DONE m.q2 | READY I 1.1")
+	f.expectRan("north: FETCH x", "south: FETCH x")
+}
+
 // A tenant whose name is no single field of the wire is told to no member.
 func TestNamesThatAreNoFieldAreNotSent(t *testing.T) {
 	for _, name := range []string{`north pole`, `north\r\nBYE`, `\u0000`, `nor\tth`} {
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -167,7 +167,8 @@
 
 // pin begins the transaction at a member, whose connection is then pinned. Attempts are free: BEGIN is idempotent.
 func (s *session) pin(tx *transaction, deadline float64) error {
-	request := &connRequest{startedAt: tx.startedAt, deadline: deadline, valuesHash: s.kept.ValuesHash()}
+	request := &connRequest{tenant: tx.tenant, startedAt: tx.startedAt, deadline: deadline,
+		valuesHash: s.kept.ValuesHash()}
 	if tx.readOnly {
 		request.requirement = s.readRequirement(tx.route, tx.startedAt)
 	} else {
