--- a/internal/controlplane/controlmsg/frame.go
+++ b/internal/controlplane/controlmsg/frame.go
@@ -20,4 +20,6 @@
 	LeaseSync     *LeaseSync         `cbor:"11,keyasint,omitempty"` // Leases with it are all that the leader has
 	QuotaReport   *QuotaReport       `cbor:"12,keyasint,omitempty"`
 	QuotaGrant    *QuotaGrant        `cbor:"13,keyasint,omitempty"`
+	QuotaRequest  *QuotaRequest      `cbor:"14,keyasint,omitempty"`
+	QuotaAnswer   *QuotaAnswer       `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/controlplane/controlmsg/purpose.go
+++ b/internal/controlplane/controlmsg/purpose.go
@@ -75,7 +75,7 @@
 		return MemberHeartbeats
 	case f.PrimaryReport != nil:
 		return PrimaryReports
-	case f.QuotaReport != nil, f.QuotaGrant != nil:
+	case f.QuotaReport != nil, f.QuotaGrant != nil, f.QuotaRequest != nil, f.QuotaAnswer != nil:
 		return Quotas
 	case f.Request != nil, f.Response != nil:
 		return OperatorCalls
--- a/internal/controlplane/controlmsg/quota.go
+++ b/internal/controlplane/controlmsg/quota.go
@@ -1,29 +1,66 @@
 package controlmsg
 
-// This file owns the messages by which the drivers share tenants' quotas: package quota has the argument.
+// This file owns the messages about tenants' quotas. A proxy asks its core machine for tokens (QuotaRequest), and core
+// machines share each tenant's bucket by reports to the leader (QuotaReport): package quota has the argument.
 
-// QuotaReport is sent by a proxy to its agent, which adds its name and forwards it to its core machine, which forwards
-// it to the one that leads. It says what the proxy holds of each tenant's quota, and what its clients ask for. From the
-// moment that it is sent, the proxy applies no grant but the one that answers it or a later report.
-type QuotaReport struct {
+// QuotaTokenLifetimeMs is for how long a proxy may use a token, in milliseconds from the sending of the request that it
+// was granted on.
+const QuotaTokenLifetimeMs = 500.0
+
+// QuotaRequest is sent by a proxy to its agent, which adds its name and forwards it to its core machine: it asks for a
+// token for each of some operations that clients wait for. The machine answers at once with a QuotaAnswer.
+type QuotaRequest struct {
 	Driver string `cbor:"1,keyasint"` // name of the driver, added by the agent
-	// Incarnation is of the proxy's process: a later one's is higher. Seq rises with each report of an incarnation.
+	// Incarnation is of the proxy's process. Seq rises with each request of it.
+	Incarnation uint64       `cbor:"2,keyasint"`
+	Seq         uint64       `cbor:"3,keyasint"`
+	Tenants     []QuotaCount `cbor:"4,keyasint"`
+}
+
+// QuotaCount is a part of a request, on one tenant.
+type QuotaCount struct {
+	Tenant     string `cbor:"1,keyasint"` // by its name
+	Operations int    `cbor:"2,keyasint"` // that ask for a token, from 1 on
+}
+
+// QuotaAnswer answers a QuotaRequest, whose Driver, Incarnation and Seq it has.
+type QuotaAnswer struct {
+	Driver      string        `cbor:"1,keyasint"`
+	Incarnation uint64        `cbor:"2,keyasint"`
+	Seq         uint64        `cbor:"3,keyasint"`
+	Tenants     []QuotaTokens `cbor:"4,keyasint"` // those of the request
+}
+
+// QuotaTokens is a part of an answer, on one tenant.
+type QuotaTokens struct {
+	Tenant string `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"` // at most as many as were asked for
+	// RetryAfterMs is for the operations without a token: in how many milliseconds to ask again.
+	RetryAfterMs float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// QuotaReport is sent by a core machine to the one that leads. It says what the machine holds of each tenant's quota,
+// and what proxies ask it for. From the moment that it is sent, the machine applies no grant but the one that answers it
+// or a later report.
+type QuotaReport struct {
+	Holder string `cbor:"1,keyasint"` // control address of the machine
+	// Incarnation is of the machine's process: a later one's is higher. Seq rises with each report of an incarnation.
 	Incarnation uint64        `cbor:"2,keyasint"`
 	Seq         uint64        `cbor:"3,keyasint"`
-	Tenants     []QuotaDemand `cbor:"4,keyasint,omitempty"` // those that it holds a share of, or has clients of
+	Tenants     []QuotaDemand `cbor:"4,keyasint,omitempty"` // those that it holds a share of, or is asked for
 }
 
 // QuotaDemand is a part of a report, on one tenant.
 type QuotaDemand struct {
 	Tenant string  `cbor:"1,keyasint"`           // by its name
 	Share  float64 `cbor:"2,keyasint,omitempty"` // held, of the tenant's quota: 0 to 1
-	Demand float64 `cbor:"3,keyasint,omitempty"` // operations a second that clients ask for
+	Demand float64 `cbor:"3,keyasint,omitempty"` // operations a second that it is asked for
 }
 
-// QuotaGrant is the leader's answer to a report, and takes the same way back. It replaces all shares that the proxy
-// holds: tenants that are not listed have none.
+// QuotaGrant is the leader's answer to a report. It replaces all shares that the machine holds: tenants that are not
+// listed have none.
 type QuotaGrant struct {
-	Driver      string       `cbor:"1,keyasint"`
+	Holder      string       `cbor:"1,keyasint"`
 	Incarnation uint64       `cbor:"2,keyasint"`
 	Seq         uint64       `cbor:"3,keyasint"` // of the report that it answers
 	LeaseMs     float64      `cbor:"4,keyasint"` // milliseconds from the sending of that report, for which the shares hold
@@ -34,5 +71,5 @@
 type QuotaShare struct {
 	Tenant string  `cbor:"1,keyasint"`
 	Share  float64 `cbor:"2,keyasint"`           // of the tenant's rate and burst
-	Tokens float64 `cbor:"3,keyasint,omitempty"` // operations added to the proxy's bucket, once
+	Tokens float64 `cbor:"3,keyasint,omitempty"` // operations added to the machine's bucket, once
 }
--- a/internal/dataplane/quota/demand.go
+++ b/internal/controlplane/quota/limiter/demand.go
@@ -1,4 +1,4 @@
-package quota
+package limiter
 
 import "math"
 
--- a/internal/dataplane/quota/doc.go
+++ b/internal/controlplane/quota/limiter/doc.go
@@ -1,4 +1,4 @@
-// Package quota bounds the operations that one proxy lets through for each tenant. An operation is a single statement
+// Package limiter bounds the operations that one proxy lets through for each tenant. An operation is a single statement
 // or a whole transaction.
 //
 // A tenant's limit holds over all proxies together. The leader of the core divides it: each proxy holds a share, 0 to
@@ -22,4 +22,4 @@
 // than its share, which is left to the margin of the limit (package quotalimit).
 //
 // The package does no I/O and reads no clock: times are milliseconds of the caller's.
-package quota
+package limiter
--- a/internal/dataplane/quota/report.go
+++ b/internal/controlplane/quota/limiter/report.go
@@ -1,4 +1,4 @@
-package quota
+package limiter
 
 import "weirwind/internal/controlplane/controlmsg"
 
