--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -11,7 +11,7 @@
 // health check or rollback each. All end with the context of Run, or by a timeout of their own.
 //
 // Decisions are made elsewhere, without I/O: package group says where a statement goes, sessionstate what a
-// connection must be sent first, idempotency what may be retried.
+// connection must be sent first, idempotency what may be retried, quota what a tenant may send.
 //
 // # The way of a statement
 //
@@ -23,7 +23,7 @@
 //
 //	session.resolveService  the replication group that serves the route; for a route with a shard, the shard's owner
 //	session.acquire         requests a connection to a suitable member from the router
-//	router.enqueue          queues the request (connRequest)
+//	router.enqueue          queues the request (connRequest), if its tenant's quota has room for it (router.admit)
 //	router.dispatch         asks group.Route for the member, and lends an idle connection or has one made (dial)
 //	session.send            sends what the connection lacks of the session's state, then the statement, reads the answer
 //	session.finish          returns the connection (router.checkIn) with the outcome, from which the group learns
@@ -49,6 +49,13 @@
 // A write that was sent and not answered is neither queued nor retried, as it may have been committed: its client is
 // answered UNKNOWN. The nodes of a shard know the outcome of each attempt; there it is looked up (resolveOutcome).
 //
+// # Quotas
+//
+// An operation of a tenant, which is a single statement or a transaction, is counted once, by its first request for a
+// connection (quota.go). Beyond this proxy's share of the tenant's quota it is refused at once with RETRY. If its token
+// is nearly due, or its tenant has no share yet and the leader is being asked, it waits for a moment in a queue of the
+// tenant's, where it takes no place in the group's.
+//
 // # Deadlines
 //
 // A statement must be answered deadlineMargin before its route's timeout. The router gives a request up while there
--- a/internal/dataplane/proxy/quota_test.go
+++ b/internal/dataplane/proxy/quota_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,7 +14,9 @@
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/member/wire"
 	"weirwind/internal/util/events"
+	"weirwind/internal/util/metrics"
 	"weirwind/internal/util/settings"
+	"weirwind/internal/util/transport"
 )
 
 const quotaConfig = `{"gen":3,"routes":[{"name":"r","host":"db","type":"primary","timeoutMs":900,"svc":"s"}],
@@ -209,6 +215,62 @@
 	})
 }
 
+func TestQuotaFigures(t *testing.T) {
+	withQuotas(t, "quota", func(x *quotaRig) {
+		x.ask("hot")
+		x.grant(1, controlmsg.QuotaShare{Tenant: "hot", Share: 0.5})
+		x.ask("calm")
+		x.ask("free")
+		for range 30 {
+			x.ask("hot")
+		}
+		w := httptest.NewRecorder()
+		metrics.Handler(x.p.figures).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		for _, line := range []string{
+			"weirwind_proxy_quota_refused_total 19", // all but the 12 whose token is due within 250 ms
+			"weirwind_proxy_quota_waiting 13",
+			"weirwind_proxy_quota_shares 0.5",
+			"weirwind_proxy_quota_demand 32",
+			"weirwind_proxy_quota_lapses_total 0",
+		} {
+			if !strings.Contains(w.Body.String(), "\n"+line+"\n") {
+				t.Errorf("%q is not in\n%s", line, w.Body)
+			}
+		}
+	})
+}
+
+// A report goes to the agent over its link, and the grant that comes back lets the operation through.
+func TestGrantsComeFromTheAgent(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	up := make(chan struct{}, 1)
+	go transport.Serve(listener, 0, func(*transport.Link[controlmsg.Frame]) { up <- struct{}{} },
+		func(l *transport.Link[controlmsg.Frame], f *controlmsg.Frame) {
+			if r := f.QuotaReport; r != nil {
+				l.Send(&controlmsg.Frame{QuotaGrant: &controlmsg.QuotaGrant{Incarnation: r.Incarnation, Seq: r.Seq,
+					LeaseMs: 12000, Shares: []controlmsg.QuotaShare{{Tenant: "hot", Share: 1, Tokens: 1}}}})
+			}
+		}, func(*transport.Link[controlmsg.Frame]) {})
+	x := &quotaRig{transcript: &transcript{t: t}}
+	x.p = newProxy(t.Context(), &settings.Settings{Zone: "z", FeedAddr: listener.Addr().String(),
+		Contracts: []string{settings.ContractQuota}, QuotaWindow: 5 * time.Second}, events.Discard())
+	go x.p.router.run()
+	go x.p.followAgent()
+	x.update(&controlmsg.StateUpdate{ConfigVersion: 3, Config: []byte(quotaConfig)})
+	x.do(func() { x.p.router.group("s").queue.max = 0 }) // what is let through is answered at once
+	for range 20 {                                       // the link may not be up at the first
+		lent := <-x.ask("hot").reply
+		if errors.Is(lent.err, errRetryLater) {
+			return
+		}
+	}
+	t.Error("no operation is let through")
+}
+
 func TestOnlyTenantsWithAQuotaAreLimitedAndOnlyByTheContract(t *testing.T) {
 	for _, c := range []struct{ contracts, tenant string }{{"tenants", "hot"}, {"quota", "free"}, {"quota", ""}} {
 		withQuotas(t, c.contracts, func(x *quotaRig) {
