proxy: a tenant's only idle connection to a member is kept for a minute

A place that another tenant needs is still taken at once (dial). Without tenants all connections of a pool are of one, and nothing changes.

--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -26,6 +26,8 @@
 	minIdleConns = 2 // of a member, kept however long they are idle
 	maxIdleTime  = 4 * time.Second
 
+	maxLastIdleTime = 60 * time.Second // of the only idle connection of a tenant to a member
+
 	// A member that rejected a connection for want of capacity is not dialled again at once if this proxy has none
 	// there, as other drivers have to close theirs first.
 	rejectedDialBackoff = 40 * time.Millisecond
@@ -116,17 +118,36 @@
 	p.idle = nil
 }
 
-// closeExpired closes connections that were idle for too long, but keeps a few, whoever's they are.
+// closeExpired closes connections that were idle for too long, but keeps a few, and each tenant's last for longer: a
+// tenant returns seldom to one member over one proxy, and where its place is needed, dial takes it.
 func (p *connPool) closeExpired(now float64) {
-	for len(p.idle) > minIdleConns && now-p.idle[0].idleSince > milliseconds(maxIdleTime) {
-		p.closeLongestIdle()
+	for i := 0; i < len(p.idle) && len(p.idle) > minIdleConns; {
+		c := p.idle[i]
+		allowed := maxIdleTime
+		if p.countIdle(c.tenant) == 1 {
+			allowed = maxLastIdleTime
+		}
+		if now-c.idleSince > milliseconds(allowed) {
+			p.closeIdleAt(i)
+		} else {
+			i++
+		}
+	}
+}
+
+func (p *connPool) countIdle(tenant string) (n int) {
+	for _, c := range p.idle {
+		if c.tenant == tenant {
+			n++
+		}
 	}
+	return n
 }
 
-// closeLongestIdle closes the connection that has been idle for longest, of which there must be one.
-func (p *connPool) closeLongestIdle() {
-	p.idle[0].Close()
-	p.idle = slices.Delete(p.idle, 0, 1)
+// closeIdleAt closes an idle connection by its index; 0 is the one that has been idle for longest.
+func (p *connPool) closeIdleAt(i int) {
+	p.idle[i].Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
 	p.open--
 }
 
@@ -180,7 +201,7 @@
 func (r *router) dial(grp *memberGroup, member *group.Member, tenant string) {
 	p := grp.pool(member.ID)
 	for share := r.connShare(grp); p.open >= share && len(p.idle) > 0; {
-		p.closeLongestIdle()
+		p.closeIdleAt(0)
 	}
 	p.open++
 	p.dialing++
--- a/internal/dataplane/proxy/tenantpool_test.go
+++ b/internal/dataplane/proxy/tenantpool_test.go
@@ -191,3 +191,24 @@
 	}
 	f.expect(3, 5, 2)
 }
+
+// A tenant's only idle connection to a member outlives what is kept of a busier one.
+func TestEachTenantsLastConnectionIsKeptLonger(t *testing.T) {
+	f := newPoolFixture(t, 10)
+	pool := f.group.pool("a")
+	for i, tenant := range []string{"north", "south", "north", "east"} {
+		pool.put(f.conn(tenant, ""), float64(1000*i))
+	}
+	pool.closeExpired(9000)
+	f.expect(3, 3, 0)
+	if !pool.hasIdle("north") || !pool.hasIdle("south") || !pool.hasIdle("east") {
+		t.Error("a tenant has none left")
+	}
+	pool.closeExpired(1001 + milliseconds(maxLastIdleTime))
+	f.expect(2, 2, 0)
+	if pool.hasIdle("south") {
+		t.Error("the connection that was idle for longest is open")
+	}
+	pool.closeExpired(10 * milliseconds(maxLastIdleTime))
+	f.expect(minIdleConns, minIdleConns, 0)
+}
