--- a/internal/controlplane/quota/model_test.go
+++ b/internal/controlplane/quota/model_test.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"weirwind/internal/controlplane/controlmsg"
-	limiter "weirwind/internal/dataplane/quota"
+	"weirwind/internal/controlplane/quota/limiter"
 	"weirwind/internal/standin/virtualclock"
 )
 
