--- a/internal/controlplane/controlmsg/quota.go
+++ b/internal/controlplane/controlmsg/quota.go
@@ -48,6 +48,7 @@
 	Incarnation uint64        `cbor:"2,keyasint"`
 	Seq         uint64        `cbor:"3,keyasint"`
 	Tenants     []QuotaDemand `cbor:"4,keyasint,omitempty"` // those that it holds a share of, or is asked for
+	Lead        uint64        `cbor:"5,keyasint,omitempty"` // of the newest grant that it applied
 }
 
 // QuotaDemand is a part of a report, on one tenant.
@@ -65,6 +66,8 @@
 	Seq         uint64       `cbor:"3,keyasint"` // of the report that it answers
 	LeaseMs     float64      `cbor:"4,keyasint"` // milliseconds from the sending of that report, for which the shares hold
 	Shares      []QuotaShare `cbor:"5,keyasint,omitempty"`
+	// Lead is the leader's term, once no earlier leader grants any more; 0 before. A report with it was sent since.
+	Lead uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // QuotaShare is a part of a grant, on one tenant.
--- a/internal/controlplane/loop.go
+++ b/internal/controlplane/loop.go
@@ -94,6 +94,7 @@
 		return nil, err
 	}
 	if !found {
+		server.fresh = s.Bootstrap
 		hardState = initialHardState(server)
 		if err := disk.Save(&hardState); err != nil {
 			return nil, err
@@ -272,6 +273,7 @@
 	if !known || c.applied == entryIDOf(&entry) {
 		return update, false
 	}
+	skipped := entry.Index > c.applied.index+1
 	c.applied = entryIDOf(&entry)
 	state := &config.State{}
 	if len(entry.Value) > 0 {
@@ -281,7 +283,7 @@
 		}
 	}
 	c.committed = state
-	update = committedUpdate{state: state, newVersion: state.Version > c.notifiedVersion, voterAddrs: c.logVoters(&entry)}
+	update = committedUpdate{state: state, newVersion: state.Version > c.notifiedVersion, voterAddrs: c.logVoters(&entry), skipped: skipped}
 	c.notifiedVersion = max(c.notifiedVersion, state.Version)
 	return update, true
 }
--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -6,45 +6,66 @@
 	"weirwind/internal/controlplane/controlmsg"
 )
 
-// This file owns the allocator: which proxies have reported, what each may hold, and the answers to their reports. The
-// bounds of a tenant's shares must never be raised above 1 in sum.
+// This file owns the allocator: which holders have reported, what each may hold, and the answers to their reports. The
+// bounds of a tenant's shares, with what may be held unreported, must never be raised above 1 in sum.
 
 const (
-	// Lease is for how long a proxy holds what it was granted, from the sending of the report that was answered, in ms.
+	// Lease is for how long a holder has what it was granted, from the sending of the report that was answered, in ms.
 	Lease = 12_000.0
-	// leaseSlack covers what another leader may do beside this one: it grants until its contact with a quorum is over,
-	// 1.5 s after this one began at most. The rest is for clocks whose rates differ.
-	leaseSlack = 2000.0
-	// boundLifetime is for how long a proxy may hold what it reported last, or was granted then.
-	boundLifetime = Lease + leaseSlack
+	// overlap is for how long an earlier leader may go on granting beside this one, in ms: until its contact with a quorum
+	// is over, 1.5 s after this one began at most. The rest is for clocks whose rates differ.
+	overlap = 2000.0
+	// BoundLifetime is for how long a holder may have what it reported last, or was granted then, in ms.
+	BoundLifetime = Lease + overlap
 )
 
-// Limit is a tenant's token bucket over all drivers.
-type Limit struct {
-	Rate  float64 // operations a second
-	Burst float64 // its depth, in operations
-}
-
 // Allocator is a leader's book of shares, from the begin of its lead to the end. Its owner's goroutine alone uses it.
 type Allocator struct {
-	unknownUntil float64 // shares that were not reported may be held until then
-	tenants      map[string]*tenantBook
-	proxies      map[string]*proxy // by driver
-	reports      uint64
-	grants       uint64
+	lead    uint64
+	tenants map[string]*tenantBook
+	holders map[string]*holder // by control address
+
+	// known: nobody holds a share that was not reported. It never becomes false again.
+	known          bool
+	aloneFrom      float64         // no earlier leader grants any more
+	unknownUntil   float64         // when that is so at the latest, as all earlier leases are over
+	unreported     map[string]bool // holders that have not reported to this lead yet
+	historyKnownAt float64         // from when on unreported has all that may hold a share
+
+	reports uint64
+	grants  uint64
 }
 
-// proxy is what the allocator knows of a driver's proxy.
-type proxy struct {
+// holder is what the allocator knows of a core machine.
+type holder struct {
 	incarnation, seq uint64 // of its newest report
 	boundsUntil      float64
+	revealed         bool            // what it held of earlier leads is no longer unknown
 	tenants          map[string]bool // those of which it has a holding
 }
 
-// New gives the book of a lead that begins now. It must be empty of all that was known before.
-func New(now float64) *Allocator {
-	return &Allocator{unknownUntil: now + boundLifetime,
-		tenants: map[string]*tenantBook{}, proxies: map[string]*proxy{}}
+// History is what a machine that begins to lead knows of those that may hold shares of earlier leads.
+type History struct {
+	Holders []string // control addresses; the machine itself among them, if it may hold some
+	// KnownAt is from when on Holders has all that may hold a share, in ms: whoever is not among them had its last lease
+	// a BoundLifetime before.
+	KnownAt float64
+}
+
+// New gives the book of a lead that begins now. lead is its term, above 0.
+func New(now float64, lead uint64, history History) *Allocator {
+	a := &Allocator{lead: lead, tenants: map[string]*tenantBook{}, holders: map[string]*holder{},
+		aloneFrom: now + overlap, unknownUntil: now + BoundLifetime, unreported: map[string]bool{}, historyKnownAt: history.KnownAt}
+	for _, name := range history.Holders {
+		a.unreported[name] = true
+	}
+	return a
+}
+
+// Known reports whether all shares that may be held were reported.
+func (a *Allocator) Known(now float64) bool {
+	a.expire(now)
+	return a.known
 }
 
 // SetLimits sets which tenants have a quota, and which. A tenant that has none any more is granted nothing, and is
@@ -54,8 +75,7 @@
 	for name, limit := range limits {
 		book := a.tenants[name]
 		if book == nil {
-			book = newTenantBook(a.unknownUntil, now)
-			a.tenants[name] = book
+			book = a.newBook(name, now)
 		}
 		book.setLimit(limit, now)
 	}
@@ -67,8 +87,18 @@
 	}
 }
 
-// Report answers a proxy's report. The answer is nil where the report is not the proxy's newest, as it was overtaken or
-// doubled: it must not be answered then.
+// newBook adds a tenant's book.
+func (a *Allocator) newBook(name string, now float64) *tenantBook {
+	book := newTenantBook(now)
+	if !a.known {
+		book.unknown = 1
+	}
+	a.tenants[name] = book
+	return book
+}
+
+// Report answers a holder's report. The answer is nil where the report is not the holder's newest, as it was overtaken
+// or doubled: it must not be answered then.
 func (a *Allocator) Report(r *controlmsg.QuotaReport, now float64) *controlmsg.QuotaGrant {
 	a.expire(now)
 	if !a.accept(r, now) {
@@ -76,13 +106,21 @@
 	}
 	a.reports++
 	a.takeHoldings(r, now)
-	grant := &controlmsg.QuotaGrant{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq, LeaseMs: Lease}
+	if r.Lead == a.lead {
+		a.holders[r.Holder].revealed = true
+		delete(a.unreported, r.Holder)
+		a.checkKnown(now)
+	}
+	grant := &controlmsg.QuotaGrant{Holder: r.Holder, Incarnation: r.Incarnation, Seq: r.Seq, LeaseMs: Lease}
+	if now >= a.aloneFrom {
+		grant.Lead = a.lead
+	}
 	for _, demand := range r.Tenants {
 		book := a.tenants[demand.Tenant]
 		if book == nil || !book.limited {
 			continue
 		}
-		if share, tokens := book.grant(r.Driver, now); share > 0 {
+		if share, tokens := book.grant(r.Holder, a.known || r.Lead == a.lead, now); share > 0 {
 			grant.Shares = append(grant.Shares, controlmsg.QuotaShare{Tenant: demand.Tenant, Share: share, Tokens: tokens})
 		}
 	}
@@ -90,31 +128,31 @@
 	return grant
 }
 
-// accept notes a proxy's newest report, and reports whether it is one. An earlier process of the driver has ended:
+// accept notes a holder's newest report, and reports whether it is one. An earlier process of the machine has ended:
 // nothing is held by it.
 func (a *Allocator) accept(r *controlmsg.QuotaReport, now float64) bool {
-	known := a.proxies[r.Driver]
+	known := a.holders[r.Holder]
 	if known != nil {
 		if r.Incarnation < known.incarnation || r.Incarnation == known.incarnation && r.Seq <= known.seq {
 			return false
 		}
 		if r.Incarnation > known.incarnation {
-			a.release(r.Driver, now)
+			a.release(r.Holder, now)
 			known = nil
 		}
 	}
 	if known == nil {
-		known = &proxy{tenants: map[string]bool{}}
-		a.proxies[r.Driver] = known
+		known = &holder{tenants: map[string]bool{}}
+		a.holders[r.Holder] = known
 	}
-	known.incarnation, known.seq, known.boundsUntil = r.Incarnation, r.Seq, now+boundLifetime
+	known.incarnation, known.seq, known.boundsUntil = r.Incarnation, r.Seq, now+BoundLifetime
 	return true
 }
 
-// takeHoldings replaces what a proxy may hold and wants by what it reports. Of a tenant that is listed twice the larger
-// share counts.
+// takeHoldings replaces what a holder may have and wants by what it reports. Of a tenant that is listed twice the larger
+// share counts. A share of a tenant that is not configured here counts too: its quota may be back before the share ends.
 func (a *Allocator) takeHoldings(r *controlmsg.QuotaReport, now float64) {
-	reporter := a.proxies[r.Driver]
+	reporter := a.holders[r.Holder]
 	reported := make(map[string]controlmsg.QuotaDemand, len(r.Tenants))
 	for _, demand := range r.Tenants {
 		demand.Share = max(demand.Share, reported[demand.Tenant].Share)
@@ -122,44 +160,74 @@
 	}
 	for name := range reporter.tenants {
 		if _, listed := reported[name]; !listed {
-			a.setHolding(r.Driver, name, holding{}, now)
+			a.setHolding(r.Holder, name, holding{}, now)
 		}
 	}
-	for name, demand := range reported {
-		if book := a.tenants[name]; book != nil {
-			h := holding{reported: clampShare(demand.Share), want: book.want(demand.Demand)}
-			h.bound = h.reported
-			a.setHolding(r.Driver, name, h, now)
+	for _, demand := range reported {
+		a.takeHolding(r.Holder, demand, r.Lead == a.lead, now)
+	}
+}
+
+// takeHolding takes a part of a report. current: no earlier leader changes any more what it says.
+func (a *Allocator) takeHolding(holder string, demand controlmsg.QuotaDemand, current bool, now float64) {
+	tenant := demand.Tenant
+	share := clampShare(demand.Share)
+	book := a.tenants[tenant]
+	if book == nil {
+		if share == 0 {
+			return
 		}
+		book = a.newBook(tenant, now)
+	}
+	if current && !a.holders[holder].revealed {
+		book.reveal(share, now)
 	}
+	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: book.want(demand.Demand)}, now)
 }
 
-// setHolding replaces a proxy's holding of a tenant; an empty one is forgotten.
-func (a *Allocator) setHolding(driver, tenant string, h holding, now float64) {
-	a.tenants[tenant].set(driver, h, now)
+// setHolding replaces a holder's holding of a tenant; an empty one is forgotten.
+func (a *Allocator) setHolding(holder, tenant string, h holding, now float64) {
+	a.tenants[tenant].set(holder, h, now)
 	if h != (holding{}) {
-		a.proxies[driver].tenants[tenant] = true
+		a.holders[holder].tenants[tenant] = true
 		return
 	}
-	delete(a.proxies[driver].tenants, tenant)
+	delete(a.holders[holder].tenants, tenant)
 	a.forgetUnused(tenant)
 }
 
-// expire releases what proxies held that have not reported for so long that their leases are over.
+// expire releases what was held by those that have not reported for so long that their leases are over.
 func (a *Allocator) expire(now float64) {
-	for driver, p := range a.proxies {
-		if now >= p.boundsUntil {
-			a.release(driver, now)
+	a.checkKnown(now)
+	for name, h := range a.holders {
+		if now >= h.boundsUntil {
+			a.release(name, now)
 		}
 	}
 }
 
-// release forgets a proxy that holds nothing any more.
-func (a *Allocator) release(driver string, now float64) {
-	for tenant := range maps.Clone(a.proxies[driver].tenants) {
-		a.setHolding(driver, tenant, holding{}, now)
+// checkKnown notes the moment from which on nobody holds a share that was not reported.
+func (a *Allocator) checkKnown(now float64) {
+	allReported := len(a.unreported) == 0 && now >= a.historyKnownAt
+	if a.known || !allReported && now < a.unknownUntil {
+		return
+	}
+	a.known = true
+	since := now
+	if !allReported {
+		since = a.unknownUntil
+	}
+	for _, book := range a.tenants {
+		book.reveal(1, since)
+	}
+}
+
+// release forgets a holder that has nothing any more.
+func (a *Allocator) release(name string, now float64) {
+	for tenant := range maps.Clone(a.holders[name].tenants) {
+		a.setHolding(name, tenant, holding{}, now)
 	}
-	delete(a.proxies, driver)
+	delete(a.holders, name)
 }
 
 // forgetUnused forgets a tenant without a quota that nobody holds a share of.
--- a/internal/controlplane/quota/allocator_test.go
+++ b/internal/controlplane/quota/allocator_test.go
@@ -7,18 +7,18 @@
 	"weirwind/internal/controlplane/controlmsg"
 )
 
-const known = boundLifetime // when a book that begins at 0 knows all shares
+const known = BoundLifetime // when a book that begins at 0 knows all shares
 
 // bookOf gives the book of a lead that began at 0, with a tenant "t" of 100 operations a second and a burst of 50.
 func bookOf() *Allocator {
-	a := New(0)
+	a := New(0, 1, History{Holders: []string{"silent"}})
 	a.SetLimits(map[string]Limit{"t": {Rate: 100, Burst: 50}}, 0)
 	return a
 }
 
 // ask reports to a book, and gives the share of "t" that is granted, and its tokens; -1 where the report is dropped.
 func ask(a *Allocator, driver string, seq uint64, share, demand, now float64) (granted, tokens float64) {
-	grant := a.Report(&controlmsg.QuotaReport{Driver: driver, Incarnation: 1, Seq: seq,
+	grant := a.Report(&controlmsg.QuotaReport{Holder: driver, Incarnation: 1, Seq: seq,
 		Tenants: []controlmsg.QuotaDemand{{Tenant: "t", Share: share, Demand: demand}}}, now)
 	if grant == nil {
 		return -1, 0
@@ -56,7 +56,7 @@
 		got, _ := ask(a, "one", seq, 0, 10, known)
 		wantShare(t, "an old report", got, -1)
 	}
-	later := &controlmsg.QuotaReport{Driver: "one", Incarnation: 2, Seq: 1}
+	later := &controlmsg.QuotaReport{Holder: "one", Incarnation: 2, Seq: 1}
 	if a.Report(later, known) == nil {
 		t.Error("a later process is not answered")
 	}
@@ -80,12 +80,12 @@
 func TestADeadProxysShareComesBack(t *testing.T) {
 	a := bookOf()
 	ask(a, "one", 1, 0, 90, known)
-	got, _ := ask(a, "two", 1, 0, 50, known+boundLifetime-1)
+	got, _ := ask(a, "two", 1, 0, 50, known+BoundLifetime-1)
 	wantShare(t, "while a silent proxy may hold all", got, 0)
-	got, _ = ask(a, "two", 2, 0, 50, known+boundLifetime)
+	got, _ = ask(a, "two", 2, 0, 50, known+BoundLifetime)
 	wantShare(t, "once its lease is over", got, 0.65)
-	a.Report(&controlmsg.QuotaReport{Driver: "two", Incarnation: 2, Seq: 1}, known+boundLifetime)
-	got, _ = ask(a, "three", 1, 0, 50, known+boundLifetime)
+	a.Report(&controlmsg.QuotaReport{Holder: "two", Incarnation: 2, Seq: 1}, known+BoundLifetime)
+	got, _ = ask(a, "three", 1, 0, 50, known+BoundLifetime)
 	wantShare(t, "once it was restarted", got, 0.65)
 }
 
@@ -127,9 +127,9 @@
 	wantShare(t, "of a tenant that has a quota again", got, 0.35)
 	a.SetLimits(nil, known)
 	ask(a, "one", 2, 0, 50, known)
-	a.SetLimits(nil, known+boundLifetime)
-	if len(a.tenants) != 0 || len(a.proxies) != 0 {
-		t.Errorf("%d tenants and %d proxies are kept", len(a.tenants), len(a.proxies))
+	a.SetLimits(nil, known+BoundLifetime)
+	if len(a.tenants) != 0 || len(a.holders) != 0 {
+		t.Errorf("%d tenants and %d proxies are kept", len(a.tenants), len(a.holders))
 	}
 }
 
--- a/internal/controlplane/quota/limiter/limiter.go
+++ b/internal/controlplane/quota/limiter/limiter.go
@@ -50,6 +50,7 @@
 	tenants     map[string]*tenant
 	names       []string // of tenants, sorted
 
+	lead      uint64 // of the newest grant
 	reports   reportState
 	leaseEnd  float64 // milliseconds; the shares hold until then
 	lapsed    int     // how often shares ended with their lease
@@ -96,6 +97,9 @@
 	l.names = slices.Sorted(maps.Keys(l.tenants))
 }
 
+// Limits reports whether a tenant has a limit.
+func (l *Limiter) Limits(name string) bool { return l.tenants[name] != nil }
+
 // Admit counts an operation that a client asks for, and decides on it. ahead is how many of the tenant's operations
 // wait already: those are served first.
 func (l *Limiter) Admit(name string, ahead int, now float64) Decision {
@@ -182,6 +186,10 @@
 		return false
 	}
 	l.reports.outstanding = false
+	if grant.Lead != l.lead { // the leader is to see at once that this one was applied
+		l.lead = grant.Lead
+		l.reports.need = newDemand
+	}
 	granted := make(map[string]controlmsg.QuotaShare, len(grant.Shares))
 	for _, s := range grant.Shares {
 		granted[s.Tenant] = s
--- a/internal/controlplane/quota/limiter/report.go
+++ b/internal/controlplane/quota/limiter/report.go
@@ -64,7 +64,7 @@
 	}
 	l.reports = reportState{seq: l.reports.seq + 1, sentAt: now, outstanding: true, checkedAt: l.reports.checkedAt,
 		listed: len(listed) > 0}
-	return &controlmsg.QuotaReport{Incarnation: l.incarnation, Seq: l.reports.seq, Tenants: listed}
+	return &controlmsg.QuotaReport{Incarnation: l.incarnation, Seq: l.reports.seq, Tenants: listed, Lead: l.lead}
 }
 
 // listTenants lists what is held and asked for. Shares of tenants without demand are given up at this moment: that a
--- a/internal/controlplane/quota/model_test.go
+++ b/internal/controlplane/quota/model_test.go
@@ -11,7 +11,7 @@
 	"weirwind/internal/standin/virtualclock"
 )
 
-// This file owns a model of a fleet in virtual time: proxies with the real limiter, leaders with the real allocator,
+// This file owns a model of a core in virtual time: machines with the real limiter, leaders with the real allocator,
 // and a network between them.
 
 const (
@@ -24,8 +24,9 @@
 // faults are what a model does, and which guards it lacks.
 type faults struct {
 	calm            bool // nothing is lost, late or doubled, nobody fails, and limits and leaders stay
-	anyGrantApplies bool // a proxy takes an old answer for the newest
+	anyGrantApplies bool // a holder takes an old answer for the newest
 	newLeadKnowsAll bool // a new lead has no unknown period
+	formerForgotten bool // a new lead doesn't wait for machines that ceased to vote
 }
 
 type model struct {
@@ -35,11 +36,11 @@
 	limits  map[string]Limit
 	changes []limitChange
 	leaders []*modelLeader // the newest is the last
-	proxies []*modelProxy
+	holders []*modelHolder
 	network network
 
 	asked, admitted map[string][]float64 // times of operations, by tenant
-	mostHeld        float64              // largest sum of the shares of a tenant that proxies held at a moment
+	mostHeld        float64              // largest sum of the shares of a tenant that holders held at a moment
 }
 
 // network is how a model's messages fare, as chances.
@@ -55,12 +56,13 @@
 	contactUntil float64
 }
 
-type modelProxy struct {
+type modelHolder struct {
 	name        string
 	limiter     *limiter.Limiter
 	incarnation uint64
 	newestSeq   uint64
 	cutUntil    float64
+	votedUntil  float64              // +Inf: it votes
 	demand      map[string]float64   // operations a second
 	waiting     map[string][]float64 // when each came
 }
@@ -74,27 +76,32 @@
 		m.network = network{chances[m.draw.IntN(3)], chances[m.draw.IntN(3)], chances[m.draw.IntN(3)]}
 	}
 	m.changes = []limitChange{{-math.MaxFloat64, m.limits}}
-	first := &modelLeader{book: New(-boundLifetime), contactUntil: math.Inf(1)}
+	first := &modelLeader{book: New(0, 1, History{}), contactUntil: math.Inf(1)}
 	first.book.SetLimits(m.limits, 0)
 	m.leaders = []*modelLeader{first}
 	for i := range 8 {
-		p := &modelProxy{name: fmt.Sprint("front-", i), demand: map[string]float64{}}
-		m.proxies = append(m.proxies, p)
-		m.start(p)
-		m.After(m.draw.Float64()*modelTick, func() { m.tick(p) })
+		m.join(fmt.Sprint("core-", i))
 	}
 	return m
 }
 
-func (m *model) start(p *modelProxy) {
+// join adds a machine that votes.
+func (m *model) join(name string) {
+	p := &modelHolder{name: name, demand: map[string]float64{}, votedUntil: math.Inf(1)}
+	m.holders = append(m.holders, p)
+	m.start(p)
+	m.After(m.draw.Float64()*modelTick, func() { m.tick(p) })
+}
+
+func (m *model) start(p *modelHolder) {
 	p.incarnation++
 	p.limiter, p.newestSeq = limiter.New(p.incarnation, modelWindow), 0
 	p.waiting = map[string][]float64{}
 	m.adopt(p)
 }
 
-// adopt gives a proxy the present limits.
-func (m *model) adopt(p *modelProxy) {
+// adopt gives a holder the present limits.
+func (m *model) adopt(p *modelHolder) {
 	limits := map[string]limiter.Limit{}
 	for name, limit := range m.limits {
 		limits[name] = limiter.Limit(limit)
@@ -102,8 +109,8 @@
 	p.limiter.SetLimits(limits, m.Now)
 }
 
-// tick has a proxy's clients ask, and sends its report where one is due.
-func (m *model) tick(p *modelProxy) {
+// tick has a holder's clients ask, and sends its report where one is due.
+func (m *model) tick(p *modelHolder) {
 	m.After(modelTick, func() { m.tick(p) })
 	for _, tenant := range []string{"large", "small"} {
 		m.serveWaiting(p, tenant)
@@ -123,7 +130,7 @@
 func (m *model) noteHeld() {
 	for tenant := range m.limits {
 		held := 0.0
-		for _, p := range m.proxies {
+		for _, p := range m.holders {
 			share, _ := p.limiter.Held(tenant, m.Now)
 			held += share
 		}
@@ -139,7 +146,7 @@
 	return n
 }
 
-func (m *model) serveWaiting(p *modelProxy, tenant string) {
+func (m *model) serveWaiting(p *modelHolder, tenant string) {
 	for len(p.waiting[tenant]) > 0 {
 		switch p.limiter.Retry(tenant, 0, m.Now).Verdict {
 		case limiter.Admitted:
@@ -151,18 +158,18 @@
 	}
 }
 
-func (m *model) sendReport(p *modelProxy) {
+func (m *model) sendReport(p *modelHolder) {
 	report := p.limiter.NextReport(m.Now)
 	if report == nil {
 		return
 	}
-	report.Driver, p.newestSeq = p.name, report.Seq
+	report.Holder, p.newestSeq = p.name, report.Seq
 	m.transmit(p, func() {
 		leader := m.leaders[len(m.leaders)-1]
 		if !m.faults.calm && m.draw.IntN(3) == 0 { // the way leads to an earlier one
 			leader = m.leaders[m.draw.IntN(len(m.leaders))]
 		}
-		if m.Now > leader.contactUntil {
+		if m.Now > leader.contactUntil || m.Now > p.votedUntil {
 			return
 		}
 		if grant := leader.book.Report(report, m.Now); grant != nil {
@@ -171,7 +178,7 @@
 	})
 }
 
-func (m *model) apply(p *modelProxy, grant controlmsg.QuotaGrant) {
+func (m *model) apply(p *modelHolder, grant controlmsg.QuotaGrant) {
 	if m.faults.anyGrantApplies && grant.Incarnation == p.incarnation {
 		grant.Seq = p.newestSeq
 	}
@@ -182,8 +189,8 @@
 	}
 }
 
-// transmit delivers a message to or from a proxy, late or twice or never.
-func (m *model) transmit(p *modelProxy, deliver func()) {
+// transmit delivers a message to or from a holder, late or twice or never.
+func (m *model) transmit(p *modelHolder, deliver func()) {
 	delay := 5 + 55*m.draw.Float64()
 	if m.Now < p.cutUntil || m.draw.Float64() < m.network.lost {
 		return
@@ -197,15 +204,15 @@
 	}
 }
 
-// setDemand has the proxies' demand change at random, and be so many times the limit in sum.
+// setDemand has the holders' demand change at random, and be so many times the limit in sum.
 func (m *model) setDemand(times float64) {
 	for tenant, limit := range m.limits {
-		sum, parts := 0.0, make([]float64, len(m.proxies))
+		sum, parts := 0.0, make([]float64, len(m.holders))
 		for i := range parts {
 			parts[i] = math.Pow(m.draw.Float64(), 4)
 			sum += parts[i]
 		}
-		for i, p := range m.proxies {
+		for i, p := range m.holders {
 			p.demand[tenant] = limit.Rate * times * parts[i] / sum
 		}
 	}
@@ -215,15 +222,33 @@
 func (m *model) changeLeader() {
 	former := m.leaders[len(m.leaders)-1]
 	former.contactUntil = m.Now + modelContact
-	began := m.Now
-	if m.faults.newLeadKnowsAll {
-		began -= boundLifetime
-	}
-	next := &modelLeader{book: New(began), contactUntil: math.Inf(1)}
+	next := &modelLeader{book: New(m.Now, uint64(len(m.leaders)+1), m.history()), contactUntil: math.Inf(1)}
 	next.book.SetLimits(m.limits, m.Now)
 	m.leaders = append(m.leaders, next)
 }
 
+// history is what a new lead knows, at times late.
+func (m *model) history() (h History) {
+	if m.faults.newLeadKnowsAll {
+		return h
+	}
+	for _, p := range m.holders {
+		if p.votedUntil == math.Inf(1) || !m.faults.formerForgotten && m.Now-p.votedUntil <= BoundLifetime {
+			h.Holders = append(h.Holders, p.name)
+		}
+	}
+	if m.draw.IntN(4) == 0 {
+		h.KnownAt = m.Now + BoundLifetime*m.draw.Float64()
+	}
+	return h
+}
+
+// replace has a machine cease to vote, while it goes on, and another one join.
+func (m *model) replace(p *modelHolder) {
+	p.votedUntil = min(p.votedUntil, m.Now)
+	m.join(fmt.Sprint("core-", len(m.holders)))
+}
+
 // changeLimits puts other limits in force, at each machine at a moment of its own.
 func (m *model) changeLimits() {
 	scale := 0.5 + m.draw.Float64()
@@ -233,15 +258,15 @@
 	for _, leader := range m.leaders {
 		m.After(adoptWithin*m.draw.Float64(), func() { leader.book.SetLimits(limits, m.Now) })
 	}
-	for _, p := range m.proxies {
+	for _, p := range m.holders {
 		m.After(adoptWithin*m.draw.Float64(), func() { m.adopt(p) })
 	}
 }
 
 // disturb has something happen, and schedules the next.
 func (m *model) disturb() {
-	p := m.proxies[m.draw.IntN(len(m.proxies))]
-	switch m.draw.IntN(6) {
+	p := m.holders[m.draw.IntN(len(m.holders))]
+	switch m.draw.IntN(7) {
 	case 0:
 		m.changeLeader()
 	case 1:
@@ -250,6 +275,8 @@
 		p.cutUntil = m.Now + 25_000*m.draw.Float64()
 	case 3:
 		m.changeLimits()
+	case 4:
+		m.replace(p)
 	default:
 		m.setDemand([]float64{0.3, 0.9, 1.5, 7.5}[m.draw.IntN(4)])
 	}
--- a/internal/controlplane/quota/quota_test.go
+++ b/internal/controlplane/quota/quota_test.go
@@ -51,8 +51,9 @@
 
 func TestTheLimitNeedsItsGuards(t *testing.T) {
 	for name, f := range map[string]faults{
-		"a proxy takes an old answer for the newest": {anyGrantApplies: true},
-		"a new lead has no unknown period":           {newLeadKnowsAll: true},
+		"a holder takes an old answer for the newest": {anyGrantApplies: true},
+		"a new lead has no unknown period":            {newLeadKnowsAll: true},
+		"a new lead forgets who ceased to vote":       {formerForgotten: true},
 	} {
 		e := play(f)
 		t.Log(name, e)
--- a/internal/controlplane/quota/tenantbook.go
+++ b/internal/controlplane/quota/tenantbook.go
@@ -6,13 +6,13 @@
 // nobody holds.
 
 const (
-	// headroom is how much more than its demand a proxy wants: demand is measured late, and rises.
+	// headroom is how much more than its demand a holder wants: demand is measured late, and rises.
 	headroom = 1.3
-	// minWantedRate is what a proxy with any demand wants at least, in operations a second, but of a small quota no more
-	// than the share maxLeastShare: most of that stays at hand for the proxies that ask next.
+	// minWantedRate is what a holder with any demand wants at least, in operations a second, but of a small quota no more
+	// than the share maxLeastShare: most of that stays at hand for those that ask next.
 	minWantedRate = 2.0
 	maxLeastShare = 0.05
-	// maxSurplus is how many times what it wants a proxy may keep, while all others have what they want.
+	// maxSurplus is how many times what it wants a holder may keep, while all others have what they want.
 	maxSurplus = 1.5
 	// minDepth is the depth of the smallest bucket of use, in operations: one, and what rounding takes.
 	minDepth = 1.001
@@ -20,26 +20,32 @@
 
 // tenantBook is the book of one tenant.
 type tenantBook struct {
-	limit        Limit
-	limited      bool    // false: the configuration gives it no quota any more
-	unknownUntil float64 // shares that were not reported may be held until then
-	holdings     map[string]holding
-	bound        float64 // sum of the holdings' bounds
-	wanted       float64 // sum of what the holdings' proxies want
+	limit    Limit
+	limited  bool               // false: the configuration gives it no quota any more
+	holdings map[string]holding // by holder
+	bound    float64            // sum of the holdings' bounds
+	unknown  float64            // share that may be held by those that have not reported to this lead
+	wanted   float64            // sum of what the holders want
 
 	tokens     float64 // in the bucket of the part that nobody holds, as of refilledAt
 	refilledAt float64
 }
 
-// holding is what one proxy may hold of a tenant's quota, and what it wants.
+// holding is what one holder may have of a tenant's quota, and what it wants.
 type holding struct {
 	reported float64 // share, by its newest report
 	bound    float64 // the largest share that it may hold until its next report
 	want     float64 // share
 }
 
-func newTenantBook(unknownUntil, now float64) *tenantBook {
-	return &tenantBook{unknownUntil: unknownUntil, holdings: map[string]holding{}, refilledAt: now}
+func newTenantBook(now float64) *tenantBook {
+	return &tenantBook{holdings: map[string]holding{}, refilledAt: now}
+}
+
+// reveal notes that a share that might be held unreported is not: it was reported, or nobody holds it.
+func (b *tenantBook) reveal(share, now float64) {
+	b.refill(now)
+	b.unknown = clampShare(b.unknown - share)
 }
 
 // setLimit sets the tenant's bucket. Tokens beyond the new depth are lost.
@@ -49,16 +55,16 @@
 	b.clip()
 }
 
-// set replaces a proxy's holding.
-func (b *tenantBook) set(driver string, h holding, now float64) {
+// set replaces a holder's share.
+func (b *tenantBook) set(name string, h holding, now float64) {
 	b.refill(now)
-	former := b.holdings[driver]
+	former := b.holdings[name]
 	b.bound += h.bound - former.bound
 	b.wanted += h.want - former.want
 	if h == (holding{}) {
-		delete(b.holdings, driver)
+		delete(b.holdings, name)
 	} else {
-		b.holdings[driver] = h
+		b.holdings[name] = h
 	}
 	if len(b.holdings) == 0 { // what rounding left ends here
 		b.bound, b.wanted = 0, 0
@@ -66,27 +72,22 @@
 	b.clip()
 }
 
-// free is the share that certainly nobody holds: none while shares may be held that were not reported.
-func (b *tenantBook) free(now float64) float64 {
-	if now < b.unknownUntil {
-		return 0
-	}
-	return clampShare(1 - b.bound)
-}
+// free is the share that certainly nobody holds.
+func (b *tenantBook) free() float64 { return clampShare(1 - b.bound - b.unknown) }
 
 // refill adds the free part's tokens of the time since the last time.
 func (b *tenantBook) refill(now float64) {
-	since := max(b.refilledAt, b.unknownUntil)
-	if now > since {
-		free := b.free(now)
-		b.tokens = min(b.tokens+free*b.limit.Rate*(now-since)/1000, free*b.limit.Burst)
+	if now <= b.refilledAt {
+		return
 	}
-	b.refilledAt = max(b.refilledAt, now)
+	free := b.free()
+	b.tokens = min(b.tokens+free*b.limit.Rate*(now-b.refilledAt)/1000, free*b.limit.Burst)
+	b.refilledAt = now
 }
 
 // clip takes what is too much out of the free part's bucket, after the part became smaller.
 func (b *tenantBook) clip() {
-	b.tokens = min(b.tokens, clampShare(1-b.bound)*b.limit.Burst)
+	b.tokens = min(b.tokens, b.free()*b.limit.Burst)
 }
 
 // want is the share that a demand of so many operations a second needs.
@@ -101,13 +102,14 @@
 // minShare is the smallest share of use: its bucket holds one operation.
 func (b *tenantBook) minShare() float64 { return min(minDepth/b.limit.Burst, 1) }
 
-// grant decides which share a proxy that has just reported holds from now on, and gives it the tokens of what is new.
-func (b *tenantBook) grant(driver string, now float64) (share, tokens float64) {
-	h := b.holdings[driver]
-	available := clampShare(1 - (b.bound - h.bound))
-	if now < b.unknownUntil { // what it gave up now, nobody could be granted
-		return min(h.reported, available), 0
+// grant decides which share a holder that has just reported has from now on, and gives it the tokens of what is new.
+// Unless its report is current, it has no more than it reported: an earlier leader may give out the rest.
+func (b *tenantBook) grant(name string, current bool, now float64) (share, tokens float64) {
+	h := b.holdings[name]
+	if !current {
+		return min(h.reported, b.target(h)), 0
 	}
+	available := clampShare(1 - (b.bound - h.bound) - b.unknown)
 	share = min(b.target(h), available)
 	if share < b.minShare() {
 		return 0, 0 // of no use: others can have it
@@ -120,11 +122,11 @@
 	tokens = min(b.tokens, raise*b.limit.Burst)
 	b.tokens -= tokens
 	h.bound = share
-	b.set(driver, h, now)
+	b.set(name, h, now)
 	return share, tokens
 }
 
-// target is the share that a proxy is to have: what it wants, or its part where all together want more than there is.
+// target is the share that a holder is to have: what it wants, or its part where all together want more than there is.
 // It may keep somewhat more than it wants, so that shares don't change with every report.
 func (b *tenantBook) target(h holding) float64 {
 	if b.wanted > 1 {
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -1,71 +1,167 @@
 package controlplane
 
 import (
+	"slices"
+
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/controlplane/config/quotalimit"
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/quota"
+	"weirwind/internal/controlplane/quota/limiter"
+	"weirwind/internal/util/events"
 	"weirwind/internal/util/settings"
 )
 
-// This file owns the way of quota reports to the leader, and of its grants back to the proxies. A machine without
-// contact with a quorum must grant nothing: another may lead.
+// This file owns tenants' quotas at a core machine: the tokens that it gives out to proxies by its shares, its reports
+// on them to the leader, and the leader's grants. A machine without contact with a quorum must grant nothing, as another
+// may lead; it gives out tokens until the lease of its shares is over.
+
+const (
+	maxTokensAtOnce = 1000 // of a tenant, in one request
+	// shareRetryMs is after how long a proxy asks again while this machine waits for a share of the tenant's quota.
+	shareRetryMs = 80.0
+	// unknownTenantRetryMs is after how long a proxy asks again for a tenant that this machine doesn't know yet.
+	unknownTenantRetryMs = 200.0
+)
 
-// quotas are the shares of tenants' quotas that this machine has given out while it leads. It belongs to softState.
+// quotas is what this machine holds of tenants' quotas, and what it has granted while it leads. It belongs to
+// softState.
 type quotas struct {
 	settings  *settings.Settings
+	limiter   *limiter.Limiter // nil where the contract isn't in force
 	allocator *quota.Allocator // nil while another machine leads
+	voters    voterHistory
+	lapsed    int // of the limiter, as logged last
 }
 
-func newQuotas(s *settings.Settings) quotas { return quotas{settings: s} }
+func newQuotas(s *settings.Settings, incarnation uint64, fresh bool) quotas {
+	q := quotas{settings: s, voters: newVoterHistory(fresh)}
+	if s.HasContract(settings.ContractQuota) {
+		q.limiter = limiter.New(incarnation, ms(s.QuotaWindow))
+	}
+	return q
+}
 
-// reset begins a lead, or ends it: what was given out before is not known.
-func (q *quotas) reset(leads bool, current *config.Config, now float64) {
+// reset begins a lead, or ends it: what was granted before is not known.
+func (q *quotas) reset(lead leadership, current *config.Config) {
+	now := lead.since
 	q.allocator = nil
-	if leads {
-		q.allocator = quota.New(now)
+	if lead.active && q.limiter != nil {
+		q.allocator = quota.New(now, lead.term, q.voters.history(now))
 		q.setConfig(current, now)
 	}
 }
 
 // setConfig sets the tenants' limits by a configuration; nil: there is none.
 func (q *quotas) setConfig(current *config.Config, now float64) {
-	if q.allocator == nil || current == nil {
+	if q.limiter == nil || current == nil {
 		return
 	}
-	limits := map[string]quota.Limit{}
+	granted, held := map[string]quota.Limit{}, map[string]limiter.Limit{}
 	for i := range current.Tenants {
 		tenant := &current.Tenants[i]
 		rate, burst, limited := quotalimit.Of(tenant, q.settings.QuotaExcess, q.settings.QuotaExtra)
-		if limited {
-			limits[tenant.Name] = quota.Limit{Rate: rate, Burst: burst}
+		if !limited {
+			continue
 		}
+		limit := quota.Limit{Rate: rate, Burst: burst}.
+			ForTokens(controlmsg.QuotaTokenLifetimeMs, ms(q.settings.QuotaWindow))
+		granted[tenant.Name], held[tenant.Name] = limit, limiter.Limit(limit)
+	}
+	q.limiter.SetLimits(held, now)
+	if q.allocator != nil {
+		q.allocator.SetLimits(granted, now)
 	}
-	q.allocator.SetLimits(limits, now)
 }
 
-// handleQuotaReport has a proxy's report answered by the leader, over the link that the report came on. A machine that
-// does not lead forwards it to the one that does. Contact is asked for after the clock was read: what is granted counts
-// from a moment at which no other machine had led for longer than the contact lasts.
-func (s *softState) handleQuotaReport(from *link, r *controlmsg.QuotaReport, now float64) {
-	h := s.server
-	if s.quotas.allocator == nil {
-		h.loop.offer(func() { // proxies repeat their reports
-			if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
-				h.cores.send(leader.Addr, &controlmsg.Frame{QuotaReport: r})
-			}
-		})
+// takeTokens takes tokens for some operations of a tenant.
+func (q *quotas) takeTokens(asked controlmsg.QuotaCount, current *config.Config, now float64) controlmsg.QuotaTokens {
+	answer := controlmsg.QuotaTokens{Tenant: asked.Tenant}
+	if q.limiter == nil || !q.limiter.Limits(asked.Tenant) {
+		if q.limiter == nil || current != nil && current.Tenant(asked.Tenant) != nil {
+			answer.Tokens = asked.Operations // the tenant has no quota
+		} else {
+			answer.RetryAfterMs = unknownTenantRetryMs
+		}
+		return answer
+	}
+	for range min(asked.Operations, maxTokensAtOnce) {
+		decision := q.limiter.Admit(asked.Tenant, 0, now)
+		switch decision.Verdict {
+		case limiter.Admitted:
+			answer.Tokens++
+		case limiter.Waiting:
+			answer.RetryAfterMs = min(decision.AfterMs, shareRetryMs)
+		default:
+			answer.RetryAfterMs = decision.AfterMs
+		}
+	}
+	return answer
+}
+
+// handleQuotaRequest gives a proxy the tokens that there are.
+func (s *softState) handleQuotaRequest(from *link, r *controlmsg.QuotaRequest, now float64) {
+	answer := &controlmsg.QuotaAnswer{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq}
+	for _, asked := range r.Tenants {
+		answer.Tenants = append(answer.Tenants, s.quotas.takeTokens(asked, s.config, now))
+	}
+	from.Send(&controlmsg.Frame{QuotaAnswer: answer})
+	s.sendQuotaReport(now)
+}
+
+// sendQuotaReport sends the leader the report that is due, if one is.
+func (s *softState) sendQuotaReport(now float64) {
+	if s.quotas.limiter == nil {
+		return
+	}
+	report := s.quotas.limiter.NextReport(now)
+	if report == nil {
 		return
 	}
-	if !h.inContact() {
+	h := s.server
+	report.Holder = h.settings.ControlAddr
+	if s.quotas.allocator != nil {
+		if grant := s.answerQuotaReport(report, now); grant != nil {
+			s.handleQuotaGrant(grant, now)
+		}
 		return
 	}
-	if grant := s.quotas.allocator.Report(r, now); grant != nil {
+	h.loop.offer(func() { // the next report comes by itself
+		if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
+			h.cores.send(leader.Addr, &controlmsg.Frame{QuotaReport: report})
+		}
+	})
+}
+
+// answerQuotaReport answers a report at the leader; nil: there is no answer. Only voters may hold shares, as a new lead
+// knows those. Contact is asked for after the clock was read: what is granted counts from a moment at which no other
+// machine had led for longer than the contact lasts.
+func (s *softState) answerQuotaReport(r *controlmsg.QuotaReport, now float64) *controlmsg.QuotaGrant {
+	if s.quotas.allocator == nil || !s.server.inContact() || !slices.Contains(s.coreAddrs, r.Holder) {
+		return nil
+	}
+	return s.quotas.allocator.Report(r, now)
+}
+
+// handleQuotaReport answers another core machine's report.
+func (s *softState) handleQuotaReport(from *link, r *controlmsg.QuotaReport, now float64) {
+	if grant := s.answerQuotaReport(r, now); grant != nil {
 		from.Send(&controlmsg.Frame{QuotaGrant: grant})
 	}
 }
 
-// handleQuotaGrant passes the leader's grant on to the agent of its driver.
-func (s *softState) handleQuotaGrant(grant *controlmsg.QuotaGrant) {
-	s.agents.sendTo(grant.Driver, &controlmsg.Frame{QuotaGrant: grant})
+// handleQuotaGrant takes the leader's answer to this machine's report.
+func (s *softState) handleQuotaGrant(grant *controlmsg.QuotaGrant, now float64) {
+	if s.quotas.limiter != nil {
+		s.quotas.limiter.Apply(grant, now)
+	}
+}
+
+// stepQuotas sends the report that is due, and logs the end of a lease.
+func (s *softState) stepQuotas(now float64) {
+	s.sendQuotaReport(now)
+	if q := &s.quotas; q.limiter != nil && q.limiter.Lapsed() != q.lapsed {
+		q.lapsed = q.limiter.Lapsed()
+		s.server.log.Event(events.QuotaLeaseExpired, "leads", s.leadership.active)
+	}
 }
--- a/internal/controlplane/quotas_test.go
+++ b/internal/controlplane/quotas_test.go
@@ -2,56 +2,83 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"weirwind/internal/controlplane/consensus"
 	"weirwind/internal/controlplane/controlmsg"
-	"weirwind/internal/controlplane/directory"
+	"weirwind/internal/util/settings"
 )
 
-const oneTenant = `{"gen":1,"routes":[],"svcs":[],"tenants":[{"name":"t","keys":["k"],"perS":100,"burst":50}]}`
+const oneTenant = `{"gen":1,"routes":[],"svcs":[],"tenants":[{"name":"t","keys":["k"],"perS":100,"burst":100},` +
+	`{"name":"free","keys":["f"]}]}`
 
-// quotaAgent plays a driver's agent at a core machine, and keeps the grants that come.
+// quotaAgent plays a driver's agent at a core machine.
 type quotaAgent struct {
-	name   string
-	link   *link
-	grants chan *controlmsg.QuotaGrant
-	seq    uint64
+	link    *link
+	answers chan *controlmsg.QuotaAnswer
+	grants  chan *controlmsg.QuotaGrant
+	seq     uint64
 }
 
-func newQuotaAgent(t *testing.T, h *Server, name string) *quotaAgent {
+func newQuotaAgent(t *testing.T, h *Server) *quotaAgent {
 	t.Helper()
 	near, far := net.Pipe()
 	linkOver(t, near, h.handleFrame, h.handleLinkDown)
-	a := &quotaAgent{name: name, grants: make(chan *controlmsg.QuotaGrant, 100)}
+	a := &quotaAgent{answers: make(chan *controlmsg.QuotaAnswer, 100), grants: make(chan *controlmsg.QuotaGrant, 100)}
 	a.link = linkOver(t, far, func(_ *link, frame *controlmsg.Frame) {
+		if frame.QuotaAnswer != nil {
+			a.answers <- frame.QuotaAnswer
+		}
 		if frame.QuotaGrant != nil {
 			a.grants <- frame.QuotaGrant
 		}
 	}, func(*link) {})
-	a.link.Send(&controlmsg.Frame{LeaseRenewal: &controlmsg.LeaseRenewal{
-		Driver: directory.Driver{Name: name, Addr: "10.0.1.1:7100", Incarnation: 1}}})
 	return a
 }
 
-// report reports a demand, and gives the answer; nil: none came within a second.
-func (a *quotaAgent) report(share, demand float64) *controlmsg.QuotaGrant {
+// ask asks for tokens of a tenant, and gives how many came.
+func (a *quotaAgent) ask(t *testing.T, tenant string, operations int) (tokens int) {
+	t.Helper()
 	a.seq++
-	a.link.Send(&controlmsg.Frame{QuotaReport: &controlmsg.QuotaReport{Driver: a.name, Incarnation: 1, Seq: a.seq,
-		Tenants: []controlmsg.QuotaDemand{{Tenant: "t", Share: share, Demand: demand}}}})
+	a.link.Send(&controlmsg.Frame{QuotaRequest: &controlmsg.QuotaRequest{Driver: "front", Incarnation: 7, Seq: a.seq,
+		Tenants: []controlmsg.QuotaCount{{Tenant: tenant, Operations: operations}}}})
 	select {
-	case grant := <-a.grants:
-		return grant
+	case answer := <-a.answers:
+		if answer.Driver != "front" || answer.Incarnation != 7 || answer.Seq != a.seq || len(answer.Tenants) != 1 {
+			t.Fatalf("answered %+v", answer)
+		}
+		if got := answer.Tenants[0]; got.Tokens < operations && got.RetryAfterMs <= 0 {
+			t.Errorf("no time to come back in %+v", got)
+		}
+		return answer.Tenants[0].Tokens
 	case <-time.After(time.Second):
-		return nil
+		t.Fatal("no answer")
 	}
+	return 0
 }
 
+// askFor asks for a token each 20 ms, for so long, and gives how many came.
+func (a *quotaAgent) askFor(t *testing.T, duration time.Duration) (tokens int) {
+	t.Helper()
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		tokens += a.ask(t, "t", 1)
+		time.Sleep(20 * time.Millisecond)
+	}
+	return tokens
+}
+
+// quotaTrio gives three machines with the contract in force, of which the first leads.
 func quotaTrio(t *testing.T) (machines *trio, leaderFirst []*Server) {
 	t.Helper()
 	machines = newTrio(t, newTranscript())
+	for _, h := range machines.servers {
+		h.settings.Contracts = []string{settings.ContractQuota}
+		h.settings.QuotaWindow = 5 * time.Second
+		h.state.do(func() { h.state.quotas = newQuotas(h.settings, 1, true) })
+	}
 	time.Sleep(6 * time.Second)
 	leaderFirst = machines.elected(t, "")
 	call(nil, leaderFirst[0], "POST", "/config/replace", map[string]string{"Weirwind-Base-Version": "0"}, oneTenant)
@@ -59,19 +86,57 @@
 	return machines, leaderFirst
 }
 
-func TestQuotaReportsReachTheLeaderAndGrantsComeBack(t *testing.T) {
+func TestEachCoreMachineGivesOutTokens(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		_, servers := quotaTrio(t)
 		for i, h := range servers {
-			agent := newQuotaAgent(t, h, driverNames[i%2]+h.settings.ControlAddr)
-			synctest.Wait()
-			grant := agent.report(0, 10)
-			if grant == nil || grant.Driver != agent.name || grant.Seq != 1 || len(grant.Shares) != 1 {
-				t.Fatalf("at machine %d of 3, leader first: granted %+v", i, grant)
+			agent := newQuotaAgent(t, h)
+			agent.askFor(t, 3*time.Second) // by then it has its share
+			if tokens := agent.askFor(t, 2*time.Second); tokens < 100 {
+				t.Errorf("machine %d, leader first, gave %d tokens of 100 that were asked for", i, tokens)
 			}
-			if share := grant.Shares[0].Share; share < 0.1 || share > 0.2 {
-				t.Errorf("a tenth of the quota is asked for, %v of it granted", share)
+			time.Sleep(20 * time.Second) // until the share is given back
+			if agent.ask(t, "free", 50) != 50 {
+				t.Errorf("machine %d limits a tenant without a quota", i)
 			}
+			if agent.ask(t, "unknown", 50) != 0 {
+				t.Errorf("machine %d gave tokens of a tenant that there is not", i)
+			}
+		}
+	})
+}
+
+func TestTokensOfAllMachinesStayWithinTheQuota(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		_, servers := quotaTrio(t)
+		var agents []*quotaAgent
+		for _, h := range servers {
+			agents = append(agents, newQuotaAgent(t, h))
+		}
+		tokens := 0
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for _, agent := range agents {
+				tokens += agent.ask(t, "t", 20)
+			}
+		}
+		if tokens > 600 || tokens < 450 {
+			t.Errorf("%d tokens in 5 s of a bucket of 100 a second, and 100", tokens)
+		}
+	})
+}
+
+func TestTokensOutliveTheLeaderForALease(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		machines, servers := quotaTrio(t)
+		agent := newQuotaAgent(t, servers[1])
+		agent.askFor(t, 2*time.Second)
+		machines.setDrops(func(_, _ *Server, frame *controlmsg.Frame) bool { return true })
+		if tokens := agent.askFor(t, 8*time.Second); tokens < 300 {
+			t.Errorf("%d tokens of 400 in 8 s without a leader", tokens)
+		}
+		time.Sleep(5 * time.Second)
+		if tokens := agent.askFor(t, time.Second); tokens != 0 {
+			t.Errorf("%d tokens after the lease", tokens)
 		}
 	})
 }
@@ -80,33 +145,53 @@
 	inVirtualTime(t, func(t *testing.T) {
 		machines, servers := quotaTrio(t)
 		leader := servers[0]
-		agent := newQuotaAgent(t, leader, "front")
-		synctest.Wait()
-		if agent.report(0, 10) == nil {
+		report := &controlmsg.QuotaReport{Holder: servers[1].settings.ControlAddr, Incarnation: 9, Seq: 1,
+			Tenants: []controlmsg.QuotaDemand{{Tenant: "t", Demand: 10}}}
+		answer := func() (grant *controlmsg.QuotaGrant) {
+			_ = leader.state.call(func() { grant = leader.state.answerQuotaReport(report, leader.now()) })
+			report.Seq++
+			return grant
+		}
+		if answer() == nil {
 			t.Fatal("nothing is granted with contact")
 		}
 		machines.setDrops(func(_, _ *Server, frame *controlmsg.Frame) bool { return true })
 		time.Sleep(time.Duration(consensus.ContactLease+1) * time.Millisecond)
-		leader.state.do(func() { // as in the moment before its end is noticed
-			leader.state.contact.established = true
-			leader.state.setLeadership(true, 99)
-		})
-		if grant := agent.report(0, 10); grant != nil {
+		_ = leader.state.call(func() { leader.state.setLeadership(true, 99) }) // as before its end is noticed
+		if grant := answer(); grant != nil {
 			t.Errorf("granted without contact: %+v", grant)
 		}
 	})
 }
 
-func TestANewLeadKnowsNothingOfQuotas(t *testing.T) {
+func TestWhoDoesNotVoteIsGrantedNoQuota(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		_, servers := quotaTrio(t)
-		leader := servers[0]
-		agent := newQuotaAgent(t, leader, "front")
+		agent := newQuotaAgent(t, servers[0])
+		agent.link.Send(&controlmsg.Frame{QuotaReport: &controlmsg.QuotaReport{Holder: "10.0.0.9:1", Incarnation: 1, Seq: 1,
+			Tenants: []controlmsg.QuotaDemand{{Tenant: "t", Demand: 10}}}})
 		synctest.Wait()
-		leader.state.do(func() { leader.state.setLeadership(true, 99) })
-		grant := agent.report(0.25, 100)
-		if grant == nil || len(grant.Shares) != 1 || grant.Shares[0].Share != 0.25 {
-			t.Errorf("a quarter is held, %+v granted", grant)
+		if len(agent.grants) != 0 {
+			t.Errorf("granted %+v", <-agent.grants)
+		}
+	})
+}
+
+func TestANewLeadRaisesNoShareWhileAVoterIsSilent(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		_, servers := quotaTrio(t)
+		leader := servers[0]
+		_ = leader.state.call(func() {
+			leader.state.quotas.voters.observe(append(slices.Clone(leader.state.coreAddrs), "10.0.0.9:1"), false, leader.now())
+			leader.state.setLeadership(true, 99)
+		})
+		agent := newQuotaAgent(t, servers[1])
+		if tokens := agent.askFor(t, 10*time.Second); tokens != 0 {
+			t.Errorf("%d tokens while a voter may hold all shares", tokens)
+		}
+		time.Sleep(5 * time.Second)
+		if tokens := agent.askFor(t, time.Second); tokens == 0 {
+			t.Error("no tokens once all earlier leases are over")
 		}
 	})
 }
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -59,6 +59,7 @@
 	state      *config.State
 	newVersion bool // its configuration is newer than all before it
 	voterAddrs []string
+	skipped    bool // entries before it were not notified
 }
 
 func newSoftState(server *Server) *softState {
@@ -72,7 +73,7 @@
 	s.roster = newRosterTracker(s)
 	s.shardMoves = newShardMoves(s)
 	s.siteLeases = newSiteLeases(s)
-	s.quotas = newQuotas(server.settings)
+	s.quotas = newQuotas(server.settings, uint64(server.start.UnixNano()), server.fresh)
 	return s
 }
 
@@ -100,6 +101,7 @@
 	s.members.enforceDrains(now)
 	s.peers.sendHeartbeats(now)
 	s.sendDigest(now)
+	s.stepQuotas(now)
 	if s.leadership.active && s.contact.established { // a machine without contact is about to lead no longer
 		s.stepFailovers(now)
 		s.shardMoves.step(now)
@@ -128,12 +130,15 @@
 	s.roster.reset()
 	s.shardMoves.reset()
 	s.siteLeases.reset()
-	s.quotas.reset(active, s.config, s.leadership.since)
+	s.quotas.reset(s.leadership, s.config)
 }
 
 // applyCommitted takes a newly committed state, and notifies the agents of what is new in it.
 func (s *softState) applyCommitted(update committedUpdate) {
+	now := s.server.now()
 	s.coreAddrs = update.voterAddrs
+	justFounded := s.server.fresh && now < ms(longContact)
+	s.quotas.voters.observe(s.coreAddrs, update.skipped && !s.inLongContact(now) && !justFounded, now)
 	s.leaseSync.retain(s.coreAddrs)
 	for _, addr := range s.coreAddrs { // the settings may name fewer
 		s.server.cores.connect(addr)
@@ -146,14 +151,14 @@
 	s.committed = next
 	if newShardMap {
 		s.agents.notify(&controlmsg.StateUpdate{ShardMap: next.Shards})
-		s.shardMoves.step(s.server.now())
+		s.shardMoves.step(now)
 	}
 	if !update.newVersion {
 		return
 	}
 	if parsed, err := config.Parse(next.Raw); err == nil {
 		s.config = parsed
-		s.quotas.setConfig(parsed, s.server.now())
+		s.quotas.setConfig(parsed, now)
 	}
 	s.agents.notify(&controlmsg.StateUpdate{ConfigVersion: next.Version, Config: next.Raw, CoreAddrs: s.coreAddrs})
 }
@@ -181,7 +186,9 @@
 	case frame.QuotaReport != nil:
 		s.handleQuotaReport(from, frame.QuotaReport, now)
 	case frame.QuotaGrant != nil:
-		s.handleQuotaGrant(frame.QuotaGrant)
+		s.handleQuotaGrant(frame.QuotaGrant, now)
+	case frame.QuotaRequest != nil:
+		s.handleQuotaRequest(from, frame.QuotaRequest, now)
 	case frame.LeaseSync != nil:
 		s.handleLeaseSync(from, frame, now)
 	case frame.Digest != nil:
