--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -49,13 +49,14 @@
 	members, drivers, agents, coreLinks int
 	complete                            bool
 	failovers                           map[string]string // state by service, where one is under way
+	quotas                              *quotaSnapshot
 }
 
 func (s *softState) snapshot() stateSnapshot {
 	now := s.server.now()
 	snapshot := stateSnapshot{leads: s.leadership.active, drivers: len(s.drivers.table.Drivers()),
 		agents: len(s.agents.subscriptions), coreLinks: s.server.cores.count(), complete: s.directoryComplete(now),
-		failovers: map[string]string{}}
+		failovers: map[string]string{}, quotas: s.quotas.snapshot(now)}
 	for _, members := range s.members.live() {
 		snapshot.members += len(members)
 	}
@@ -119,6 +120,7 @@
 	set.Gauge("weirwind_controlplane_driver_leases", "Drivers that hold a lease.", float64(s.drivers))
 	set.Gauge("weirwind_controlplane_agents", "Agents that renew at this machine.", float64(s.agents))
 	set.Gauge("weirwind_controlplane_core_links", "Links to other core machines that are up.", float64(s.coreLinks))
+	s.quotas.write(set)
 	for service, phase := range s.failovers {
 		set.Gauge("weirwind_controlplane_failover_phase", "1 for the phase of a service's failover, at the leader.", 1,
 			"service", service, "phase", phase)
--- /dev/null
+++ b/internal/controlplane/quotafigures.go
@@ -0,0 +1,44 @@
+package controlplane
+
+import (
+	"weirwind/internal/util/metrics"
+)
+
+// quotaSnapshot is a copy of the figures of quotas.
+type quotaSnapshot struct {
+	shares, demand float64 // sums over tenants
+	given, refused uint64
+	lapsed         int
+	leads, known   bool
+}
+
+// snapshot returns nil where no quotas are in force.
+func (q *quotas) snapshot(now float64) *quotaSnapshot {
+	if q.limiter == nil {
+		return nil
+	}
+	s := &quotaSnapshot{given: q.given, refused: q.refused, lapsed: q.limiter.Lapsed(), leads: q.allocator != nil}
+	s.shares, s.demand = q.limiter.Totals(now)
+	s.known = s.leads && q.allocator.Known(now)
+	return s
+}
+
+// write writes the figures. They have no label for the tenant, as there may be any number of them.
+func (s *quotaSnapshot) write(set metrics.Set) {
+	if s == nil {
+		return
+	}
+	set.Gauge("weirwind_controlplane_quota_shares", "Sum of the shares of tenants' quotas that this machine holds.",
+		s.shares)
+	set.Gauge("weirwind_controlplane_quota_demand", "Operations a second for which this machine is asked for tokens.",
+		s.demand)
+	set.Counter("weirwind_controlplane_quota_tokens_total", "Tokens that were given out to proxies.", float64(s.given))
+	set.Counter("weirwind_controlplane_quota_refused_total", "Operations for which there was no token.",
+		float64(s.refused))
+	set.Counter("weirwind_controlplane_quota_lapses_total", "How often all shares ended with their lease.",
+		float64(s.lapsed))
+	if s.leads {
+		set.Flag("weirwind_controlplane_quota_shares_known",
+			"At the leader, 1 once no share may be held that was not reported to it.", s.known)
+	}
+}
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -32,6 +32,8 @@
 	allocator *quota.Allocator // nil while another machine leads
 	voters    voterHistory
 	lapsed    int // of the limiter, as logged last
+
+	given, refused uint64 // tokens, and requests for one without
 }
 
 func newQuotas(s *settings.Settings, incarnation uint64, fresh bool) quotas {
@@ -74,8 +76,15 @@
 	}
 }
 
-// takeTokens takes tokens for some operations of a tenant.
+// takeTokens takes tokens for some operations of a tenant, as many as there are.
 func (q *quotas) takeTokens(asked controlmsg.QuotaCount, current *config.Config, now float64) controlmsg.QuotaTokens {
+	answer := q.tokensFor(asked, current, now)
+	q.given += uint64(answer.Tokens)
+	q.refused += uint64(max(asked.Operations-answer.Tokens, 0))
+	return answer
+}
+
+func (q *quotas) tokensFor(asked controlmsg.QuotaCount, current *config.Config, now float64) controlmsg.QuotaTokens {
 	answer := controlmsg.QuotaTokens{Tenant: asked.Tenant}
 	if q.limiter == nil || !q.limiter.Limits(asked.Tenant) {
 		if q.limiter == nil || current != nil && current.Tenant(asked.Tenant) != nil {
