controlplane: a lapsed share is not revived, and E212 tells when a lead knows all shares

A leader's bound ends some time after the lease, and the share goes to others. Another leader that had a report from before the lapse could confirm the share all the same; the holder applied it and held it twice. The new test failed so. A lapse now voids the answer that is outstanding.

--- a/internal/controlplane/quota/limiter/limiter.go
+++ b/internal/controlplane/quota/limiter/limiter.go
@@ -161,6 +161,7 @@
 		l.setShare(t, 0, now)
 	}
 	l.hasShares = false
+	l.reports.outstanding = false // an answer would be to a report that says what is not held any more
 	l.lapsed++
 }
 
--- a/internal/controlplane/quota/limiter/quota_test.go
+++ b/internal/controlplane/quota/limiter/quota_test.go
@@ -371,3 +371,13 @@
 		l.NextReport(now)
 	}
 }
+
+// Another leader, which had the report before the lease's end, may confirm what a third has been given since.
+func TestAShareThatLapsedIsNotRevivedByAnOlderReport(t *testing.T) {
+	l := holding(t, 10, 10, 0.5, 1)
+	l.Admit("t", 0, testLease-1000)
+	r := report(t, l, testLease-100)
+	if l.Apply(grantOf(r, 0.5, 0), testLease+100) {
+		t.Error("a grant revives a share that has lapsed since its report")
+	}
+}
--- a/internal/controlplane/quota/model_test.go
+++ b/internal/controlplane/quota/model_test.go
@@ -206,7 +206,8 @@
 
 // setDemand has the holders' demand change at random, and be so many times the limit in sum.
 func (m *model) setDemand(times float64) {
-	for tenant, limit := range m.limits {
+	for _, tenant := range []string{"large", "small"} { // in one order, as each draws
+		limit := m.limits[tenant]
 		sum, parts := 0.0, make([]float64, len(m.holders))
 		for i := range parts {
 			parts[i] = math.Pow(m.draw.Float64(), 4)
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -31,7 +31,8 @@
 	limiter   *limiter.Limiter // nil where the contract isn't in force
 	allocator *quota.Allocator // nil while another machine leads
 	voters    voterHistory
-	lapsed    int // of the limiter, as logged last
+	lapsed    int  // of the limiter, as logged last
+	known     bool // it was logged that this lead knows all shares
 
 	given, refused uint64 // tokens, and requests for one without
 }
@@ -47,7 +48,7 @@
 // reset begins a lead, or ends it: what was granted before is not known.
 func (q *quotas) reset(lead leadership, current *config.Config) {
 	now := lead.since
-	q.allocator = nil
+	q.allocator, q.known = nil, false
 	if lead.active && q.limiter != nil {
 		q.allocator = quota.New(now, lead.term, q.voters.history(now))
 		q.setConfig(current, now)
@@ -166,11 +167,16 @@
 	}
 }
 
-// stepQuotas sends the report that is due, and logs the end of a lease.
+// stepQuotas sends the report that is due, and logs the end of a lease, and of what a new lead doesn't know.
 func (s *softState) stepQuotas(now float64) {
 	s.sendQuotaReport(now)
-	if q := &s.quotas; q.limiter != nil && q.limiter.Lapsed() != q.lapsed {
+	q := &s.quotas
+	if q.limiter != nil && q.limiter.Lapsed() != q.lapsed {
 		q.lapsed = q.limiter.Lapsed()
 		s.server.log.Event(events.QuotaLeaseExpired, "leads", s.leadership.active)
 	}
+	if q.allocator != nil && !q.known && q.allocator.Known(now) {
+		q.known = true
+		s.server.log.Event(events.QuotasKnown, "afterMs", int(now-s.leadership.since))
+	}
 }
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -28,6 +28,7 @@
 	LeavingCore     Event = 209
 	ClockDrift      Event = 210
 	DiskFull        Event = 211
+	QuotasKnown     Event = 212
 )
 
 // Events of the operator's configuration.
@@ -113,6 +114,8 @@
 		"contact no longer counts; rate 0: it runs as the leader's again; own: it is the leader's, which lets another lead",
 	DiskFull: "the disk has no room: what is to be written waits, and until then this machine grants no vote and " +
 		"acknowledges nothing; it passes heartbeats and records on",
+	QuotasKnown: "the leader knows all shares of tenants' quotas that core machines hold, so many milliseconds after it " +
+		"began to lead: from now on it grants more than they reported",
 	LeavingCore: "this core machine shuts down: it transfers leadership, and asks to be removed where enough remain",
 
 	ConfigAcknowledged: "a configuration is synced on a majority of disks and was acknowledged",
