agent: a proxy's requests for tokens go to the core machine in use, and its answers back

The proxy asks for tokens of quotas and core machines hold the shares, so the agent passes on QuotaRequest and QuotaAnswer, and no longer QuotaReport and QuotaGrant, which go between core machines only. A machine without contact is asked too: it may still hold a lease of shares.

--- a/internal/controlplane/agent/corelink.go
+++ b/internal/controlplane/agent/corelink.go
@@ -174,8 +174,8 @@
 		}
 		a.applyUpdate(update)
 	}
-	if frame.QuotaGrant != nil {
-		a.sendGrantToProxies(frame.QuotaGrant)
+	if frame.QuotaAnswer != nil {
+		a.sendAnswerToProxies(frame.QuotaAnswer)
 	}
 	if frame.Digest != nil {
 		a.reconcile(core.link, frame.Digest)
--- a/internal/controlplane/agent/proxies.go
+++ b/internal/controlplane/agent/proxies.go
@@ -44,8 +44,9 @@
 	a.do(func() { a.forwardToCore(frame) })
 }
 
-// forwardToCore forwards what the proxy observes of primaries, and its quota reports, to the core machine in use.
-// Without one they are dropped: the proxy reports again.
+// forwardToCore forwards what the proxy observes of primaries, and its requests for tokens of quotas, to the core
+// machine in use. Without one they are dropped: the proxy reports, and asks, again. A machine without contact may still
+// hold a lease of shares of quotas, so that it is asked too.
 func (a *Agent) forwardToCore(frame *controlmsg.Frame) {
 	if a.core == nil {
 		return
@@ -54,16 +55,15 @@
 	case frame.PrimaryReport != nil:
 		frame.PrimaryReport.Driver = a.self.Name
 		a.core.link.Send(frame)
-	case frame.QuotaReport != nil:
-		frame.QuotaReport.Driver = a.self.Name
+	case frame.QuotaRequest != nil:
+		frame.QuotaRequest.Driver = a.self.Name
 		a.core.link.Send(frame)
 	}
 }
 
-// sendGrantToProxies passes the core's answer to a quota report on. A proxy drops an answer that isn't to its own
-// newest report.
-func (a *Agent) sendGrantToProxies(grant *controlmsg.QuotaGrant) {
+// sendAnswerToProxies passes the core's answer to a request for tokens on. A proxy drops an answer to another one's.
+func (a *Agent) sendAnswerToProxies(answer *controlmsg.QuotaAnswer) {
 	for link := range a.proxies {
-		link.Send(&controlmsg.Frame{QuotaGrant: grant})
+		link.Send(&controlmsg.Frame{QuotaAnswer: answer})
 	}
 }
