proxy: an operation of a tenant with a quota goes on with a token of its core machine's

Each proxy held shares of tenants' quotas, too thin for the 0.1 operations a second that a tenant has at each, so that operations within the quota were refused. The proxy asks for a token for each operation instead, through its agent, by package quota.

--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -59,9 +59,9 @@
 // # Quotas
 //
 // An operation of a tenant, which is a single statement or a transaction, is counted once, by its first request for a
-// connection (quota.go). Beyond this proxy's share of the tenant's quota it is refused at once with RETRY. If its token
-// is nearly due, or its tenant has no share yet and the leader is being asked, it waits for a moment in a queue of the
-// tenant's, where it takes no place in the group's.
+// connection (quota.go). It needs a token, for which the proxy asks a core machine through its agent, and waits for it
+// in a queue of the tenant's, where it takes no place in the group's. If none is due soon, or none comes in time, it is
+// refused with RETRY.
 //
 // # Deadlines
 //
--- a/internal/dataplane/proxy/metrics.go
+++ b/internal/dataplane/proxy/metrics.go
@@ -48,7 +48,7 @@
 	now := r.proxy.now()
 	all := routerSnapshot{drivers: r.driverCount}
 	if r.quotas != nil {
-		all.quotas = r.quotas.snapshot(now)
+		all.quotas = r.quotas.snapshot()
 	}
 	if r.config != nil {
 		all.version = r.config.Version
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -125,8 +125,8 @@
 			if f.Update != nil {
 				p.router.do(func() { p.router.update(f.Update) })
 			}
-			if f.QuotaGrant != nil {
-				p.router.do(func() { p.router.applyGrant(f.QuotaGrant) })
+			if f.QuotaAnswer != nil {
+				p.router.do(func() { p.router.takeQuotaAnswer(f.QuotaAnswer) })
 			}
 		},
 		func() { p.agent.Store(nil) })
--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -81,10 +81,10 @@
 }
 
 // SetLimited replaces the names of the tenants that have a limit. Waiting operations of others are admitted.
-func (c *Client[O]) SetLimited(names []string, now float64) (outcomes []Outcome[O]) {
+func (c *Client[O]) SetLimited(names map[string]bool, now float64) (outcomes []Outcome[O]) {
 	former := c.tenants
 	c.tenants = make(map[string]*tenant[O], len(names))
-	for _, name := range names {
+	for name := range names {
 		if t := former[name]; t != nil {
 			c.tenants[name] = t
 		} else {
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -140,8 +140,8 @@
 		"operations on open sessions and open transactions since the process began, and the configuration in force",
 
 	QuotaRefusals: "operations of a tenant were refused as its quota is used up (at most a line a second for a tenant): " +
-		"how many since the last line, the share that this proxy holds, and what its clients ask for, a second",
-	QuotaLeaseExpired: "the lease of this proxy's shares of quotas expired: it admits nothing of tenants with a quota " +
+		"how many since the last line, when the last of them was told to come back, in ms, and how many still wait",
+	QuotaLeaseExpired: "the lease of this machine's shares of quotas expired: it gives proxies no tokens " +
 		"until the leader grants it shares again",
 
 	LinkUp:       "a link to another process of the system is up",
