proxy: tenants share a member's places evenly, and dials no longer choke it

Each rejected dial was repeated at once, two at a time by each of 82 proxies; tenants took the places of each other's idle connections in turns; and a transaction that the full member failed cost its connection, which was then dialled anew.

With a tenant, one dial at a time where drivers are many; after a rejection a pause with jitter, twice as long for each in a row; a place is taken only from a tenant with at least two connections more, unless the tenant has none or its request has waited for 200 ms; and a failed transaction is ended by ABORT, which keeps the connection. Without tenants nothing changes.

Which of the last three does how much was not measured. Taken out one by one, each condition fails a test.

--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -75,6 +75,31 @@
 	idle    []*memberConn // the longest idle first; all are reusable
 	open    int
 	dialing int
+
+	openByTenant map[string]int // the same as open, by the tenant that each is for; nil: none was opened
+	// rejections is how many dials the member has rejected in a row. Until dialAfter (milliseconds) no further one is made
+	// for a tenant.
+	rejections int
+	dialAfter  float64
+}
+
+// opened counts a connection for a tenant, from the start of its dial.
+func (p *connPool) opened(tenant string) {
+	p.open++
+	if p.openByTenant == nil {
+		p.openByTenant = map[string]int{}
+	}
+	p.openByTenant[tenant]++
+}
+
+// closed counts a connection for a tenant that has ended, or that was not made.
+func (p *connPool) closed(tenant string) {
+	p.open--
+	if p.openByTenant[tenant] > 1 {
+		p.openByTenant[tenant]--
+	} else {
+		delete(p.openByTenant, tenant)
+	}
 }
 
 // hasIdle reports whether a connection of the tenant is idle.
@@ -113,8 +138,8 @@
 func (p *connPool) closeIdle() {
 	for _, c := range p.idle {
 		c.Close()
+		p.closed(c.tenant)
 	}
-	p.open -= len(p.idle)
 	p.idle = nil
 }
 
@@ -146,9 +171,9 @@
 
 // closeIdleAt closes an idle connection by its index; 0 is the one that has been idle for longest.
 func (p *connPool) closeIdleAt(i int) {
+	p.closed(p.idle[i].tenant)
 	p.idle[i].Close()
 	p.idle = slices.Delete(p.idle, i, i+1)
-	p.open--
 }
 
 func (g *memberGroup) pool(id string) *connPool {
@@ -183,37 +208,34 @@
 	return max((grp.maxConns-grp.maxConns/10)/r.drivers(), minShare)
 }
 
-// availability returns a function that says whether a connection to a member, of the tenant that is set at the time, is
-// idle or may be made: in a free place, or in that of another tenant's idle one.
-func (r *router) availability(grp *memberGroup, tenant *string) func(*group.Member) bool {
-	share := r.connShare(grp)
-	dials := max(maxDials/r.drivers(), minDialsPerDriver)
+// availability returns a function that says whether a connection to a member is idle, or may be made, for the request
+// that is set at the time.
+func (r *router) availability(grp *memberGroup, request **connRequest, now float64) func(*group.Member) bool {
+	share, drivers := r.connShare(grp), r.drivers()
 	return func(m *group.Member) bool {
 		p := grp.pools[m.ID]
-		return p == nil || p.hasIdle(*tenant) || p.open-len(p.idle) < share && p.dialing < dials
+		return p == nil || p.hasIdle((*request).tenant) ||
+			p.dialing < dialsAtATime(*request, drivers) && p.hasPlace(*request, share, now)
 	}
 }
 
 // dial makes a connection for a tenant, which goes to whichever request of that tenant is next once it is established.
-// Where there is no free place, the longest idle connection, which is another tenant's, is closed for it. It has a
-// deadline of its own: bound to that of the oldest request, which has the least time left, no connection would ever be
-// established while many wait.
+// It has a deadline of its own: bound to that of the oldest request, which has the least time left, no connection would
+// ever be established while many wait.
 func (r *router) dial(grp *memberGroup, member *group.Member, tenant string) {
 	p := grp.pool(member.ID)
-	for share := r.connShare(grp); p.open >= share && len(p.idle) > 0; {
-		p.closeIdleAt(0)
-	}
-	p.open++
+	p.opened(tenant)
 	p.dialing++
 	record, startedAt := member.Member, r.proxy.now()
 	go func() {
 		c, err := dialMember(record, tenant, time.Now().Add(dialTimeout))
-		r.do(func() { r.dialed(grp, member, c, err, startedAt) })
+		r.do(func() { r.dialed(grp, member, tenant, c, err, startedAt) })
 	}()
 }
 
 // dialed takes the result of a dial.
-func (r *router) dialed(grp *memberGroup, member *group.Member, conn *memberConn, err error, startedAt float64) {
+func (r *router) dialed(grp *memberGroup, member *group.Member, tenant string, conn *memberConn, err error,
+	startedAt float64) {
 	p := grp.pool(member.ID)
 	p.dialing--
 	rejected := errors.Is(err, memberconn.ErrAttachRejected) // the member is there, and has no capacity
@@ -228,11 +250,13 @@
 	}
 	switch {
 	case err == nil:
+		p.rejections = 0
 		r.keep(grp, member, conn)
 	case rejected:
-		p.open--
+		p.closed(tenant)
+		p.backOff(r.proxy.now())
 	default:
-		p.open--
+		p.closed(tenant)
 		grp.figures.outcomes[group.ConnectFailed]++
 		grp.routing.RecordOutcome(member, startedAt, r.proxy.now(), group.ConnectFailed, wire.Position{})
 		r.logSlot(grp)
@@ -250,7 +274,7 @@
 	removed := member.Tombstone || grp.routing.Members[member.ID] != member
 	if removed || member.Draining || p.open > r.connShare(grp) || !conn.Reusable() {
 		conn.Close()
-		p.open--
+		p.closed(conn.tenant)
 		return
 	}
 	p.put(conn, r.proxy.now())
--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -58,8 +58,7 @@
 
 // dispatch answers the queued requests that can be answered, in order of arrival: with an idle connection to the
 // member that the request is routed to, or with an error once too little time is left. For others it has
-// connections made. A connection serves only the tenant that it was made for; of several tenants that wait for a place
-// at a member, the order of arrival decides.
+// connections made. A connection serves only the tenant that it was made for.
 //
 // While there is no primary, requests of writes and linearizable reads are routed nowhere and so stay queued; the
 // dispatch after the writer slot was filled releases them in order.
@@ -68,8 +67,8 @@
 		return
 	}
 	now := r.proxy.now()
-	var tenant string // of the request that is being routed
-	available := r.availability(grp, &tenant)
+	var current *connRequest // that is being routed
+	available := r.availability(grp, &current, now)
 	latency := grp.routing.TypicalLatency()
 	grp.queue.removeIf(func(request *connRequest) bool {
 		// A request without enough time for an answer would time out, and its connection be closed with it: while
@@ -80,20 +79,21 @@
 			r.logRejection(grp, request, now)
 			return true
 		}
-		tenant = request.tenant
+		current = request
 		target := grp.routing.Route(&request.requirement, now, available,
 			func(id string) bool { return slices.Contains(request.avoid, id) })
 		if target.Member == nil {
 			return false
 		}
-		if pool := grp.pool(target.Member.ID); pool.hasIdle(tenant) {
+		if pool := grp.pool(target.Member.ID); pool.hasIdle(request.tenant) {
 			grp.figures.queueWait.Observe((now - request.startedAt) / 1000)
 			request.reply <- r.checkOut(grp, pool, request, target, now)
 			return true
 		}
 		if request.dialing == "" {
 			request.dialing = target.Member.ID
-			r.dial(grp, target.Member, tenant)
+			grp.pool(target.Member.ID).makePlace(request, r.connShare(grp), now)
+			r.dial(grp, target.Member, request.tenant)
 		}
 		return false
 	})
@@ -117,7 +117,7 @@
 	if reusable {
 		r.keep(g, m, lent.conn)
 	} else {
-		g.pool(m.ID).open--
+		g.pool(m.ID).closed(lent.conn.tenant)
 	}
 	g.dropUnusedPool(m.ID)
 	r.dispatch(g)
--- a/internal/dataplane/proxy/retry_test.go
+++ b/internal/dataplane/proxy/retry_test.go
@@ -33,6 +33,8 @@
 	ran    []string            // texts with a client's id, in order of arrival
 	ranAs  []string            // for each of ran, whom its connection was attached as
 	conns  int
+
+	failing string // a text whose FAIL leaves a transaction failed
 }
 
 func (m *scriptedMember) take(who, id, text string) string {
@@ -91,6 +93,9 @@
 			fmt.Fprint(c, strings.Repeat("ROW "+strings.Repeat("x", 1000)+"\r\n", 400))
 			return
 		case said != asUsual:
+			if text == m.failing {
+				state = wire.StateFailedTransaction
+			}
 			fmt.Fprint(c, said+"\r\nREADY "+state+" 1.1\r\n")
 			continue
 		case verb == "STAT":
--- a/internal/dataplane/proxy/tenantpool_test.go
+++ b/internal/dataplane/proxy/tenantpool_test.go
@@ -38,7 +38,7 @@
 	f.t.Cleanup(func() { here.Close(); there.Close() })
 	c := &memberConn{Conn: &memberconn.Conn{NetConn: here, Reader: wire.NewReader(here)}, tenant: tenant}
 	c.state.Sync(sessionWith(value), nil)
-	f.group.pool("a").open++
+	f.group.pool("a").opened(tenant)
 	return c
 }
 
@@ -77,15 +77,20 @@
 	}
 }
 
+// reopened makes a connection in the place that its dial holds.
+func (f *poolFixture) reopened(tenant string) *memberConn {
+	c := f.conn(tenant, "")
+	f.group.pool("a").closed(tenant)
+	return c
+}
+
 // dialed has the dial for a request succeed.
 func (f *poolFixture) dialed(request *connRequest) {
 	f.t.Helper()
 	if request.dialing != "a" {
 		f.t.Fatal("no connection is being made")
 	}
-	c := f.conn(request.tenant, "")
-	f.group.pool("a").open-- // its place is that of the dial
-	f.router.dialed(f.group, f.primary, c, nil, f.router.proxy.now())
+	f.router.dialed(f.group, f.primary, request.tenant, f.reopened(request.tenant), nil, f.router.proxy.now())
 }
 
 // UNASKED: a connection that was made for one tenant served another.
@@ -190,6 +195,9 @@
 		f.enqueue("south")
 	}
 	f.expect(3, 5, 2)
+	f.router.driverCount = 82 // one
+	f.enqueue("east")
+	f.expect(3, 5, 2)
 }
 
 // A tenant's only idle connection to a member outlives what is kept of a busier one.
@@ -212,3 +220,108 @@
 	pool.closeExpired(10 * milliseconds(maxLastIdleTime))
 	f.expect(minIdleConns, minIdleConns, 0)
 }
+
+// Tenants don't take each other's places in turns, as each new connection holds up the member.
+func TestTenantsKeepABalanceOfPlaces(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		north, south int // connections, all idle of north and all lent of south
+		waited       float64
+		want         bool // the place of one of north's is taken
+	}{
+		{"south has none", 1, 0, 0, true},
+		{"one more than south", 2, 1, 0, false},
+		{"two more than south", 3, 1, 0, true},
+		{"fewer than south", 1, 3, 0, false},
+		{"fewer than south, which has waited", 1, 3, maxWaitForOwn, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newPoolFixture(t, 100)
+			for range c.north {
+				f.idle("north", "")
+			}
+			for range c.south {
+				f.conn("south", "")
+			}
+			pool, share := f.group.pool("a"), c.north+c.south
+			request := &connRequest{tenant: "south", startedAt: 1000}
+			if got := pool.hasPlace(request, share, 1000+c.waited); got != c.want {
+				t.Errorf("hasPlace: %v", got)
+			}
+			if !pool.hasPlace(request, share+1, 1000) {
+				t.Error("a free place is not used")
+			}
+		})
+	}
+}
+
+// A tenant with connections to spare gives its longest idle, before one with a single connection does.
+func TestPlacesAreTakenFromTenantsWithMore(t *testing.T) {
+	f := newPoolFixture(t, 100)
+	f.idle("east", "")
+	want := f.idle("north", "")
+	f.idle("north", "")
+	f.group.pool("a").makePlace(&connRequest{tenant: "south"}, 3, 1000)
+	f.expect(2, 2, 0)
+	if want.NetConn.SetDeadline(time.Now()) == nil {
+		t.Error("another connection was closed")
+	}
+}
+
+// Dials that a full member rejected were repeated at once by every proxy, and it never came to serve them.
+func TestRejectedDialsBackOff(t *testing.T) {
+	f := newPoolFixture(t, 100)
+	pool, request := f.group.pool("a"), &connRequest{tenant: "south"}
+	now, pause := 1000.0, milliseconds(rejectedDialBackoff)
+	for range 8 {
+		pool.backOff(now)
+		if pool.hasPlace(request, 10, now+pause/2-1) || !pool.hasPlace(request, 10, now+pause*3/2) {
+			t.Errorf("the next dial is made %v ms after the rejection, want %v to %v", pool.dialAfter-now, pause/2, pause*3/2)
+		}
+		if !pool.hasPlace(&connRequest{}, 10, now) {
+			t.Error("a request without a tenant waits")
+		}
+		pause = min(2*pause, milliseconds(rejectedDialBackoff)*(1<<maxBackoffDoublings))
+	}
+	pool.opened("south")
+	pool.dialing++
+	f.router.dialed(f.group, f.primary, "south", f.reopened("south"), nil, now)
+	if pool.rejections != 0 {
+		t.Error("rejections are counted on after a success")
+	}
+}
+
+func TestDialsAtATime(t *testing.T) {
+	for drivers, want := range map[int][2]int{1: {24, 24}, 6: {4, 4}, 12: {2, 2}, 82: {2, 1}} {
+		got := [2]int{dialsAtATime(&connRequest{}, drivers), dialsAtATime(&connRequest{tenant: "north"}, drivers)}
+		if got != want {
+			t.Errorf("%d drivers: %v without and with a tenant, want %v", drivers, got, want)
+		}
+	}
+}
+
+// A pool of which more are lent than its share allows makes no place: the new connection would be closed on its arrival.
+func TestNoPlaceWhileTooManyAreLent(t *testing.T) {
+	f := newPoolFixture(t, 100)
+	for range 3 {
+		f.conn("north", "")
+	}
+	f.idle("north", "")
+	if f.group.pool("a").hasPlace(&connRequest{tenant: "south"}, 3, 1000) {
+		t.Error("one more would be made")
+	}
+}
+
+// A dial that a full member rejects gives its tenant's place back, and the next waits for the pause.
+func TestARejectedDialGivesItsPlaceBack(t *testing.T) {
+	f := newPoolFixture(t, 100)
+	f.router.driverCount = 82
+	f.idle("north", "")
+	south := f.enqueue("south")
+	f.expect(1, 2, 1)
+	f.router.dialed(f.group, f.primary, "south", nil, memberconn.ErrAttachRejected, f.router.proxy.now())
+	f.expect(1, 1, 0)
+	if south.dialing != "" || f.group.pool("a").openByTenant["south"] != 0 {
+		t.Error("the place is held, or the dial is repeated at once")
+	}
+}
--- a/internal/dataplane/proxy/tenants_test.go
+++ b/internal/dataplane/proxy/tenants_test.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// awaitReturned waits until no connection is lent.
+func (f *tenantFixture) awaitReturned() {
+	f.t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); {
+		lent := 0
+		f.do(func() {
+			for _, pool := range f.proxy.router.group("s").pools {
+				lent += pool.open - len(pool.idle)
+			}
+		})
+		if lent == 0 {
+			return
+		}
+	}
+	f.t.Error("a connection was not returned")
+}
+
 // expectRan compares what the member ran, each as "whom it was told: text".
 func (f *tenantFixture) expectRan(want ...string) {
 	f.t.Helper()
@@ -252,6 +269,24 @@
 	f.expectRan("north: FETCH x", "south: FETCH x")
 }
 
+// A transaction that its member failed for want of capacity cost its tenant the connection, and the member another one.
+func TestFailedTransactionsKeepTheirConnection(t *testing.T) {
+	f := newTenantFixture(t, twoTenants)
+	f.member.script["STORE x 1"] = []string{"FAIL RETRY"}
+	f.member.failing = "STORE x 1"
+	k := f.attached("db", "key-s")
+	f.expect(k, "BEGIN", "DONE - | READY T -")
+	f.expect(k, "STORE x 1", "FAIL RETRY | READY E 1.1")
+	f.expect(k, "ABORT", "DONE - | READY I -")
+	f.awaitReturned()
+	f.expect(k, "FETCH x", "ROW whole | DONE m.q4 | READY I 1.1")
+	f.member.mu.Lock()
+	defer f.member.mu.Unlock()
+	if f.member.conns != 1 {
+		t.Errorf("%d connections were made, want one", f.member.conns)
+	}
+}
+
 // A tenant whose name is no single field of the wire is told to no member.
 func TestNamesThatAreNoFieldAreNotSent(t *testing.T) {
 	for _, name := range []string{`north pole`, `north\r\nBYE`, `\u0000`, `nor\tth`} {
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -147,7 +147,7 @@
 		s.forwardReply(reply, wire.StateIdle)
 	case reply.State != wire.StateInTransaction:
 		tx.failed = true
-		s.unpin(tx, false)
+		s.endFailed(tx)
 		s.forwardReply(reply, wire.StateFailedTransaction)
 	default:
 		s.forwardReply(reply, wire.StateInTransaction)
@@ -264,6 +264,17 @@
 	router.do(func() { router.checkIn(lent, reusable) })
 }
 
+// endFailed ends a transaction at its member that has failed there. The connection is closed, but kept where there are
+// tenants: there it is seldom that another of the tenant is idle, and each new one holds up the member, which may have
+// failed the transaction for want of capacity.
+func (s *session) endFailed(tx *transaction) {
+	if tx.tenant != "" {
+		s.rollBack(tx)
+		return
+	}
+	s.unpin(tx, false)
+}
+
 // rollBack ends a transaction at its member without waiting: the connection comes back once the member has answered.
 func (s *session) rollBack(tx *transaction) {
 	lent := tx.pinned
