quota: the more answers without a token, the fewer operations of a tenant wait

Callers of a tenant far beyond its quota waited for nearly the whole 600 ms, those that got a token too: at each proxy up to 32 operations queued for tokens that other proxies took. The bound is 8 now while the newest answer was short, and half of that after each answer without a token, down to 1.

A tenant within its limit is served as before.

--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -22,7 +22,7 @@
 // Bounds of what is kept of a tenant.
 const (
 	maxWaiting        = 100 // operations
-	maxWaitingHeldOff = 32  // while the newest answer had too few tokens
+	maxWaitingHeldOff = 8   // beyond which none is added while the newest answer had too few tokens
 	maxSpareTokens    = 100
 )
 
--- a/internal/dataplane/quota/quota_test.go
+++ b/internal/dataplane/quota/quota_test.go
@@ -109,6 +109,22 @@
 	}
 }
 
+func TestQueueOfAStarvedTenantIsShort(t *testing.T) {
+	p := newPlay(t)
+	p.come(0, 600)
+	for seq, want := range []int{8 / 2, 8 / 4, 1, 1} { // operations that wait, the first among them
+		now := float64(100 * seq)
+		p.asked(now)
+		p.answer(uint64(seq+1), 0, 10, now)
+		for p.come(now+1, now+50) == Waiting {
+		}
+		if n := p.Waiting("t"); n != want {
+			t.Errorf("after %d answers without a token %d wait, want %d", seq+1, n, want)
+		}
+		p.note(p.Expire(now + 50))
+	}
+}
+
 func TestLostAndLateAnswers(t *testing.T) {
 	p := newPlay(t)
 	p.come(0, 600)
--- a/internal/dataplane/quota/tenant.go
+++ b/internal/dataplane/quota/tenant.go
@@ -43,9 +43,13 @@
 	if now >= t.askAt {
 		return len(t.waiting) < maxWaiting
 	}
-	return len(t.waiting) < maxWaitingHeldOff && t.retryAt-now <= maxTokenDueMs && t.retryAt < until && t.askAt < until
+	return len(t.waiting) < t.maxWaitingHeldOff() && t.retryAt-now <= maxTokenDueMs && t.retryAt < until && t.askAt < until
 }
 
+// maxWaitingHeldOff bounds the queue, down to one operation, the more answers in succession had no token. Other proxies
+// take what there is then: a longer queue would let no more operations through, but let each wait longer.
+func (t *tenant[O]) maxWaitingHeldOff() int { return max(maxWaitingHeldOff>>t.empty, 1) }
+
 // retryAfter is after how many milliseconds a client that is refused may come back, as far as is known.
 func (t *tenant[O]) retryAfter(now float64) float64 {
 	if t.retryAt <= now {
