proxy: the dials of tenants are paced by how busy the member is with them

While many drivers want a member's connections at once (the first seconds, and after a promotion), 82 dials at a time filled its queue and it shed statements too. After a dial that took longer than the pool's fastest, the next waits in proportion, so that about maxDials of all drivers are under way; and a pool without connections no longer forgets its pause at the next tick. Without tenants there is no pause.

--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -79,8 +80,9 @@
 	openByTenant map[string]int // the same as open, by the tenant that each is for; nil: none was opened
 	// rejections is how many dials the member has rejected in a row. Until dialAfter (milliseconds) no further one is made
 	// for a tenant.
-	rejections int
-	dialAfter  float64
+	rejections  int
+	dialAfter   float64
+	fastestDial float64 // milliseconds; 0: none has succeeded
 }
 
 // opened counts a connection for a tenant, from the start of its dial.
@@ -189,12 +191,13 @@
 func (g *memberGroup) closeIdle(id string) {
 	if p := g.pools[id]; p != nil {
 		p.closeIdle()
-		g.dropUnusedPool(id)
+		g.dropUnusedPool(id, math.Inf(1))
 	}
 }
 
-func (g *memberGroup) dropUnusedPool(id string) {
-	if p := g.pools[id]; p != nil && p.open <= 0 && len(p.idle) == 0 {
+// dropUnusedPool forgets a pool without connections, but not while it holds dials back.
+func (g *memberGroup) dropUnusedPool(id string, now float64) {
+	if p := g.pools[id]; p != nil && p.open <= 0 && len(p.idle) == 0 && p.dialAfter <= now {
 		delete(g.pools, id)
 	}
 }
@@ -250,11 +253,13 @@
 	}
 	switch {
 	case err == nil:
-		p.rejections = 0
+		p.pace(r.proxy.now(), startedAt, r.drivers())
 		r.keep(grp, member, conn)
 	case rejected:
 		p.closed(tenant)
-		p.backOff(r.proxy.now())
+		if tenant != "" {
+			p.backOff(r.proxy.now())
+		}
 	default:
 		p.closed(tenant)
 		grp.figures.outcomes[group.ConnectFailed]++
--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -119,7 +119,7 @@
 	} else {
 		g.pool(m.ID).closed(lent.conn.tenant)
 	}
-	g.dropUnusedPool(m.ID)
+	g.dropUnusedPool(m.ID, r.proxy.now())
 	r.dispatch(g)
 }
 
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -85,7 +85,7 @@
 		}
 		for id, pool := range g.pools {
 			pool.closeExpired(now)
-			g.dropUnusedPool(id)
+			g.dropUnusedPool(id, now)
 		}
 	}
 }
--- a/internal/dataplane/proxy/tenantplaces.go
+++ b/internal/dataplane/proxy/tenantplaces.go
@@ -22,6 +22,19 @@
 	return max(maxDials/drivers, minDialsPerDriver)
 }
 
+// pace notes that a dial succeeded, which began at startedAt. As far as it took longer than the fastest, the member is
+// busy with other drivers' dials: the next for a tenant is made after a pause that lets about maxDials of all drivers
+// be under way at a time.
+func (p *connPool) pace(now, startedAt float64, drivers int) {
+	p.rejections = 0
+	took := now - startedAt
+	if p.fastestDial == 0 || took < p.fastestDial {
+		p.fastestDial = took
+	}
+	pausesPerDial := max(float64(drivers)/maxDials-1, 0)
+	p.dialAfter = now + (took-p.fastestDial)*pausesPerDial*(0.5+rand.Float64())
+}
+
 // backOff notes that the member rejected a dial.
 func (p *connPool) backOff(now float64) {
 	pause := milliseconds(rejectedDialBackoff) * float64(int(1)<<min(p.rejections, maxBackoffDoublings))
--- a/internal/dataplane/proxy/tenantpool_test.go
+++ b/internal/dataplane/proxy/tenantpool_test.go
@@ -325,3 +325,46 @@
 		t.Error("the place is held, or the dial is repeated at once")
 	}
 }
+
+// The slower a member takes connections, the longer each of many drivers pauses between two.
+func TestDialsArePacedByTheMembersDelay(t *testing.T) {
+	f := newPoolFixture(t, 100)
+	pool := f.group.pool("a")
+	for _, c := range []struct {
+		took     float64
+		drivers  int
+		min, max float64 // of the pause
+	}{
+		{70, 96, 0, 0}, // the first is the fastest
+		{70, 96, 0, 0},
+		{170, 96, 150, 450}, // 100 longer, 96 drivers are four times maxDials
+		{170, maxDials, 0, 0},
+		{50, 96, 0, 0},
+		{70, 96, 30, 90},
+	} {
+		pool.rejections = 3
+		pool.pace(5000, 5000-c.took, c.drivers)
+		if pause := pool.dialAfter - 5000; pause < c.min || pause > c.max || pool.rejections != 0 {
+			t.Errorf("a dial of %v ms, %d drivers: a pause of %v ms, want %v to %v", c.took, c.drivers, pause, c.min, c.max)
+		}
+	}
+}
+
+// A proxy without any connection to a member forgot that it was to wait, and dialled it at each tick.
+func TestAnEmptyPoolHoldsDialsBack(t *testing.T) {
+	f := newPoolFixture(t, 100)
+	f.group.pool("a").backOff(1000)
+	f.group.dropUnusedPool("a", 1001)
+	if f.group.pools["a"] == nil {
+		t.Error("the pause is forgotten")
+	}
+	f.group.dropUnusedPool("a", 9000)
+	if f.group.pools["a"] != nil {
+		t.Error("an unused pool is kept")
+	}
+	f.group.pool("a").backOff(1000)
+	f.group.closeIdle("a") // the member leaves
+	if f.group.pools["a"] != nil {
+		t.Error("the pool of a member that leaves is kept")
+	}
+}
