--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -212,13 +212,13 @@
 }
 
 // availability returns a function that says whether a connection to a member is idle, or may be made, for the request
-// that is set at the time.
-func (r *router) availability(grp *memberGroup, request **connRequest, now float64) func(*group.Member) bool {
+// that dispatch routes at the time.
+func (r *router) availability(grp *memberGroup, now float64) func(*group.Member) bool {
 	share, drivers := r.connShare(grp), r.drivers()
 	return func(m *group.Member) bool {
 		p := grp.pools[m.ID]
-		return p == nil || p.hasIdle((*request).tenant) ||
-			p.dialing < dialsAtATime(*request, drivers) && p.hasPlace(*request, share, now)
+		return p == nil || p.hasIdle(grp.routed.tenant) ||
+			p.dialing < dialsAtATime(grp.routed, drivers) && p.hasPlace(grp.routed, share, now)
 	}
 }
 
--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -67,8 +67,7 @@
 		return
 	}
 	now := r.proxy.now()
-	var current *connRequest // that is being routed
-	available := r.availability(grp, &current, now)
+	available := r.availability(grp, now)
 	latency := grp.routing.TypicalLatency()
 	grp.queue.removeIf(func(request *connRequest) bool {
 		// A request without enough time for an answer would time out, and its connection be closed with it: while
@@ -79,7 +78,7 @@
 			r.logRejection(grp, request, now)
 			return true
 		}
-		current = request
+		grp.routed = request
 		target := grp.routing.Route(&request.requirement, now, available,
 			func(id string) bool { return slices.Contains(request.avoid, id) })
 		if target.Member == nil {
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -47,7 +47,8 @@
 	routing    *group.Group         // decides where statements go
 	pools      map[string]*connPool // by member id; a member without connections has none
 	queue      waitQueue[*connRequest]
-	maxConns   int // connections that each member may have from all drivers; 0: not configured
+	routed     *connRequest // the one of queue that dispatch routes
+	maxConns   int          // connections that each member may have from all drivers; 0: not configured
 	loggedSlot string
 	slotSince  float64 // when loggedSlot changed last, in milliseconds
 	rejections rejectionLog
