quotas: who holds nothing reports too; agents out of reach of the core ask by another agent

And a third of the operations were refused from second 11 to 18, while a primary was cut off with two thirds of the fronts: their agents reached no core machine, and each request for tokens waited 500 ms in vain. An agent whose requests get no answer for 200 ms now sends them by another one.

--- a/internal/controlplane/agent/corelink.go
+++ b/internal/controlplane/agent/corelink.go
@@ -175,7 +175,7 @@
 		a.applyUpdate(update)
 	}
 	if frame.QuotaAnswer != nil {
-		a.sendAnswerToProxies(frame.QuotaAnswer)
+		a.takeQuotaAnswer(frame)
 	}
 	if frame.Digest != nil {
 		a.reconcile(core.link, frame.Digest)
--- a/internal/controlplane/agent/peers.go
+++ b/internal/controlplane/agent/peers.go
@@ -38,6 +38,12 @@
 		if frame.Digest != nil {
 			a.reconcile(link, frame.Digest)
 		}
+		if frame.QuotaRequest != nil {
+			a.relayQuotaRequest(link, frame)
+		}
+		if frame.QuotaAnswer != nil {
+			a.takeQuotaAnswer(frame)
+		}
 	})
 }
 
--- a/internal/controlplane/agent/proxies.go
+++ b/internal/controlplane/agent/proxies.go
@@ -44,26 +44,14 @@
 	a.do(func() { a.forwardToCore(frame) })
 }
 
-// forwardToCore forwards what the proxy observes of primaries, and its requests for tokens of quotas, to the core
-// machine in use. Without one they are dropped: the proxy reports, and asks, again. A machine without contact may still
-// hold a lease of shares of quotas, so that it is asked too.
+// forwardToCore forwards what the proxy observes of primaries to the core machine in use, and its requests for tokens of
+// quotas. Without one a report is dropped: the proxy reports again.
 func (a *Agent) forwardToCore(frame *controlmsg.Frame) {
-	if a.core == nil {
-		return
-	}
 	switch {
-	case frame.PrimaryReport != nil:
+	case frame.PrimaryReport != nil && a.core != nil:
 		frame.PrimaryReport.Driver = a.self.Name
 		a.core.link.Send(frame)
 	case frame.QuotaRequest != nil:
-		frame.QuotaRequest.Driver = a.self.Name
-		a.core.link.Send(frame)
-	}
-}
-
-// sendAnswerToProxies passes the core's answer to a request for tokens on. A proxy drops an answer to another one's.
-func (a *Agent) sendAnswerToProxies(answer *controlmsg.QuotaAnswer) {
-	for link := range a.proxies {
-		link.Send(&controlmsg.Frame{QuotaAnswer: answer})
+		a.sendQuotaRequest(frame)
 	}
 }
--- a/internal/controlplane/quota/limiter/report.go
+++ b/internal/controlplane/quota/limiter/report.go
@@ -24,19 +24,14 @@
 	sentAt      float64
 	outstanding bool // the newest isn't answered
 	need        need
-	checkedAt   float64 // when there was nothing to report
-	listed      bool    // the newest listed tenants
 }
 
 // due reports whether the next report may be sent.
 func (r *reportState) due(now float64) bool {
-	if r.seq == 0 {
-		return r.need > atInterval || now-r.checkedAt >= reportIntervalMs
-	}
 	passed := now - r.sentAt
 	switch {
-	case passed >= reportIntervalMs:
-		return r.need > atInterval || now-r.checkedAt >= reportIntervalMs
+	case r.seq == 0 || passed >= reportIntervalMs:
+		return true
 	case r.need == atInterval:
 		return false
 	case r.outstanding || r.need == knownDemand:
@@ -50,7 +45,8 @@
 	return r.outstanding && grant.Incarnation == incarnation && grant.Seq == r.seq
 }
 
-// NextReport returns the report that is due, nil for none. The caller sends it at once: from now on no earlier report's
+// NextReport returns the report that is due, nil for none. Also who holds nothing reports, as a new leader waits for all
+// that may. The caller sends it at once: from now on no earlier report's
 // answer is applied.
 func (l *Limiter) NextReport(now float64) *controlmsg.QuotaReport {
 	l.expire(now)
@@ -58,12 +54,7 @@
 		return nil
 	}
 	listed := l.listTenants(now)
-	if len(listed) == 0 && !l.reports.listed {
-		l.reports.checkedAt, l.reports.need = now, atInterval
-		return nil
-	}
-	l.reports = reportState{seq: l.reports.seq + 1, sentAt: now, outstanding: true, checkedAt: l.reports.checkedAt,
-		listed: len(listed) > 0}
+	l.reports = reportState{seq: l.reports.seq + 1, sentAt: now, outstanding: true}
 	return &controlmsg.QuotaReport{Incarnation: l.incarnation, Seq: l.reports.seq, Tenants: listed, Lead: l.lead}
 }
 
