quota: each core machine that is asked at all has an even share, and one stays free

Half of a quota is now the same for all voters with any demand; the rest goes by demand; while some voter has none, an even share stays free.

--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -32,8 +32,7 @@
 	unreported     map[string]bool // holders that have not reported to this lead yet
 	historyKnownAt float64         // from when on unreported has all that may hold a share
 
-	reports uint64
-	grants  uint64
+	voters int // that may hold shares
 }
 
 // holder is what the allocator knows of a core machine.
@@ -56,12 +55,16 @@
 func New(now float64, lead uint64, history History) *Allocator {
 	a := &Allocator{lead: lead, tenants: map[string]*tenantBook{}, holders: map[string]*holder{},
 		aloneFrom: now + overlap, unknownUntil: now + BoundLifetime, unreported: map[string]bool{}, historyKnownAt: history.KnownAt}
+	a.SetVoters(len(history.Holders))
 	for _, name := range history.Holders {
 		a.unreported[name] = true
 	}
 	return a
 }
 
+// SetVoters sets how many machines may hold shares.
+func (a *Allocator) SetVoters(n int) { a.voters = n }
+
 // Known reports whether all shares that may be held were reported.
 func (a *Allocator) Known(now float64) bool {
 	a.expire(now)
@@ -104,7 +107,6 @@
 	if !a.accept(r, now) {
 		return nil
 	}
-	a.reports++
 	a.takeHoldings(r, now)
 	if r.Lead == a.lead {
 		a.holders[r.Holder].revealed = true
@@ -120,11 +122,10 @@
 		if book == nil || !book.limited {
 			continue
 		}
-		if share, tokens := book.grant(r.Holder, a.known || r.Lead == a.lead, now); share > 0 {
+		if share, tokens := book.grant(r.Holder, a.known || r.Lead == a.lead, a.voters, now); share > 0 {
 			grant.Shares = append(grant.Shares, controlmsg.QuotaShare{Tenant: demand.Tenant, Share: share, Tokens: tokens})
 		}
 	}
-	a.grants++
 	return grant
 }
 
@@ -182,7 +183,7 @@
 	if current && !a.holders[holder].revealed {
 		book.reveal(share, now)
 	}
-	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: book.want(demand.Demand)}, now)
+	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: book.want(demand.Demand, a.voters)}, now)
 }
 
 // setHolding replaces a holder's holding of a tenant; an empty one is forgotten.
--- a/internal/controlplane/quota/tenantbook.go
+++ b/internal/controlplane/quota/tenantbook.go
@@ -8,10 +8,9 @@
 const (
 	// headroom is how much more than its demand a holder wants: demand is measured late, and rises.
 	headroom = 1.3
-	// minWantedRate is what a holder with any demand wants at least, in operations a second, but of a small quota no more
-	// than the share maxLeastShare: most of that stays at hand for those that ask next.
-	minWantedRate = 2.0
-	maxLeastShare = 0.05
+	// evenPart is the part of a quota of which all voters with any demand have the same: a machine that is asked for few
+	// operations has a token for them at once.
+	evenPart = 0.5
 	// maxSurplus is how many times what it wants a holder may keep, while all others have what they want.
 	maxSurplus = 1.5
 	// minDepth is the depth of the smallest bucket of use, in operations: one, and what rounding takes.
@@ -25,7 +24,6 @@
 	holdings map[string]holding // by holder
 	bound    float64            // sum of the holdings' bounds
 	unknown  float64            // share that may be held by those that have not reported to this lead
-	wanted   float64            // sum of what the holders want
 
 	tokens     float64 // in the bucket of the part that nobody holds, as of refilledAt
 	refilledAt float64
@@ -60,14 +58,13 @@
 	b.refill(now)
 	former := b.holdings[name]
 	b.bound += h.bound - former.bound
-	b.wanted += h.want - former.want
 	if h == (holding{}) {
 		delete(b.holdings, name)
 	} else {
 		b.holdings[name] = h
 	}
 	if len(b.holdings) == 0 { // what rounding left ends here
-		b.bound, b.wanted = 0, 0
+		b.bound = 0
 	}
 	b.clip()
 }
@@ -90,13 +87,17 @@
 	b.tokens = min(b.tokens, b.free()*b.limit.Burst)
 }
 
+// even is the share that a voter with any demand may have.
+func (b *tenantBook) even(voters int) float64 {
+	return max(evenPart/float64(max(voters, 1)), b.minShare())
+}
+
 // want is the share that a demand of so many operations a second needs.
-func (b *tenantBook) want(demand float64) float64 {
+func (b *tenantBook) want(demand float64, voters int) float64 {
 	if !b.limited || !(demand > 0) || math.IsInf(demand, 1) { // a demand that is no number is none
 		return 0
 	}
-	least := max(b.minShare(), min(minWantedRate/b.limit.Rate, maxLeastShare))
-	return max(least, min(demand*headroom/b.limit.Rate, 1))
+	return max(b.even(voters), min(demand*headroom/b.limit.Rate, 1))
 }
 
 // minShare is the smallest share of use: its bucket holds one operation.
@@ -104,13 +105,13 @@
 
 // grant decides which share a holder that has just reported has from now on, and gives it the tokens of what is new.
 // Unless its report is current, it has no more than it reported: an earlier leader may give out the rest.
-func (b *tenantBook) grant(name string, current bool, now float64) (share, tokens float64) {
+func (b *tenantBook) grant(name string, current bool, voters int, now float64) (share, tokens float64) {
 	h := b.holdings[name]
 	if !current {
-		return min(h.reported, b.target(h)), 0
+		return min(h.reported, b.target(h, voters)), 0
 	}
 	available := clampShare(1 - (b.bound - h.bound) - b.unknown)
-	share = min(b.target(h), available)
+	share = min(b.target(h, voters), available)
 	if share < b.minShare() {
 		return 0, 0 // of no use: others can have it
 	}
@@ -126,16 +127,29 @@
 	return share, tokens
 }
 
-// target is the share that a holder is to have: what it wants, or its part where all together want more than there is.
-// It may keep somewhat more than it wants, so that shares don't change with every report.
-func (b *tenantBook) target(h holding) float64 {
-	if b.wanted > 1 {
-		return max(h.want/b.wanted, min(h.want, b.minShare()))
+// target is the share that a holder is to have: an even share, and its part of what it wants beyond that, as far as there
+// is room. An even share stays free while some voter has no demand: it may be asked next. A holder may keep somewhat
+// more than it wants, so that shares don't change with every report.
+func (b *tenantBook) target(h holding, voters int) float64 {
+	even := b.even(voters)
+	least, beyond, asked := 0.0, 0.0, 0 // of all holders
+	for _, other := range b.holdings {
+		least += min(other.want, even)
+		beyond += max(other.want-even, 0)
+		if other.want > 0 {
+			asked++
+		}
+	}
+	if asked < voters {
+		least += even
 	}
-	if h.reported > h.want && h.reported <= h.want*min(maxSurplus, 1/b.wanted) {
-		return h.reported
+	room := clampShare(1 - least)
+	wanted := max(h.want-even, 0)
+	if wanted == 0 || beyond > room {
+		return min(h.want, even) + wanted*clampShare(room/beyond)
 	}
-	return h.want
+	most := even + wanted*min(maxSurplus, room/beyond)
+	return min(max(h.want, h.reported), most)
 }
 
 // clampShare gives the share next to a figure; 0 where that is no number.
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -140,6 +140,9 @@
 	justFounded := s.server.fresh && now < ms(longContact)
 	s.quotas.voters.observe(s.coreAddrs, update.skipped && !s.inLongContact(now) && !justFounded, now)
 	s.leaseSync.retain(s.coreAddrs)
+	if s.quotas.allocator != nil {
+		s.quotas.allocator.SetVoters(len(s.coreAddrs))
+	}
 	for _, addr := range s.coreAddrs { // the settings may name fewer
 		s.server.cores.connect(addr)
 	}
