quotas: stand-by agents hold a quarter, for drivers that reach no core machine

Going by another agent didn't help: a trial with logs showed that those who could be dialled were cut off, too.

The first driver of each zone now holds a share under a lease of the leader, a quarter of each quota in all, and gives out tokens by it to agents whose core machine is silent. Core machines have three quarters. The book, the lease and the limiter are the same; only time ends what a new lead doesn't know of stand-bys, as any agent may have been one.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -67,7 +67,9 @@
 
 	proxies map[*controlLink]bool // one, but for a moment as it restarts
 	peers   map[string]*peer      // by address
-	quotas  quotaRelay
+
+	quotaWay quotaWay
+	standby  standby
 }
 
 // Run serves until ctx ends and the proxy has ended too, or the grace period is nearly over.
@@ -103,7 +105,7 @@
 		},
 		members: directory.NewMembers(), coreAddrs: set.Peers, backoff: initialBackoff,
 		proxies: map[*controlLink]bool{}, peers: map[string]*peer{},
-		quotas: quotaRelay{origins: map[string]*controlLink{}},
+		quotaWay: quotaWay{origins: map[string]*controlLink{}},
 	}
 }
 
@@ -136,6 +138,7 @@
 func (a *Agent) renewTick() {
 	a.renewLease()
 	a.checkCore()
+	a.stepStandby()
 	a.forgetOrigins()
 	a.members.PurgeTombstones(a.now(), float64(tombstoneTTL.Milliseconds()))
 }
--- a/internal/controlplane/agent/corelink.go
+++ b/internal/controlplane/agent/corelink.go
@@ -174,6 +174,9 @@
 		}
 		a.applyUpdate(update)
 	}
+	if frame.QuotaGrant != nil {
+		a.takeStandbyGrant(frame.QuotaGrant)
+	}
 	if frame.QuotaAnswer != nil {
 		a.takeQuotaAnswer(frame)
 	}
--- a/internal/controlplane/agent/peers.go
+++ b/internal/controlplane/agent/peers.go
@@ -39,7 +39,7 @@
 			a.reconcile(link, frame.Digest)
 		}
 		if frame.QuotaRequest != nil {
-			a.relayQuotaRequest(link, frame)
+			a.takeRelayedRequest(link, frame)
 		}
 		if frame.QuotaAnswer != nil {
 			a.takeQuotaAnswer(frame)
--- a/internal/controlplane/agent/quotas_test.go
+++ b/internal/controlplane/agent/quotas_test.go
@@ -3,8 +3,12 @@
 import (
 	"io"
 	"testing"
+	"time"
 
 	"weirwind/internal/controlplane/controlmsg"
+	"weirwind/internal/controlplane/directory"
+	"weirwind/internal/controlplane/quota"
+	"weirwind/internal/util/settings"
 )
 
 func TestQuotaRequestsAreNamedAndForwarded(t *testing.T) {
@@ -50,3 +54,91 @@
 		}
 	}
 }
+
+// cutOff gives an agent with a proxy, whose core machine has not answered a request for so long that another way is due.
+func cutOff(t *testing.T, drivers []directory.Driver) (h *history, proxy *sentOver, request *controlmsg.Frame) {
+	h = newHistory(t, 0, io.Discard)
+	h.a.drivers = drivers
+	h.a.dialNextCore()
+	h.a.coreUp(h.a.candidate, h.link("core"))
+	h.a.proxyUp(h.link("proxy"))
+	request = &controlmsg.Frame{QuotaRequest: &controlmsg.QuotaRequest{Incarnation: 1, Seq: 1,
+		Tenants: []controlmsg.QuotaCount{{Tenant: "t", Operations: 1}}}}
+	h.pass(1)
+	h.a.sendQuotaRequest(request)
+	h.pass(quotaAnswerTimeout + 1)
+	return h, h.links[len(h.links)-1], request
+}
+
+// holdShares makes an agent a stand-by that was granted all of a tenant's quota.
+func holdShares(t *testing.T, h *history) {
+	h.a.settings.Contracts = []string{settings.ContractQuota}
+	h.a.settings.QuotaWindow = 5 * time.Second
+	h.a.config = []byte(`{"gen":1,"tenants":[{"name":"t","keys":["k"],"perS":100,"burst":100}]}`)
+	h.a.configVersion = 1
+	h.a.updateStandbyLimits(h.a.now())
+	report := h.a.standby.limiter.NextReport(h.a.now())
+	h.a.takeStandbyGrant(&controlmsg.QuotaGrant{Holder: h.a.self.Name, Standby: true, Incarnation: report.Incarnation,
+		Seq: report.Seq, LeaseMs: quota.Lease, Shares: []controlmsg.QuotaShare{{Tenant: "t", Share: 1, Tokens: 5}}})
+	if !h.a.holdsShares() {
+		t.Fatal("a grant is not applied")
+	}
+}
+
+func TestAStandbyAnswersItsProxyWhileTheCoreIsSilent(t *testing.T) {
+	h, proxy, request := cutOff(t, nil)
+	holdShares(t, h)
+	h.a.sendQuotaRequest(request)
+	if n := proxy.counters.Sent(uint8(controlmsg.Quotas)).Frames; n != 1 {
+		t.Errorf("the proxy was sent %d answers", n)
+	}
+	h.pass(1)
+	h.a.takeFromCore(h.a.core, &controlmsg.Frame{Update: &controlmsg.StateUpdate{}})
+	h.a.sendQuotaRequest(request)
+	if !h.a.quotaWay.byCore() {
+		t.Error("requests don't return to a core machine that answers again")
+	}
+}
+
+func TestAStandbyAnswersAgentsThatReachNoCoreMachine(t *testing.T) {
+	h, _, request := cutOff(t, nil)
+	holdShares(t, h)
+	h.a.sendQuotaRequest(request) // its own core machine is silent, too
+	from := h.link("front-9")
+	sentBack := h.links[len(h.links)-1]
+	relayed := &controlmsg.Frame{QuotaRequest: &controlmsg.QuotaRequest{Driver: "front-9", Seq: 1,
+		Tenants: []controlmsg.QuotaCount{{Tenant: "t", Operations: 1}}}}
+	h.a.takeRelayedRequest(from, relayed)
+	if n := sentBack.counters.Sent(uint8(controlmsg.Quotas)).Frames; n != 1 {
+		t.Errorf("another agent was sent %d answers", n)
+	}
+}
+
+func TestRelayedRequestsGoByTheCoreAndBack(t *testing.T) {
+	h := newHistory(t, 0, io.Discard)
+	h.a.dialNextCore()
+	h.a.coreUp(h.a.candidate, h.link("core"))
+	core := h.links[len(h.links)-1]
+	from := h.link("front-9")
+	sentBack := h.links[len(h.links)-1]
+	h.a.takeRelayedRequest(from, &controlmsg.Frame{QuotaRequest: &controlmsg.QuotaRequest{Driver: "front-9", Seq: 1}})
+	h.a.takeQuotaAnswer(&controlmsg.Frame{QuotaAnswer: &controlmsg.QuotaAnswer{Driver: "front-9", Seq: 1}})
+	if sent, back := core.counters.Sent(uint8(controlmsg.Quotas)).Frames,
+		sentBack.counters.Sent(uint8(controlmsg.Quotas)).Frames; sent != 1 || back != 1 {
+		t.Errorf("%d requests forwarded, %d answers sent back", sent, back)
+	}
+}
+
+func TestStandbysAreTheFirstOfEachZone(t *testing.T) {
+	h := newHistory(t, 0, io.Discard)
+	own := h.a.self.Zone
+	h.a.drivers = []directory.Driver{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z1"}, {Name: "c", Zone: own},
+		{Name: "d", Zone: own}, {Name: "e", Zone: "z2"}}
+	names := ""
+	for _, driver := range h.a.standbys() {
+		names += driver.Name
+	}
+	if names != "cae" {
+		t.Errorf("%s", names)
+	}
+}
--- /dev/null
+++ b/internal/controlplane/agent/standby.go
@@ -0,0 +1,100 @@
+package agent
+
+// This file owns the agent as a stand-by of the core for quotas: it holds a share of each tenant's quota under a lease
+// of the leader's, and gives out tokens by it to drivers that reach no core machine.
+
+import (
+	"weirwind/internal/controlplane/config"
+	"weirwind/internal/controlplane/controlmsg"
+	"weirwind/internal/controlplane/directory"
+	"weirwind/internal/controlplane/quota"
+	"weirwind/internal/controlplane/quota/limiter"
+	"weirwind/internal/util/settings"
+)
+
+// standby is the agent's part as a stand-by. It belongs to the agent's loop.
+type standby struct {
+	limiter       *limiter.Limiter // nil until the agent is one for the first time
+	configVersion uint64           // of the limits
+}
+
+// standbys gives the first driver of each zone by name, the own zone's first: the stand-bys, as each agent knows them.
+func (a *Agent) standbys() (drivers []directory.Driver) {
+	seen := map[string]bool{}
+	for _, driver := range a.drivers { // sorted by name
+		if seen[driver.Zone] {
+			continue
+		}
+		seen[driver.Zone] = true
+		if driver.Zone == a.self.Zone {
+			drivers = append([]directory.Driver{driver}, drivers...)
+		} else {
+			drivers = append(drivers, driver)
+		}
+	}
+	return drivers
+}
+
+// stepStandby reports to the leader what is held, if this agent is a stand-by. The shares of one that no longer is end
+// with their lease.
+func (a *Agent) stepStandby() {
+	if !a.settings.HasContract(settings.ContractQuota) || a.config == nil || a.core == nil {
+		return
+	}
+	first := a.standbys()
+	if len(first) == 0 || first[0].Name != a.self.Name {
+		return
+	}
+	now := a.now()
+	a.updateStandbyLimits(now)
+	if report := a.standby.limiter.NextReport(now); report != nil {
+		report.Holder, report.Standby = a.self.Name, true
+		a.core.link.Send(&controlmsg.Frame{QuotaReport: report})
+	}
+}
+
+// updateStandbyLimits takes the limits of a newer configuration.
+func (a *Agent) updateStandbyLimits(now float64) {
+	s := &a.standby
+	if s.limiter == nil {
+		s.limiter = limiter.NewStandby(a.self.Incarnation, float64(a.settings.QuotaWindow.Milliseconds()))
+	}
+	if s.configVersion == a.configVersion {
+		return
+	}
+	s.configVersion = a.configVersion
+	current, err := config.Parse(a.config)
+	if err != nil { // as the core has accepted it, it is of a later version of the program
+		return
+	}
+	limits := map[string]limiter.Limit{}
+	for tenant, limit := range quota.Limits(current, a.settings, quota.StandbyPart) {
+		limits[tenant] = limiter.Limit(limit)
+	}
+	s.limiter.SetLimits(limits, now)
+}
+
+// takeStandbyGrant takes the leader's answer to this agent's report.
+func (a *Agent) takeStandbyGrant(grant *controlmsg.QuotaGrant) {
+	if a.standby.limiter != nil && grant.Standby && grant.Holder == a.self.Name {
+		a.standby.limiter.Apply(grant, a.now())
+	}
+}
+
+// holdsShares reports whether this agent has tokens to give out.
+func (a *Agent) holdsShares() bool {
+	return a.standby.limiter != nil && a.standby.limiter.HasShares(a.now())
+}
+
+// answerFromShares answers a request for tokens by this agent's own shares.
+func (a *Agent) answerFromShares(r *controlmsg.QuotaRequest) *controlmsg.Frame {
+	answer := &controlmsg.QuotaAnswer{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq}
+	for _, asked := range r.Tenants {
+		tokens := controlmsg.QuotaTokens{Tenant: asked.Tenant, RetryAfterMs: unknownTenantRetryMs}
+		if a.standby.limiter.Limits(asked.Tenant) {
+			tokens = a.standby.limiter.Take(asked, a.now())
+		}
+		answer.Tenants = append(answer.Tenants, tokens)
+	}
+	return &controlmsg.Frame{QuotaAnswer: answer}
+}
--- a/internal/controlplane/agentlinks.go
+++ b/internal/controlplane/agentlinks.go
@@ -36,6 +36,15 @@
 // remove forgets the agent of a link that has ended.
 func (a *agentLinks) remove(agent *link) { delete(a.subscriptions, agent) }
 
+// sendTo sends a frame to a driver's agent, where it renews at this machine: on each of its links, as one may be dead.
+func (a *agentLinks) sendTo(driver string, frame *controlmsg.Frame) {
+	for l, s := range a.subscriptions {
+		if s.driver == driver {
+			l.Send(frame)
+		}
+	}
+}
+
 // driverNames gives the names of the drivers that renew at this machine.
 func (a *agentLinks) driverNames() map[string]bool {
 	names := map[string]bool{}
--- a/internal/controlplane/controlmsg/quota.go
+++ b/internal/controlplane/controlmsg/quota.go
@@ -39,16 +39,17 @@
 	RetryAfterMs float64 `cbor:"3,keyasint,omitempty"`
 }
 
-// QuotaReport is sent by a core machine to the one that leads. It says what the machine holds of each tenant's quota,
-// and what proxies ask it for. From the moment that it is sent, the machine applies no grant but the one that answers it
-// or a later report.
+// QuotaReport is sent to the leader by another core machine, or by a stand-by agent through its core machine. It says
+// what the sender holds of each tenant's quota, and what proxies ask it for. From the moment that it is sent, the sender
+// applies no grant but the one that answers it or a later report.
 type QuotaReport struct {
-	Holder string `cbor:"1,keyasint"` // control address of the machine
-	// Incarnation is of the machine's process: a later one's is higher. Seq rises with each report of an incarnation.
+	Holder string `cbor:"1,keyasint"` // control address of the machine, or name of the agent's driver
+	// Incarnation is of the sender's process: a later one's is higher. Seq rises with each report of an incarnation.
 	Incarnation uint64        `cbor:"2,keyasint"`
 	Seq         uint64        `cbor:"3,keyasint"`
 	Tenants     []QuotaDemand `cbor:"4,keyasint,omitempty"` // those that it holds a share of, or is asked for
 	Lead        uint64        `cbor:"5,keyasint,omitempty"` // of the newest grant that it applied
+	Standby     bool          `cbor:"6,keyasint,omitempty"` // the sender is a stand-by agent
 }
 
 // QuotaDemand is a part of a report, on one tenant.
@@ -67,7 +68,8 @@
 	LeaseMs     float64      `cbor:"4,keyasint"` // milliseconds from the sending of that report, for which the shares hold
 	Shares      []QuotaShare `cbor:"5,keyasint,omitempty"`
 	// Lead is the leader's term, once no earlier leader grants any more; 0 before. A report with it was sent since.
-	Lead uint64 `cbor:"6,keyasint,omitempty"`
+	Lead    uint64 `cbor:"6,keyasint,omitempty"`
+	Standby bool   `cbor:"7,keyasint,omitempty"` // it answers a stand-by agent
 }
 
 // QuotaShare is a part of a grant, on one tenant.
--- a/internal/controlplane/quota/limiter/limiter.go
+++ b/internal/controlplane/quota/limiter/limiter.go
@@ -18,7 +18,7 @@
 // MinRetryAfterMs bounds from below when a client that was refused is told to come back, in milliseconds.
 const MinRetryAfterMs = 50.0
 
-// Limit is a tenant's limit over all proxies.
+// Limit is a tenant's limit over all holders.
 type Limit struct {
 	Rate  float64 // operations a second
 	Burst float64 // operations at once
@@ -50,6 +50,7 @@
 	tenants     map[string]*tenant
 	names       []string // of tenants, sorted
 
+	standby   bool   // what is reported is not the demand: NewStandby
 	lead      uint64 // of the newest grant
 	reports   reportState
 	leaseEnd  float64 // milliseconds; the shares hold until then
@@ -76,6 +77,14 @@
 	return &Limiter{incarnation: incarnation, windowMs: max(windowMs, 1), tenants: map[string]*tenant{}}
 }
 
+// NewStandby returns a limiter of an agent that is asked only while the core is out of reach. It wants a share of each
+// tenant's limit, whatever the demand, and reports less often.
+func NewStandby(incarnation uint64, windowMs float64) *Limiter {
+	l := New(incarnation, windowMs)
+	l.standby = true
+	return l
+}
+
 // SetLimits replaces all limits: tenants without one are not limited. A tenant that had one keeps its share.
 func (l *Limiter) SetLimits(limits map[string]Limit, now float64) {
 	l.expire(now)
@@ -210,6 +219,12 @@
 	return true
 }
 
+// HasShares reports whether any share is held.
+func (l *Limiter) HasShares(now float64) bool {
+	l.expire(now)
+	return l.hasShares
+}
+
 // Lapsed counts how often shares ended with their lease.
 func (l *Limiter) Lapsed() int { return l.lapsed }
 
--- a/internal/controlplane/quota/limiter/report.go
+++ b/internal/controlplane/quota/limiter/report.go
@@ -3,10 +3,11 @@
 import "weirwind/internal/controlplane/controlmsg"
 
 const (
-	reportIntervalMs = 1000.0 // between reports while there are shares or demand
-	soonestReportMs  = 150.0  // behind the last one, if it is answered and the leader doesn't know a demand
-	answerTimeoutMs  = 400.0  // after which an answer is no longer waited for, where clients lack a share
-	grownDemand      = 1.5    // times what was reported: the leader is told at once
+	reportIntervalMs  = 1000.0 // between reports
+	standbyIntervalMs = 3000.0 // between those of a stand-by
+	soonestReportMs   = 150.0  // behind the last one, if it is answered and the leader doesn't know a demand
+	answerTimeoutMs   = 400.0  // after which an answer is no longer waited for, where clients lack a share
+	grownDemand       = 1.5    // times what was reported: the leader is told at once
 )
 
 // need says how soon the next report is due.
@@ -50,7 +51,10 @@
 // answer is applied.
 func (l *Limiter) NextReport(now float64) *controlmsg.QuotaReport {
 	l.expire(now)
-	if !l.reports.due(now) {
+	if l.standby {
+		l.reports.need = atInterval
+	}
+	if !l.reports.due(now) || l.standby && l.reports.seq > 0 && now-l.reports.sentAt < standbyIntervalMs {
 		return nil
 	}
 	listed := l.listTenants(now)
@@ -64,6 +68,12 @@
 	l.hasShares = false
 	for _, name := range l.names {
 		t := l.tenants[name]
+		if l.standby {
+			t.reported = t.limit.Rate
+			l.hasShares = l.hasShares || t.share > 0
+			listed = append(listed, controlmsg.QuotaDemand{Tenant: name, Share: t.share, Demand: t.reported})
+			continue
+		}
 		if t.demand.idle(now) {
 			l.setShare(t, 0, now)
 			t.lacks, t.denied, t.reported = false, false, 0
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -1,10 +1,10 @@
 package controlplane
 
 import (
+	"math"
 	"slices"
 
 	"weirwind/internal/controlplane/config"
-	"weirwind/internal/controlplane/config/quotalimit"
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/quota"
 	"weirwind/internal/controlplane/quota/limiter"
@@ -16,20 +16,16 @@
 // on them to the leader, and the leader's grants. A machine without contact with a quorum must grant nothing, as another
 // may lead; it gives out tokens until the lease of its shares is over.
 
-const (
-	maxTokensAtOnce = 1000 // of a tenant, in one request
-	// shareRetryMs is after how long a proxy asks again while this machine waits for a share of the tenant's quota.
-	shareRetryMs = 80.0
-	// unknownTenantRetryMs is after how long a proxy asks again for a tenant that this machine doesn't know yet.
-	unknownTenantRetryMs = 200.0
-)
+// unknownTenantRetryMs is after how long a proxy asks again for a tenant that this machine doesn't know yet.
+const unknownTenantRetryMs = 200.0
 
 // quotas is what this machine holds of tenants' quotas, and what it has granted while it leads. It belongs to
 // softState.
 type quotas struct {
 	settings  *settings.Settings
 	limiter   *limiter.Limiter // nil where the contract isn't in force
-	allocator *quota.Allocator // nil while another machine leads
+	allocator *quota.Allocator // of core machines' shares; nil while another machine leads
+	standbys  *quota.Allocator // of stand-by agents' shares, likewise
 	voters    voterHistory
 	lapsed    int  // of the limiter, as logged last
 	known     bool // it was logged that this lead knows all shares
@@ -48,9 +44,12 @@
 // reset begins a lead, or ends it: what was granted before is not known.
 func (q *quotas) reset(lead leadership, current *config.Config) {
 	now := lead.since
-	q.allocator, q.known = nil, false
+	q.allocator, q.standbys, q.known = nil, nil, false
 	if lead.active && q.limiter != nil {
 		q.allocator = quota.New(now, lead.term, q.voters.history(now))
+		// Any agent may have been a stand-by: only time tells that no other holds a share.
+		q.standbys = quota.New(now, lead.term, quota.History{KnownAt: math.Inf(1)})
+		q.standbys.SetVoters(len(q.settings.Regions))
 		q.setConfig(current, now)
 	}
 }
@@ -60,20 +59,15 @@
 	if q.limiter == nil || current == nil {
 		return
 	}
-	granted, held := map[string]quota.Limit{}, map[string]limiter.Limit{}
-	for i := range current.Tenants {
-		tenant := &current.Tenants[i]
-		rate, burst, limited := quotalimit.Of(tenant, q.settings.QuotaExcess, q.settings.QuotaExtra)
-		if !limited {
-			continue
-		}
-		limit := quota.Limit{Rate: rate, Burst: burst}.
-			ForTokens(controlmsg.QuotaTokenLifetimeMs, ms(q.settings.QuotaWindow))
-		granted[tenant.Name], held[tenant.Name] = limit, limiter.Limit(limit)
+	held := map[string]limiter.Limit{}
+	granted := quota.Limits(current, q.settings, quota.CorePart)
+	for tenant, limit := range granted {
+		held[tenant] = limiter.Limit(limit)
 	}
 	q.limiter.SetLimits(held, now)
 	if q.allocator != nil {
 		q.allocator.SetLimits(granted, now)
+		q.standbys.SetLimits(quota.Limits(current, q.settings, quota.StandbyPart), now)
 	}
 }
 
@@ -95,18 +89,7 @@
 		}
 		return answer
 	}
-	for range min(asked.Operations, maxTokensAtOnce) {
-		decision := q.limiter.Admit(asked.Tenant, 0, now)
-		switch decision.Verdict {
-		case limiter.Admitted:
-			answer.Tokens++
-		case limiter.Waiting:
-			answer.RetryAfterMs = min(decision.AfterMs, shareRetryMs)
-		default:
-			answer.RetryAfterMs = decision.AfterMs
-		}
-	}
-	return answer
+	return q.limiter.Take(asked, now)
 }
 
 // handleQuotaRequest gives a proxy the tokens that there are.
@@ -128,17 +111,22 @@
 	if report == nil {
 		return
 	}
-	h := s.server
-	report.Holder = h.settings.ControlAddr
+	report.Holder = s.server.settings.ControlAddr
 	if s.quotas.allocator != nil {
 		if grant := s.answerQuotaReport(report, now); grant != nil {
 			s.handleQuotaGrant(grant, now)
 		}
 		return
 	}
-	h.loop.offer(func() { // the next report comes by itself
+	s.sendToLeader(&controlmsg.Frame{QuotaReport: report})
+}
+
+// sendToLeader sends a frame that is repeated by itself to the machine that leads.
+func (s *softState) sendToLeader(frame *controlmsg.Frame) {
+	h := s.server
+	h.loop.offer(func() {
 		if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
-			h.cores.send(leader.Addr, &controlmsg.Frame{QuotaReport: report})
+			h.cores.send(leader.Addr, frame)
 		}
 	})
 }
@@ -147,21 +135,40 @@
 // knows those. Contact is asked for after the clock was read: what is granted counts from a moment at which no other
 // machine had led for longer than the contact lasts.
 func (s *softState) answerQuotaReport(r *controlmsg.QuotaReport, now float64) *controlmsg.QuotaGrant {
-	if s.quotas.allocator == nil || !s.server.inContact() || !slices.Contains(s.coreAddrs, r.Holder) {
+	if s.quotas.allocator == nil || !s.server.inContact() {
+		return nil
+	}
+	if r.Standby {
+		grant := s.quotas.standbys.Report(r, now)
+		if grant != nil {
+			grant.Standby = true
+		}
+		return grant
+	}
+	if !slices.Contains(s.coreAddrs, r.Holder) {
 		return nil
 	}
 	return s.quotas.allocator.Report(r, now)
 }
 
-// handleQuotaReport answers another core machine's report.
+// handleQuotaReport answers another core machine's report, or a stand-by agent's. The latter is forwarded where this
+// machine doesn't lead.
 func (s *softState) handleQuotaReport(from *link, r *controlmsg.QuotaReport, now float64) {
+	if r.Standby && s.quotas.allocator == nil {
+		s.sendToLeader(&controlmsg.Frame{QuotaReport: r})
+		return
+	}
 	if grant := s.answerQuotaReport(r, now); grant != nil {
 		from.Send(&controlmsg.Frame{QuotaGrant: grant})
 	}
 }
 
-// handleQuotaGrant takes the leader's answer to this machine's report.
+// handleQuotaGrant takes the leader's answer to this machine's report, or passes on that to an agent's.
 func (s *softState) handleQuotaGrant(grant *controlmsg.QuotaGrant, now float64) {
+	if grant.Standby {
+		s.agents.sendTo(grant.Holder, &controlmsg.Frame{QuotaGrant: grant})
+		return
+	}
 	if s.quotas.limiter != nil {
 		s.quotas.limiter.Apply(grant, now)
 	}
