consensus: entries carry former voters, so that a new lead knows who may hold shares

A machine can't tell from its memory, but the log can: an entry now carries the addresses that voted before it, until one votes again or a leader has gone on without it for longer than a lease. A leader has all committed entries. What one holder may have is bounded by a half, so that one that is silent leaves the rest at hand.

--- a/internal/controlplane/consensus/election.go
+++ b/internal/controlplane/consensus/election.go
@@ -32,7 +32,7 @@
 // section 5.4.2).
 func (n *Node) becomeLeader(now float64) {
 	n.role, n.leader, n.termCommitted = Leader, n.self(), false
-	n.progress = map[string]*progress{}
+	n.progress, n.formerSince = map[string]*progress{}, map[string]float64{}
 	for _, v := range n.HardState.Last.Voters {
 		n.progress[v.ID] = &progress{lastResponse: now}
 	}
--- a/internal/controlplane/consensus/node.go
+++ b/internal/controlplane/consensus/node.go
@@ -4,13 +4,14 @@
 
 // Options are a node's settings. Durations are in milliseconds.
 type Options struct {
-	Addr              string         // of this machine, as other voters know it
-	Seeds             []string       // addresses to ask for a place among the voters
-	MinVoters         int            // a removal never leaves fewer voters than this, and at least one
-	HeartbeatInterval float64        // between two heartbeats of a leader
-	ElectionTimeout   float64        // a follower begins an election once it heard no leader for this to 1.5 times this
-	RemoveAfter       float64        // a voter silent for longer is removed where enough others vote, or one waits to join
-	Random            func() float64 // uniform in [0, 1): spreads elections, and tells processes apart
+	Addr                string         // of this machine, as other voters know it
+	Seeds               []string       // addresses to ask for a place among the voters
+	MinVoters           int            // a removal never leaves fewer voters than this, and at least one
+	HeartbeatInterval   float64        // between two heartbeats of a leader
+	ElectionTimeout     float64        // a follower begins an election once it heard no leader for this to 1.5 times this
+	RemoveAfter         float64        // a voter silent for longer is removed where enough others vote, or one waits to join
+	FormerVoterLifetime float64        // for which a leader remembers whom it removed, at least: the term of leases
+	Random              func() float64 // uniform in [0, 1): spreads elections, and tells processes apart
 }
 
 // Role of a node.
@@ -76,6 +77,8 @@
 	// progress is by ID, of the other voters and of joiners; some are of voters that were removed. It begins
 	// anew with each lead.
 	progress map[string]*progress
+	// formerSince is when this lead saw an address vote last, at most one entry for each voter or former one.
+	formerSince map[string]float64
 	// round numbers heartbeats. It grows for as long as the process lives, so that no answer to an earlier
 	// lead confirms a later one.
 	round         uint64
--- a/internal/controlplane/consensus/replication.go
+++ b/internal/controlplane/consensus/replication.go
@@ -18,7 +18,8 @@
 // appendEntry replaces the leader's last entry by the next, and sends it to all.
 func (n *Node) appendEntry(voters []Voter, value []byte, now float64) {
 	n.recordRemoved(voters, now)
-	n.HardState.Last = Entry{n.HardState.Term, n.HardState.Last.Index + 1, voters, value}
+	n.HardState.Last = Entry{Term: n.HardState.Term, Index: n.HardState.Last.Index + 1, Voters: voters, Value: value,
+		Former: n.formerVoters(voters, now)}
 	n.unsynced = true
 	n.broadcastAppend(now)
 }
--- a/internal/controlplane/consensus/state.go
+++ b/internal/controlplane/consensus/state.go
@@ -20,6 +20,8 @@
 	Index  uint64  `cbor:"2,keyasint"` // one above that of the entry that it replaced; 0: there is no entry
 	Voters []Voter `cbor:"3,keyasint"` // a majority of these commits it; never changed in place
 	Value  []byte  `cbor:"4,keyasint"` // whole, not a change to the value before
+	// Former are addresses of machines that voted before, see formerVoters; never changed in place.
+	Former []string `cbor:"5,keyasint,omitempty"`
 }
 
 // entryID tells entries apart: a leader writes an index once a term.
--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -34,8 +34,6 @@
 	// next machine after a second.
 	leavingTimeout = 700 * time.Millisecond
 	contactPoll    = 20 * time.Millisecond
-	// longContact is how long after contact was regained what was missed meanwhile may still arrive.
-	longContact = 5 * time.Second
 )
 
 // awaitContact waits until contact is newer than a moment, in ms; false where it is not in time. Messages to a machine
@@ -99,8 +97,3 @@
 func (s *softState) directoryComplete(now float64) bool {
 	return s.contact.established && now-s.contact.since >= ms(driverLeaseDuration) && s.leasesKnown(now)
 }
-
-// inLongContact reports whether this machine has had contact for so long that it missed nothing of the last seconds.
-func (s *softState) inLongContact(now float64) bool {
-	return s.contact.established && now-s.contact.since > ms(longContact)
-}
--- a/internal/controlplane/loop.go
+++ b/internal/controlplane/loop.go
@@ -18,6 +18,7 @@
 	"weirwind/internal/controlplane/consensus/store"
 	"weirwind/internal/controlplane/controlmsg"
 	"weirwind/internal/controlplane/orders"
+	"weirwind/internal/controlplane/quota"
 	"weirwind/internal/util/commandqueue"
 	"weirwind/internal/util/events"
 )
@@ -94,7 +95,6 @@
 		return nil, err
 	}
 	if !found {
-		server.fresh = s.Bootstrap
 		hardState = initialHardState(server)
 		if err := disk.Save(&hardState); err != nil {
 			return nil, err
@@ -106,7 +106,8 @@
 		orders: orders.New(orders.Limits{Pending: maxPendingRequests, Timeout: ms(requestTimeout)})}
 	options := consensus.Options{Addr: s.ControlAddr, Seeds: s.Peers, MinVoters: 2*s.TolerateNodes + 1,
 		HeartbeatInterval: ms(heartbeatInterval), ElectionTimeout: ms(electionTimeout), RemoveAfter: ms(removeAfter),
-		Random: drawFraction}
+		FormerVoterLifetime: quota.BoundLifetime,
+		Random:              drawFraction}
 	c.node = consensus.New(options, hardState, server.now())
 	return c, nil
 }
@@ -273,7 +274,6 @@
 	if !known || c.applied == entryIDOf(&entry) {
 		return update, false
 	}
-	skipped := entry.Index > c.applied.index+1
 	c.applied = entryIDOf(&entry)
 	state := &config.State{}
 	if len(entry.Value) > 0 {
@@ -283,7 +283,7 @@
 		}
 	}
 	c.committed = state
-	update = committedUpdate{state: state, newVersion: state.Version > c.notifiedVersion, voterAddrs: c.logVoters(&entry), skipped: skipped}
+	update = committedUpdate{state: state, newVersion: state.Version > c.notifiedVersion, voterAddrs: c.logVoters(&entry)}
 	c.notifiedVersion = max(c.notifiedVersion, state.Version)
 	return update, true
 }
@@ -324,7 +324,8 @@
 	}
 	c.server.log.Event(event, "term", term)
 	s := c.server.state
-	s.do(func() { s.setLeadership(established, term) })
+	holders := c.node.Holders()
+	s.do(func() { s.setLeadership(established, term, holders) })
 }
 
 // notifyContact renews the machine's contact, after all that the soft state was notified of before: a reader of the
--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -17,6 +17,9 @@
 	overlap = 2000.0
 	// BoundLifetime is for how long a holder may have what it reported last, or was granted then, in ms.
 	BoundLifetime = Lease + overlap
+	// maxShareOfSeveral bounds a holder's share where the core must go on without some of its machines: the others may then
+	// have the rest while one is silent.
+	maxShareOfSeveral = 0.5
 )
 
 // Allocator is a leader's book of shares, from the begin of its lead to the end. Its owner's goroutine alone uses it.
@@ -26,13 +29,13 @@
 	holders map[string]*holder // by control address
 
 	// known: nobody holds a share that was not reported. It never becomes false again.
-	known          bool
-	aloneFrom      float64         // no earlier leader grants any more
-	unknownUntil   float64         // when that is so at the latest, as all earlier leases are over
-	unreported     map[string]bool // holders that have not reported to this lead yet
-	historyKnownAt float64         // from when on unreported has all that may hold a share
+	known        bool
+	aloneFrom    float64         // no earlier leader grants any more
+	unknownUntil float64         // when that is so at the latest, as all earlier leases are over
+	unreported   map[string]bool // holders that have not reported to this lead yet; nil: they are not known
 
-	voters int // that may hold shares
+	voters   int     // that may hold shares
+	maxShare float64 // that a holder may have, of this and all earlier leads
 }
 
 // holder is what the allocator knows of a core machine.
@@ -43,20 +46,20 @@
 	tenants          map[string]bool // those of which it has a holding
 }
 
-// History is what a machine that begins to lead knows of those that may hold shares of earlier leads.
-type History struct {
-	Holders []string // control addresses; the machine itself among them, if it may hold some
-	// KnownAt is from when on Holders has all that may hold a share, in ms: whoever is not among them had its last lease
-	// a BoundLifetime before.
-	KnownAt float64
-}
-
-// New gives the book of a lead that begins now. lead is its term, above 0.
-func New(now float64, lead uint64, history History) *Allocator {
+// New gives the book of a lead that begins now. lead is its term, above 0. holders are all that may hold shares of
+// earlier leads; nil: that is not known. several: the core goes on without some of its machines; it is the same in all
+// leads.
+func New(now float64, lead uint64, holders []string, several bool) *Allocator {
 	a := &Allocator{lead: lead, tenants: map[string]*tenantBook{}, holders: map[string]*holder{},
-		aloneFrom: now + overlap, unknownUntil: now + BoundLifetime, unreported: map[string]bool{}, historyKnownAt: history.KnownAt}
-	a.SetVoters(len(history.Holders))
-	for _, name := range history.Holders {
+		aloneFrom: now + overlap, unknownUntil: now + BoundLifetime, maxShare: 1}
+	if several {
+		a.maxShare = maxShareOfSeveral
+	}
+	a.SetVoters(len(holders))
+	if holders != nil {
+		a.unreported = map[string]bool{}
+	}
+	for _, name := range holders {
 		a.unreported[name] = true
 	}
 	return a
@@ -92,10 +95,8 @@
 
 // newBook adds a tenant's book.
 func (a *Allocator) newBook(name string, now float64) *tenantBook {
-	book := newTenantBook(now)
-	if !a.known {
-		book.unknown = 1
-	}
+	book := newTenantBook(now, a.maxShare)
+	book.unknown = a.mostUnknown()
 	a.tenants[name] = book
 	return book
 }
@@ -207,20 +208,33 @@
 	}
 }
 
-// checkKnown notes the moment from which on nobody holds a share that was not reported.
+// checkKnown notes how much may be held unreported, and the moment from which on nothing is.
 func (a *Allocator) checkKnown(now float64) {
-	allReported := len(a.unreported) == 0 && now >= a.historyKnownAt
-	if a.known || !allReported && now < a.unknownUntil {
+	if a.known {
 		return
 	}
-	a.known = true
 	since := now
-	if !allReported {
-		since = a.unknownUntil
+	switch {
+	case a.unreported != nil && len(a.unreported) == 0:
+		a.known = true
+	case now >= a.unknownUntil:
+		a.known, since = true, a.unknownUntil
 	}
+	most := a.mostUnknown()
 	for _, book := range a.tenants {
-		book.reveal(1, since)
+		book.limitUnknown(most, since)
+	}
+}
+
+// mostUnknown is the largest share of any tenant that may be held unreported.
+func (a *Allocator) mostUnknown() float64 {
+	switch {
+	case a.known:
+		return 0
+	case a.unreported == nil:
+		return 1
 	}
+	return clampShare(a.maxShare * float64(len(a.unreported)))
 }
 
 // release forgets a holder that has nothing any more.
--- a/internal/controlplane/quota/tenantbook.go
+++ b/internal/controlplane/quota/tenantbook.go
@@ -27,6 +27,7 @@
 	holdings map[string]holding // by holder
 	bound    float64            // sum of the holdings' bounds
 	unknown  float64            // share that may be held by those that have not reported to this lead
+	maxShare float64            // of one holder
 
 	tokens     float64 // in the bucket of the part that nobody holds, as of refilledAt
 	refilledAt float64
@@ -39,16 +40,24 @@
 	want     float64 // share
 }
 
-func newTenantBook(now float64) *tenantBook {
-	return &tenantBook{holdings: map[string]holding{}, refilledAt: now}
+func newTenantBook(now, maxShare float64) *tenantBook {
+	return &tenantBook{holdings: map[string]holding{}, refilledAt: now, maxShare: maxShare}
 }
 
-// reveal notes that a share that might be held unreported is not: it was reported, or nobody holds it.
+// reveal notes that a share that might be held unreported is not, as it was reported.
 func (b *tenantBook) reveal(share, now float64) {
 	b.refill(now)
 	b.unknown = clampShare(b.unknown - share)
 }
 
+// limitUnknown notes that no more than a share can be held unreported.
+func (b *tenantBook) limitUnknown(most, now float64) {
+	if most < b.unknown {
+		b.refill(now)
+		b.unknown = most
+	}
+}
+
 // setLimit sets the tenant's bucket. Tokens beyond the new depth are lost.
 func (b *tenantBook) setLimit(limit Limit, now float64) {
 	b.refill(now)
@@ -110,11 +119,12 @@
 // Unless its report is current, it has no more than it reported: an earlier leader may give out the rest.
 func (b *tenantBook) grant(name string, current bool, voters int, now float64) (share, tokens float64) {
 	h := b.holdings[name]
+	target := min(b.target(h, voters), b.maxShare)
 	if !current {
-		return min(h.reported, b.target(h, voters)), 0
+		return min(h.reported, target), 0
 	}
 	available := clampShare(1 - (b.bound - h.bound) - b.unknown)
-	share = min(b.target(h, voters), available)
+	share = min(target, available)
 	if share < b.minShare() {
 		return 0, 0 // of no use: others can have it
 	}
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"math"
 	"slices"
 
 	"weirwind/internal/controlplane/config"
@@ -26,15 +25,14 @@
 	limiter   *limiter.Limiter // nil where the contract isn't in force
 	allocator *quota.Allocator // of core machines' shares; nil while another machine leads
 	standbys  *quota.Allocator // of stand-by agents' shares, likewise
-	voters    voterHistory
-	lapsed    int  // of the limiter, as logged last
-	known     bool // it was logged that this lead knows all shares
+	lapsed    int              // of the limiter, as logged last
+	known     bool             // it was logged that this lead knows all shares
 
 	given, refused uint64 // tokens, and requests for one without
 }
 
-func newQuotas(s *settings.Settings, incarnation uint64, fresh bool) quotas {
-	q := quotas{settings: s, voters: newVoterHistory(fresh)}
+func newQuotas(s *settings.Settings, incarnation uint64) quotas {
+	q := quotas{settings: s}
 	if s.HasContract(settings.ContractQuota) {
 		q.limiter = limiter.New(incarnation, ms(s.QuotaWindow))
 	}
@@ -46,9 +44,9 @@
 	now := lead.since
 	q.allocator, q.standbys, q.known = nil, nil, false
 	if lead.active && q.limiter != nil {
-		q.allocator = quota.New(now, lead.term, q.voters.history(now))
+		q.allocator = quota.New(now, lead.term, lead.holders, q.settings.TolerateNodes > 0)
 		// Any agent may have been a stand-by: only time tells that no other holds a share.
-		q.standbys = quota.New(now, lead.term, quota.History{KnownAt: math.Inf(1)})
+		q.standbys = quota.New(now, lead.term, nil, false)
 		q.standbys.SetVoters(len(q.settings.Regions))
 		q.setConfig(current, now)
 	}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -41,7 +41,6 @@
 	ctx      context.Context // ends with the process, or by fail
 	cancel   context.CancelCauseFunc
 	start    time.Time // of the process's clock
-	fresh    bool      // the whole system starts for the first time: this machine's disk was empty, as all others'
 
 	loop    *consensusLoop
 	state   *softState
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -52,6 +52,8 @@
 	active bool
 	term   uint64
 	since  float64 // when active or term changed last, in ms
+	// holders are the machines that may hold leases of this or an earlier lead, by control address.
+	holders []string
 }
 
 // committedUpdate is a newly committed entry, from the consensus loop.
@@ -59,7 +61,6 @@
 	state      *config.State
 	newVersion bool // its configuration is newer than all before it
 	voterAddrs []string
-	skipped    bool // entries before it were not notified
 }
 
 func newSoftState(server *Server) *softState {
@@ -73,7 +74,7 @@
 	s.roster = newRosterTracker(s)
 	s.shardMoves = newShardMoves(s)
 	s.siteLeases = newSiteLeases(s)
-	s.quotas = newQuotas(server.settings, uint64(server.start.UnixNano()), server.fresh)
+	s.quotas = newQuotas(server.settings, uint64(server.start.UnixNano()))
 	return s
 }
 
@@ -123,8 +124,8 @@
 
 // setLeadership begins or ends this machine's lead. What an earlier lead knew of failovers, transfers and
 // quotas is forgotten: another machine may have led since.
-func (s *softState) setLeadership(active bool, term uint64) {
-	s.leadership = leadership{active: active, term: term, since: s.server.now()}
+func (s *softState) setLeadership(active bool, term uint64, holders []string) {
+	s.leadership = leadership{active: active, term: term, since: s.server.now(), holders: holders}
 	s.memberClient.closeAll()
 	s.failovers.reset()
 	s.roster.reset()
@@ -137,9 +138,6 @@
 func (s *softState) applyCommitted(update committedUpdate) {
 	now := s.server.now()
 	s.coreAddrs = update.voterAddrs
-	justFounded := s.server.fresh && now < ms(longContact)
-	s.quotas.voters.observe(s.coreAddrs, update.skipped && !s.inLongContact(now) && !justFounded, now)
-	s.leaseSync.retain(s.coreAddrs)
 	if s.quotas.allocator != nil {
 		s.quotas.allocator.SetVoters(len(s.coreAddrs))
 	}
