Tests that fail: what a review of tenants found

Each fails on the tree that it was written for: a tenant's connection is reused after a transaction met NOSTMT; operations that wait for a token all go on as their tenant is removed; a machine without contact gives any number of tokens of a tenant that its own old configuration doesn't limit; after a freeze a gap in the voters' history is taken for none.

--- a/internal/controlplane/quotas_test.go
+++ b/internal/controlplane/quotas_test.go
@@ -197,3 +197,34 @@
 		}
 	})
 }
+
+// QUOTA: a machine that was cut off gave any number of tokens of a tenant that its old configuration doesn't limit.
+func TestWithoutContactNoTokensOfATenantThatMayBeLimitedByNow(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		machines, servers := quotaTrio(t)
+		agent := newQuotaAgent(t, servers[1])
+		machines.setDrops(func(_, _ *Server, frame *controlmsg.Frame) bool { return true })
+		time.Sleep(20 * time.Second) // longer than any lease
+		if tokens := agent.ask(t, "free", 50); tokens != 0 {
+			t.Errorf("%d tokens, by a configuration that may be old", tokens)
+		}
+	})
+}
+
+// QUOTA: a machine that was frozen took its contact for unbroken, and voters that it had missed for known.
+func TestVotersMissedInAFreezeAreNotTakenForKnown(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		_, servers := quotaTrio(t)
+		h := servers[1]
+		var knownAt, thawedAt float64
+		_ = h.state.call(func() { // before the first tick after the freeze
+			thawedAt = h.now()
+			h.contact.set(thawedAt - 10_000)
+			h.state.applyCommitted(committedUpdate{state: h.state.committed, voterAddrs: h.state.coreAddrs, skipped: true})
+			knownAt = h.state.quotas.voters.history(thawedAt).KnownAt
+		})
+		if knownAt < thawedAt+quota.BoundLifetime {
+			t.Errorf("all voters are known from %.0f ms on, thawed at %.0f ms", knownAt, thawedAt)
+		}
+	})
+}
--- a/internal/dataplane/proxy/quota_test.go
+++ b/internal/dataplane/proxy/quota_test.go
@@ -363,3 +363,18 @@
 		})
 	}
 }
+
+// QUOTA: as a tenant was removed, all of its operations that waited for a token went to members at once.
+func TestWaitingOperationsOfARemovedTenantAreNotLetThrough(t *testing.T) {
+	withQuotas(t, "quota tenants", func(x *quotaRig) {
+		for range 50 {
+			x.ask("hot")
+		}
+		without := strings.Replace(strings.Replace(quotaConfig, `"gen":3`, `"gen":4`, 1),
+			`{"name":"hot","keys":["h"],"perS":100,"burst":40},`, "", 1)
+		x.update(&controlmsg.StateUpdate{ConfigVersion: 4, Config: []byte(without)})
+		if n := x.admitted(); n != 0 {
+			t.Errorf("%d of 50 are let through without a token", n)
+		}
+	})
+}
--- a/internal/dataplane/proxy/tenants_test.go
+++ b/internal/dataplane/proxy/tenants_test.go
@@ -337,3 +337,22 @@
 		}
 	}
 }
+
+// PINNED: a connection whose member had forgotten a prepared name, as a transaction found, was used again.
+func TestTransactionsThatFindAForgottenNameCloseTheirConnection(t *testing.T) {
+	f := newTenantFixture(t, twoTenants)
+	f.member.script["EXEC w1 x 1"] = []string{"FAIL NOSTMT w1"}
+	f.member.failing = "EXEC w1 x 1"
+	k := f.attached("db", "key-s")
+	f.expect(k, "PREP p STORE q", "DONE - | READY I -")
+	f.expect(k, "BEGIN", "DONE - | READY T -")
+	f.expect(k, "EXEC p x 1", "FAIL NOSTMT w1 | READY E 1.1")
+	f.expect(k, "ABORT", "DONE - | READY I -")
+	f.awaitReturned()
+	f.expect(k, "EXEC p x 1", "DONE m.q5 | READY I 1.1")
+	f.member.mu.Lock()
+	defer f.member.mu.Unlock()
+	if f.member.conns != 2 {
+		t.Errorf("%d connections were made, want a new one on which the name is prepared anew", f.member.conns)
+	}
+}
