--- a/internal/controlplane/agent/quotas_test.go
+++ b/internal/controlplane/agent/quotas_test.go
@@ -142,3 +142,17 @@
 		t.Errorf("%s", names)
 	}
 }
+
+// QUOTA: an agent that was a stand-by gave out tokens by limits that a newer configuration had lowered.
+func TestLowerLimitsBindAnAgentThatIsNoStandbyAnyMore(t *testing.T) {
+	h, _, request := cutOff(t, nil)
+	holdShares(t, h)
+	h.a.drivers = []directory.Driver{{Name: "0", Zone: h.a.self.Zone}, h.a.self}
+	h.a.config, h.a.configVersion = []byte(`{"gen":2,"tenants":[{"name":"t","keys":["k"],"perS":1,"burst":1}]}`), 2
+	h.a.stepStandby()
+	h.pass(2000)
+	request.QuotaRequest.Tenants[0].Operations = 100
+	if tokens := h.a.answerFromShares(request.QuotaRequest).QuotaAnswer.Tenants[0].Tokens; tokens > 2 {
+		t.Errorf("%d tokens in 2 s, of a limit of 1 a second and 1", tokens)
+	}
+}
