--- a/internal/controlplane/agent/proxies.go
+++ b/internal/controlplane/agent/proxies.go
@@ -44,8 +44,8 @@
 	a.do(func() { a.forwardToCore(frame) })
 }
 
-// forwardToCore forwards what the proxy observes of primaries to the core machine in use, and its requests for tokens of
-// quotas. Without one a report is dropped: the proxy reports again.
+// forwardToCore forwards what the proxy observes of primaries to the core machine in use, and its requests for tokens
+// of quotas. Without one a report is dropped: the proxy reports again.
 func (a *Agent) forwardToCore(frame *controlmsg.Frame) {
 	switch {
 	case frame.PrimaryReport != nil && a.core != nil:
--- a/internal/controlplane/agent/standby.go
+++ b/internal/controlplane/agent/standby.go
@@ -38,15 +38,18 @@
 // stepStandby reports to the leader what is held, if this agent is a stand-by. The shares of one that no longer is end
 // with their lease.
 func (a *Agent) stepStandby() {
-	if !a.settings.HasContract(settings.ContractQuota) || a.config == nil || a.core == nil {
+	if !a.settings.HasContract(settings.ContractQuota) || a.config == nil {
 		return
 	}
+	now := a.now()
 	first := a.standbys()
-	if len(first) == 0 || first[0].Name != a.self.Name {
+	isStandby := len(first) > 0 && first[0].Name == a.self.Name
+	if isStandby || a.standby.limiter != nil { // its shares may outlive its part as one
+		a.updateStandbyLimits(now)
+	}
+	if !isStandby || a.core == nil {
 		return
 	}
-	now := a.now()
-	a.updateStandbyLimits(now)
 	if report := a.standby.limiter.NextReport(now); report != nil {
 		report.Holder, report.Standby = a.self.Name, true
 		a.core.link.Send(&controlmsg.Frame{QuotaReport: report})
--- a/internal/controlplane/consensus/node.go
+++ b/internal/controlplane/consensus/node.go
@@ -9,7 +9,7 @@
 	MinVoters           int            // a removal never leaves fewer voters than this, and at least one
 	HeartbeatInterval   float64        // between two heartbeats of a leader
 	ElectionTimeout     float64        // a follower begins an election once it heard no leader for this to 1.5 times this
-	RemoveAfter         float64        // a voter silent for longer is removed where enough others vote, or one waits to join
+	RemoveAfter         float64        // a voter silent for longer is removed if enough others vote, or one waits to join
 	FormerVoterLifetime float64        // for which a leader remembers whom it removed, at least: the term of leases
 	Random              func() float64 // uniform in [0, 1): spreads elections, and tells processes apart
 }
--- a/internal/controlplane/controlmsg/quota.go
+++ b/internal/controlplane/controlmsg/quota.go
@@ -40,8 +40,8 @@
 }
 
 // QuotaReport is sent to the leader by another core machine, or by a stand-by agent through its core machine. It says
-// what the sender holds of each tenant's quota, and what proxies ask it for. From the moment that it is sent, the sender
-// applies no grant but the one that answers it or a later report.
+// what the sender holds of each tenant's quota, and what proxies ask it for. From the moment that it is sent, the
+// sender applies no grant but the one that answers it or a later report.
 type QuotaReport struct {
 	Holder string `cbor:"1,keyasint"` // control address of the machine, or name of the agent's driver
 	// Incarnation is of the sender's process: a later one's is higher. Seq rises with each report of an incarnation.
--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -17,8 +17,8 @@
 	overlap = 2000.0
 	// BoundLifetime is for how long a holder may have what it reported last, or was granted then, in ms.
 	BoundLifetime = Lease + overlap
-	// maxShareOfSeveral bounds a holder's share where the core must go on without some of its machines: the others may then
-	// have the rest while one is silent.
+	// maxShareOfSeveral bounds a holder's share where the core must go on without some of its machines: the others may
+	// then have the rest while one is silent.
 	maxShareOfSeveral = 0.5
 )
 
@@ -151,8 +151,9 @@
 	return true
 }
 
-// takeHoldings replaces what a holder may have and wants by what it reports. Of a tenant that is listed twice the larger
-// share counts. A share of a tenant that is not configured here counts too: its quota may be back before the share ends.
+// takeHoldings replaces what a holder may have and wants by what it reports. Of a tenant that is listed twice the
+// larger share counts. A share of a tenant that is not configured here counts too: its quota may be back before the
+// share ends.
 func (a *Allocator) takeHoldings(r *controlmsg.QuotaReport, now float64) {
 	reporter := a.holders[r.Holder]
 	reported := make(map[string]controlmsg.QuotaDemand, len(r.Tenants))
--- a/internal/controlplane/quota/limit.go
+++ b/internal/controlplane/quota/limit.go
@@ -7,10 +7,11 @@
 	"weirwind/internal/util/settings"
 )
 
+// minTokenDepth is how many tokens a bucket holds at least, where its limit's burst does: each holder has a part.
+const minTokenDepth = 10.0
+
+// Parts of each quota that core machines hold, and stand-by agents.
 const (
-	// minTokenDepth is how many tokens a bucket holds at least, where its limit's burst does: each holder has a part of it.
-	minTokenDepth = 10.0
-	// CorePart and StandbyPart are the parts of each quota that core machines and stand-by agents hold.
 	CorePart    = 0.75
 	StandbyPart = 1 - CorePart
 )
--- a/internal/controlplane/quota/limiter/report.go
+++ b/internal/controlplane/quota/limiter/report.go
@@ -46,9 +46,8 @@
 	return r.outstanding && grant.Incarnation == incarnation && grant.Seq == r.seq
 }
 
-// NextReport returns the report that is due, nil for none. Also who holds nothing reports, as a new leader waits for all
-// that may. The caller sends it at once: from now on no earlier report's
-// answer is applied.
+// NextReport returns the report that is due, nil for none. Also who holds nothing reports, as a new leader waits for
+// all that may. The caller sends it at once: from now on no earlier report's answer is applied.
 func (l *Limiter) NextReport(now float64) *controlmsg.QuotaReport {
 	l.expire(now)
 	if l.standby {
--- a/internal/controlplane/quota/tenantbook.go
+++ b/internal/controlplane/quota/tenantbook.go
@@ -140,9 +140,9 @@
 	return share, tokens
 }
 
-// target is the share that a holder is to have: an even share, and its part of what it wants beyond that, as far as there
-// is room. An even share stays free while some voter has no demand: it may be asked next. A holder may keep somewhat
-// more than it wants, so that shares don't change with every report.
+// target is the share that a holder is to have: an even share, and its part of what it wants beyond that, as far as
+// there is room. An even share stays free while some voter has no demand: it may be asked next. A holder may keep
+// somewhat more than it wants, so that shares don't change with every report.
 func (b *tenantBook) target(h holding, voters int) float64 {
 	even := b.even(voters)
 	least, beyond, asked := 0.0, 0.0, 0 // of all holders
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -12,10 +12,10 @@
 )
 
 // This file owns tenants' quotas at a core machine: the tokens that it gives out to proxies by its shares, its reports
-// on them to the leader, and the leader's grants. A machine without contact with a quorum must grant nothing, as another
-// may lead; it gives out tokens until the lease of its shares is over.
+// on them to the leader, and the leader's grants. A machine without contact with a quorum must grant nothing, as
+// another may lead; it gives out tokens until the lease of its shares is over.
 
-// unknownTenantRetryMs is after how long a proxy asks again for a tenant that this machine doesn't know yet.
+// unknownTenantRetryMs is after how long a proxy asks again for a tenant that has no limit here.
 const unknownTenantRetryMs = 200.0
 
 // quotas is what this machine holds of tenants' quotas, and what it has granted while it leads. It belongs to
@@ -70,22 +70,20 @@
 }
 
 // takeTokens takes tokens for some operations of a tenant, as many as there are.
-func (q *quotas) takeTokens(asked controlmsg.QuotaCount, current *config.Config, now float64) controlmsg.QuotaTokens {
-	answer := q.tokensFor(asked, current, now)
+func (q *quotas) takeTokens(asked controlmsg.QuotaCount, now float64) controlmsg.QuotaTokens {
+	answer := q.tokensFor(asked, now)
 	q.given += uint64(answer.Tokens)
 	q.refused += uint64(max(asked.Operations-answer.Tokens, 0))
 	return answer
 }
 
-func (q *quotas) tokensFor(asked controlmsg.QuotaCount, current *config.Config, now float64) controlmsg.QuotaTokens {
-	answer := controlmsg.QuotaTokens{Tenant: asked.Tenant}
-	if q.limiter == nil || !q.limiter.Limits(asked.Tenant) {
-		if q.limiter == nil || current != nil && current.Tenant(asked.Tenant) != nil {
-			answer.Tokens = asked.Operations // the tenant has no quota
-		} else {
-			answer.RetryAfterMs = unknownTenantRetryMs
-		}
-		return answer
+func (q *quotas) tokensFor(asked controlmsg.QuotaCount, now float64) controlmsg.QuotaTokens {
+	switch {
+	case q.limiter == nil:
+		return controlmsg.QuotaTokens{Tenant: asked.Tenant, Tokens: asked.Operations}
+	case !q.limiter.Limits(asked.Tenant):
+		// The proxy knows of a limit that this machine doesn't: one of the two configurations is old.
+		return controlmsg.QuotaTokens{Tenant: asked.Tenant, RetryAfterMs: unknownTenantRetryMs}
 	}
 	return q.limiter.Take(asked, now)
 }
@@ -94,7 +92,7 @@
 func (s *softState) handleQuotaRequest(from *link, r *controlmsg.QuotaRequest, now float64) {
 	answer := &controlmsg.QuotaAnswer{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq}
 	for _, asked := range r.Tenants {
-		answer.Tenants = append(answer.Tenants, s.quotas.takeTokens(asked, s.config, now))
+		answer.Tenants = append(answer.Tenants, s.quotas.takeTokens(asked, now))
 	}
 	from.Send(&controlmsg.Frame{QuotaAnswer: answer})
 	s.sendQuotaReport(now)
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -138,6 +138,7 @@
 func (s *softState) applyCommitted(update committedUpdate) {
 	now := s.server.now()
 	s.coreAddrs = update.voterAddrs
+	s.leaseSync.retain(s.coreAddrs)
 	if s.quotas.allocator != nil {
 		s.quotas.allocator.SetVoters(len(s.coreAddrs))
 	}
--- a/internal/dataplane/proxy/quota.go
+++ b/internal/dataplane/proxy/quota.go
@@ -54,7 +54,7 @@
 	return &quotas{client: quota.New[quotaWaiter](incarnation), wakeAt: math.Inf(1), logs: map[string]*refusalLog{}}
 }
 
-// updateQuotas takes the tenants that a new configuration limits.
+// updateQuotas takes the tenants of a new configuration.
 func (r *router) updateQuotas(cfg *config.Config) {
 	if r.quotas == nil {
 		return
@@ -62,12 +62,10 @@
 	limited := map[string]bool{}
 	for i := range cfg.Tenants {
 		tenant := &cfg.Tenants[i]
-		if _, _, ok := quotalimit.Of(tenant, r.proxy.settings.QuotaExcess, r.proxy.settings.QuotaExtra); ok {
-			limited[tenant.Name] = true
-		}
+		_, _, limited[tenant.Name] = quotalimit.Of(tenant, r.proxy.settings.QuotaExcess, r.proxy.settings.QuotaExtra)
 	}
 	now := r.proxy.now()
-	r.finishQuotaWaits(r.quotas.client.SetLimited(limited, now), now)
+	r.finishQuotaWaits(r.quotas.client.SetTenants(limited, now), now)
 	maps.DeleteFunc(r.quotas.logs, func(tenant string, _ *refusalLog) bool { return !limited[tenant] })
 }
 
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -149,7 +149,7 @@
 		s.forwardReply(reply, wire.StateIdle)
 	case reply.State != wire.StateInTransaction:
 		tx.failed = true
-		s.endFailed(tx)
+		s.endFailed(tx, reply)
 		s.forwardReply(reply, wire.StateFailedTransaction)
 	default:
 		s.forwardReply(reply, wire.StateInTransaction)
@@ -271,8 +271,8 @@
 // endFailed ends a transaction at its member that has failed there. The connection is closed, but kept where there are
 // tenants: there it is seldom that another of the tenant is idle, and each new one holds up the member, which may have
 // failed the transaction for want of capacity.
-func (s *session) endFailed(tx *transaction) {
-	if tx.tenant != "" {
+func (s *session) endFailed(tx *transaction, reply *memberconn.Reply) {
+	if tx.tenant != "" && reply.Code != wire.CodeNoStatement {
 		s.rollBack(tx)
 		return
 	}
--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -57,7 +57,8 @@
 type Client[O any] struct {
 	incarnation uint64
 	tenants     map[string]*tenant[O] // those that have a limit
-	busy        map[string]*tenant[O] // those of them whose operations wait
+	limited     map[string]bool       // all tenants: whether they have a limit
+	busy        map[string]*tenant[O] // those of tenants whose operations wait
 	seq         uint64                // of the newest request
 	sentAt      float64               // when it was sent
 	requests    []request             // that may still be answered, by rising seq
@@ -80,11 +81,15 @@
 		sentAt: math.Inf(-1)}
 }
 
-// SetLimited replaces the names of the tenants that have a limit. Waiting operations of others are admitted.
-func (c *Client[O]) SetLimited(names map[string]bool, now float64) (outcomes []Outcome[O]) {
+// SetTenants replaces the tenants, by name: whether each has a limit. Waiting operations of one that has none any more
+// are admitted, and those of one that there is no more are refused.
+func (c *Client[O]) SetTenants(limited map[string]bool, now float64) (outcomes []Outcome[O]) {
 	former := c.tenants
-	c.tenants = make(map[string]*tenant[O], len(names))
-	for name := range names {
+	c.limited, c.tenants = limited, make(map[string]*tenant[O], len(limited))
+	for name, hasLimit := range limited {
+		if !hasLimit {
+			continue
+		}
 		if t := former[name]; t != nil {
 			c.tenants[name] = t
 		} else {
@@ -95,8 +100,13 @@
 		if c.tenants[name] != nil {
 			continue
 		}
+		_, exists := limited[name]
 		for _, w := range c.busy[name].waiting {
-			outcomes = append(outcomes, w.admitted(now))
+			if exists {
+				outcomes = append(outcomes, w.admitted(now))
+			} else {
+				outcomes = append(outcomes, w.refused(unknownRetryMs, now))
+			}
 		}
 		delete(c.busy, name)
 	}
@@ -108,6 +118,9 @@
 func (c *Client[O]) Enqueue(name string, operation O, until, now float64) (verdict Verdict, retryAfterMs float64) {
 	t := c.tenants[name]
 	if t == nil {
+		if _, exists := c.limited[name]; !exists {
+			return Refused, unknownRetryMs
+		}
 		return Admitted, 0
 	}
 	c.figures.Operations++
