standin/cluster: room for 120 fronts, processes ended by several at once, members that come and leave

A deployment had at most ten machines of a kind, by the one digit of a name, and its table of processes was for one goroutine. A soak ends and starts many at a time. Names may have more digits, networks have the hosts that they need, the table has a lock, and Terminate ends a process as the platform does. A heartbeat begins at the machine that acknowledged the last one: before, one frozen machine held up each heartbeat of each member by a second. Replicaset's check of a promoted log takes linear time.

--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -4,14 +4,18 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"weirwind/internal/controlplane"
 	"weirwind/internal/controlplane/agent"
@@ -57,6 +61,7 @@
 	meshPorts map[string]int      // the first port of processes that reach others' mesh ports there; others: basePort
 	feeds     map[string]string   // where proxies reach their agents, by proxy; others: where the agent listens
 	seeds     map[string][]string // control addresses of processes that don't know the first three machines
+	mu        sync.Mutex          // guards the next two
 	processes map[string]*exec.Cmd
 	logs      map[string]*bytes.Buffer
 	platform  string // the address of the platform's API
@@ -99,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = func() {
 		cancel()
-		for name := range d.processes {
+		for _, name := range d.Running() {
 			d.Kill(name)
 		}
 		_ = block.Close() // a listener that nobody accepts at
@@ -159,18 +164,77 @@
 // Stop ends all processes.
 func (d *Deployment) Stop() { d.stop() }
 
-// Signal sends a signal to a process.
+// Running are the names of the processes that were started and neither killed nor terminated since.
+func (d *Deployment) Running() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.processes))
+}
+
+// PID is a process's number, 0 for none that runs.
+func (d *Deployment) PID(name string) int {
+	if c := d.process(name); c != nil {
+		return c.Process.Pid
+	}
+	return 0
+}
+
+func (d *Deployment) process(name string) *exec.Cmd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.processes[name]
+}
+
+// take gives a process to its only caller, which ends it; nil where none runs.
+func (d *Deployment) take(name string) *exec.Cmd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.processes[name]
+	delete(d.processes, name)
+	return c
+}
+
+// Signal sends a signal to a process, if it runs.
 func (d *Deployment) Signal(name string, signal syscall.Signal) {
-	_ = d.processes[name].Process.Signal(signal)
+	if c := d.process(name); c != nil {
+		_ = c.Process.Signal(signal)
+	}
 }
 
 // Kill ends a process at once and waits for its end.
 func (d *Deployment) Kill(name string) {
-	if c := d.processes[name]; c != nil {
+	if c := d.take(name); c != nil {
+		kill(c)
+	}
+}
+
+func kill(c *exec.Cmd) {
+	_ = c.Process.Signal(syscall.SIGCONT)
+	_ = c.Process.Kill() // it may have ended
+	_ = c.Wait()         // it was killed
+}
+
+// Terminate ends a process as the platform does, by SIGTERM and, after the grace period, SIGKILL. It waits for the end
+// and says whether the process came to it by itself.
+func (d *Deployment) Terminate(name string, grace time.Duration) (inTime bool) {
+	c := d.take(name)
+	if c == nil {
+		return true
+	}
+	_ = c.Process.Signal(syscall.SIGTERM)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = c.Wait() // how it ended is the caller's to judge
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(grace):
+		_ = c.Process.Kill()
 		_ = c.Process.Signal(syscall.SIGCONT)
-		_ = c.Process.Kill() // it may have ended
-		_ = c.Wait()         // it was killed
-		delete(d.processes, name)
+		<-ended
+		return false
 	}
 }
 
--- a/internal/standin/cluster/process.go
+++ b/internal/standin/cluster/process.go
@@ -9,12 +9,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"weirwind/internal/util/settings"
 )
 
-// networks of a deployment, by what is there: each has hostsOfNetwork hosts of the deployment's addresses.
+// networks of a deployment, by what is there.
 const (
 	coreNet     = 1
 	frontNet    = 2
@@ -22,10 +23,21 @@
 	platformNet = 4
 	siteNet     = 5
 	edgeNet     = 6
-
-	hostsOfNetwork = 35
 )
 
+// MaxFronts is how many machines with an agent and a proxy a deployment may have.
+const MaxFronts = 120
+
+// hosts are the networks' shares of the hosts of the deployment's addresses.
+var hosts = map[int]struct{ first, count int }{
+	coreNet:     {1, 10},
+	platformNet: {11, 1},
+	siteNet:     {12, 10},
+	edgeNet:     {22, 10},
+	memberNet:   {32, 100},
+	frontNet:    {132, MaxFronts},
+}
+
 // Ports beyond the base port, which is the first of three of the mesh.
 const (
 	feedPort    = 1
@@ -47,10 +59,17 @@
 }
 
 func (d *Deployment) ip(network, n int) string {
-	if n >= hostsOfNetwork {
-		panic(fmt.Sprintf("machine %d of network %d: %d at most", n, network, hostsOfNetwork))
+	if n >= hosts[network].count {
+		panic(fmt.Sprintf("machine %d of network %d: %d at most", n, network, hosts[network].count))
 	}
-	return d.block.IP(network*hostsOfNetwork + n + 1)
+	return d.block.IP(hosts[network].first + n)
+}
+
+// splitName takes a process's name apart: its kind, and the number of its machine.
+func splitName(name string) (kind string, n int) {
+	kind = strings.TrimRight(name, "0123456789")
+	n, _ = strconv.Atoi(name[len(kind):])
+	return kind, n
 }
 
 func (d *Deployment) address(network, n, port int) string {
@@ -74,8 +93,11 @@
 		d.t.Fatal(err)
 	}
 	cmd := exec.Command(self)
-	cmd.Env = append(os.Environ(), roleVariable+"="+kinds[name[:len(name)-1]].role, settings.EnvVariable+"="+file,
+	kind, _ := splitName(name)
+	cmd.Env = append(os.Environ(), roleVariable+"="+kinds[kind].role, settings.EnvVariable+"="+file,
 		diskVariable+"="+d.diskControlFile(name))
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.logs[name] == nil {
 		d.logs[name] = &bytes.Buffer{}
 	}
@@ -88,8 +110,8 @@
 
 // settings is the lines of a process's settings file.
 func (d *Deployment) settings(name string, first bool) []string {
-	n := int(name[len(name)-1] - '0')
-	kind, zone := kinds[name[:len(name)-1]], "z1"
+	kindName, n := splitName(name)
+	kind, zone := kinds[kindName], "z1"
 	if kind.network == siteNet || kind.network == edgeNet { // they are spread over the zones
 		zone = fmt.Sprint("z", n%3+1)
 	}
--- a/internal/standin/cluster/service.go
+++ b/internal/standin/cluster/service.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"weirwind/internal/member/wire"
 	"weirwind/internal/shard/shardnode"
 	"weirwind/internal/standin/replicaset"
 )
@@ -35,6 +36,7 @@
 	Shards        *shardnode.Store // of a node that holds shards; nil: it holds none
 	Overflow      string           // how the node's disk held more than its capacity; "" while it did not
 	Strangers     Strangers        // who came to addresses of this service's members that others have taken over
+	Observer      Observer         // of what members run; nil: nobody
 
 	mu               sync.Mutex // guards all of it
 	group            *replicaset.Group
@@ -49,6 +51,16 @@
 	drained          map[string]time.Time // by member: when the core acknowledged that it drains
 }
 
+// Observer is told what members run, as they run it. Its methods are called under the service's lock.
+type Observer interface {
+	// Reached is told of each statement of a client that comes to a member.
+	Reached(id string)
+	// Read is told of a read, and of the member's log, which it must not keep.
+	Read(id string, log []replicaset.Entry)
+	// Committed is told of a commit that enters the primary's log at a position.
+	Committed(id string, position wire.Position)
+}
+
 func newService(name, syncN string, ids ...string) *Service {
 	n, _ := strconv.Atoi(syncN)
 	return &Service{
@@ -119,7 +131,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	s.addrs[id], s.conns[id] = listener.Addr().String(), map[net.Conn]bool{}
+	s.mu.Unlock()
 	context.AfterFunc(ctx, func() { listener.Close() })
 	go func() {
 		for {
@@ -141,7 +155,8 @@
 		go by.serve(s, conn)
 		return
 	}
-	up := s.group.Member(id).Up
+	m := s.group.Member(id)
+	up := m != nil && m.Up
 	if up {
 		s.conns[id][conn] = true
 	}
@@ -159,8 +174,8 @@
 	go func() {
 		tick := time.NewTicker(heartbeatPeriod)
 		defer tick.Stop()
-		for {
-			service.heartbeat(id, d.Cores)
+		for core := 0; ; {
+			core = service.heartbeat(id, d.Cores, core)
 			select {
 			case <-ctx.Done():
 				return
@@ -170,15 +185,18 @@
 	}()
 }
 
-// heartbeat sends a member's state to the first core machine that acknowledges it.
-func (s *Service) heartbeat(id string, cores []string) {
+// heartbeat sends a member's state to the core machines, from the given one on, until one acknowledges it. It gives the
+// number of that machine, else the given one.
+func (s *Service) heartbeat(id string, cores []string, first int) int {
 	body, up := s.heartbeatBody(id)
 	if !up {
-		return
+		return first
 	}
 	client := http.Client{Timeout: time.Second}
-	for _, core := range cores {
-		resp, err := client.Post("http://"+core+"/members/"+id+"/heartbeat", "application/json", bytes.NewReader(body))
+	for i := range cores {
+		n := (first + i) % len(cores)
+		url := "http://" + cores[n] + "/members/" + id + "/heartbeat"
+		resp, err := client.Post(url, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
 		}
@@ -186,9 +204,10 @@
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
 			s.recordDrain(id)
-			return
+			return n
 		}
 	}
+	return first
 }
 
 // heartbeatBody is a member's next heartbeat; up is false while it is down.
@@ -196,6 +215,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.group.Member(id)
+	if m == nil {
+		return nil, false
+	}
 	role := "replica"
 	if m.Primary {
 		role = "primary"
@@ -214,7 +236,8 @@
 func (s *Service) recordDrain(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.drained[id]; !known && s.group.Member(id).Draining {
+	m := s.group.Member(id)
+	if _, known := s.drained[id]; !known && m != nil && m.Draining {
 		s.drained[id] = time.Now()
 	}
 }
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -116,7 +116,10 @@
 func (c *session) position() wire.Position {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	return c.service.group.Member(c.member).Position()
+	if m := c.service.group.Member(c.member); m != nil {
+		return m.Position()
+	}
+	return wire.Position{} // it has left meanwhile
 }
 
 // query answers a statement.
@@ -132,9 +135,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.group.Member(c.member)
-	if !m.Up {
+	if m == nil || !m.Up {
 		return "", false
 	}
+	if s.Observer != nil && id != unnumbered {
+		s.Observer.Reached(id)
+	}
 	after := ""
 	if p, rest := wire.CutField(text); p == "AFTER" {
 		after, text = wire.CutField(rest)
@@ -225,6 +231,9 @@
 		if c.open && c.mayWrite && !member.Primary {
 			return c.fail(wire.CodeReadOnly)
 		}
+		if c.service.Observer != nil {
+			c.service.Observer.Read(id, member.Log)
+		}
 		return "ROW " + c.service.data[rest] + "\r\n" + c.done(id), true
 	case "STORE":
 		return c.store(member, id, rest)
@@ -270,7 +279,10 @@
 	s := c.service
 	writes := c.writes
 	c.writes = nil
-	s.group.Write(member, id)
+	position, written := s.group.Write(member, id)
+	if written && s.Observer != nil {
+		s.Observer.Committed(id, position)
+	}
 	lost := s.loseAnswer()
 	for {
 		s.group.Replicate(func(*replicaset.Member) bool { return true })
--- a/internal/standin/replicaset/replicaset.go
+++ b/internal/standin/replicaset/replicaset.go
@@ -169,8 +169,12 @@
 	if m.Primary && g.Leader() == m {
 		return true
 	}
+	held := make(map[string]bool, len(m.Log))
+	for _, e := range m.Log {
+		held[e.ID] = true
+	}
 	for acked := range g.Acked {
-		if !slices.ContainsFunc(m.Log, func(e Entry) bool { return e.ID == acked }) {
+		if !held[acked] {
 			g.Lost = append(g.Lost, acked)
 		}
 	}
