standin/soak: statements take their time at members, and answers to writes are lost

A statement took no time at a member, so that hardly any was under way when its proxy ended: a proxy that ended at once on SIGTERM passed.

--- a/internal/standin/cluster/service.go
+++ b/internal/standin/cluster/service.go
@@ -37,6 +37,7 @@
 	Overflow      string           // how the node's disk held more than its capacity; "" while it did not
 	Strangers     Strangers        // who came to addresses of this service's members that others have taken over
 	Observer      Observer         // of what members run; nil: nobody
+	Work          time.Duration    // that a client's statement takes at a member, beside its effect
 
 	mu               sync.Mutex // guards all of it
 	group            *replicaset.Group
@@ -265,6 +266,16 @@
 	}
 }
 
+// work takes as long as a statement does.
+func (s *Service) work() {
+	s.mu.Lock()
+	takes := s.Work
+	s.mu.Unlock()
+	if takes > 0 {
+		time.Sleep(takes)
+	}
+}
+
 // checkCapacity notes a disk that holds more than its capacity. The lock is held.
 func (s *Service) checkCapacity() {
 	if used := s.Shards.UsedBytes(); used > s.Shards.Capacity {
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -127,6 +127,9 @@
 	if c.service.Shards != nil && id == unnumbered && strings.HasPrefix(text, "SHARD ") {
 		return c.shardCommand(text)
 	}
+	if id != unnumbered {
+		c.service.work()
+	}
 	return c.execute(id, text)
 }
 
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -26,6 +26,9 @@
 		r.release(e.Targets[0], e.Lasts)
 	case KindCrash, KindLag:
 		r.disturbMember(e)
+	case KindSilence:
+		defer r.journal.begin("", e.Kind)()
+		r.deployment.Service.With(func(*replicaset.Group) { r.deployment.Service.LoseAnswers += e.Times })
 	case KindHangup:
 		r.hangUp(e)
 	default:
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -27,6 +27,7 @@
 	lossSlack   = 200 * time.Millisecond
 	joinTime    = time.Second // from a new member's start until another one drains
 
+	workTime       = 15 * time.Millisecond // of a statement at a member
 	maxMemberConns = 80
 	firstMembers   = 3
 )
@@ -133,7 +134,8 @@
 // start starts the deployment and has its first configuration accepted.
 func (r *run) start() {
 	r.deployment = cluster.New(r.t, r.shape.Cores, r.shape.Fronts)
-	r.deployment.Service.With(func(*replicaset.Group) { r.deployment.Service.Observer = r.ledger })
+	service := r.deployment.Service
+	service.With(func(*replicaset.Group) { service.Observer, service.Work = r.ledger, workTime })
 	for _, name := range r.deployment.Running() {
 		r.lives.begin(name)
 	}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -25,11 +25,12 @@
 	KindFreeze  Kind = "freeze"  // SIGSTOP, and SIGCONT after a while
 	KindCrash   Kind = "crash"   // a member crashes, and returns with its log
 	KindLag     Kind = "lag"     // a replica receives nothing for a while
+	KindSilence Kind = "silence" // answers to some of the next writes are lost
 )
 
 // IsFault says whether events of this kind are not planned.
 func (k Kind) IsFault() bool {
-	return k == KindKill || k == KindFreeze || k == KindCrash || k == KindLag
+	return k == KindKill || k == KindFreeze || k == KindCrash || k == KindLag || k == KindSilence
 }
 
 // Change is how an operator's change of the configuration is made.
@@ -127,6 +128,7 @@
 	longestMember   = 4 * time.Second
 	longestHangGap  = 150 * time.Millisecond
 	mostHangups     = 6
+	mostLostAnswers = 5
 	plannedPart     = 0.5 // of the seeds
 	invalidPart     = 0.35
 	corePart        = 0.2 // of the signals that go to core machines
@@ -170,7 +172,7 @@
 	kinds := []Kind{KindRestart, KindRestart, KindRestart, KindHangup, KindHangup, KindChange, KindChange, KindChange,
 		KindRelease}
 	if !d.schedule.Planned {
-		kinds = append(kinds, KindKill, KindKill, KindFreeze, KindFreeze, KindCrash, KindCrash, KindLag)
+		kinds = append(kinds, KindKill, KindKill, KindFreeze, KindFreeze, KindCrash, KindCrash, KindLag, KindSilence)
 	}
 	e = Event{At: at, Kind: kinds[d.random.IntN(len(kinds))]}
 	switch e.Kind {
@@ -181,6 +183,9 @@
 		e.Targets, e.Times = d.anyProcesses(), 1+d.random.IntN(mostHangups)
 		e.Apart = d.between(10*time.Millisecond, longestHangGap)
 		return e, true
+	case KindSilence:
+		e.Times = 1 + d.random.IntN(mostLostAnswers)
+		return e, true
 	case KindCrash, KindLag, KindRelease:
 		return d.memberEvent(e)
 	}
--- a/internal/standin/soak/schedule_test.go
+++ b/internal/standin/soak/schedule_test.go
@@ -28,7 +28,7 @@
 			planned++
 		}
 	}
-	if len(kinds) != 8 || planned < 4 || planned > 16 {
+	if len(kinds) != 9 || planned < 4 || planned > 16 {
 		t.Errorf("%v, %d of 20 planned", kinds, planned)
 	}
 }
@@ -44,7 +44,7 @@
 					t.Errorf("seed %d: %v, and another member until %v", seed, e, memberFree)
 				}
 				memberFree = e.At + e.Lasts
-			case e.Kind != KindHangup && e.Kind != KindLag && e.Kind != KindChange && machine(e.Targets[0])[:4] == prefixCore:
+			case e.Kind != KindHangup && len(e.Targets) > 0 && e.Kind != KindLag && machine(e.Targets[0])[:4] == prefixCore:
 				if e.At < coreFree {
 					t.Errorf("seed %d: %v, and another core machine until %v", seed, e, coreFree)
 				}
