--- a/internal/standin/cluster/service.go
+++ b/internal/standin/cluster/service.go
@@ -266,10 +266,13 @@
 	}
 }
 
-// work takes as long as a statement does.
-func (s *Service) work() {
+// work takes as long as a client's statement does.
+func (s *Service) work(id string) {
 	s.mu.Lock()
 	takes := s.Work
+	if s.Observer != nil {
+		s.Observer.Reached(id)
+	}
 	s.mu.Unlock()
 	if takes > 0 {
 		time.Sleep(takes)
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -128,7 +128,7 @@
 		return c.shardCommand(text)
 	}
 	if id != unnumbered {
-		c.service.work()
+		c.service.work(id)
 	}
 	return c.execute(id, text)
 }
@@ -141,9 +141,6 @@
 	if m == nil || !m.Up {
 		return "", false
 	}
-	if s.Observer != nil && id != unnumbered {
-		s.Observer.Reached(id)
-	}
 	after := ""
 	if p, rest := wire.CutField(text); p == "AFTER" {
 		after, text = wire.CutField(rest)
