proxy: a session whose client never pauses ends with an answer before the process does

Callers saw a connection end in the midst of a statement that was at a member, 1.5 s after SIGTERM with a grace period of 2 s: a write's outcome was unknown then.

Half way between the rollback of open transactions and the end, statements that would go to members are now refused with the promise that nothing is kept, open transactions fail at their next statement, and each session ends with its next answer. The sending half is closed first, and what the client sends meanwhile is dropped, as closing with something unread would reset the connection and could lose the answer. Statements that wait for a member are refused as well.

--- a/internal/dataplane/proxy/dispatch.go
+++ b/internal/dataplane/proxy/dispatch.go
@@ -81,7 +81,11 @@
 		target := grp.routing.Route(&request.requirement, now, available,
 			func(id string) bool { return slices.Contains(request.avoid, id) })
 		if target.Member == nil {
-			return false
+			if r.proxy.phase() < refusing {
+				return false
+			}
+			request.reply <- lentConn{err: errRetryLater} // the process would end before a member is found
+			return true
 		}
 		if pool := grp.pool(target.Member.ID); len(pool.idle) > 0 {
 			grp.figures.queueWait.Observe((now - request.startedAt) / 1000)
--- a/internal/dataplane/proxy/message.go
+++ b/internal/dataplane/proxy/message.go
@@ -29,6 +29,9 @@
 		return false
 	}
 	parsed := wire.ParseStatement(text)
+	if s.tx != nil && s.refuses() && parsed.Verb != "COMMIT" {
+		s.failIdleTransaction()
+	}
 	switch {
 	case !parsed.Valid || id == internalQueryID:
 		s.replyError(errInvalidText, s.state())
@@ -110,6 +113,10 @@
 		s.runInTransaction(st)
 		return
 	}
+	if s.refuses() {
+		s.replyError(errRetryLater, wire.StateIdle)
+		return
+	}
 	route := s.route()
 	if route == nil {
 		s.replyError(databaseError(s.host), wire.StateIdle)
--- a/internal/dataplane/proxy/session.go
+++ b/internal/dataplane/proxy/session.go
@@ -71,7 +71,7 @@
 			}
 			continue
 		}
-		if !s.handleMessage(line) || !s.flush() {
+		if !s.handleMessage(line) || !s.flush() || s.endsAfterAnswer() {
 			return
 		}
 		s.answeredAt = s.proxy.now()
--- a/internal/dataplane/proxy/shutdown.go
+++ b/internal/dataplane/proxy/shutdown.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"net"
 	"time"
 
@@ -15,12 +16,14 @@
 	draining          // not ready any more; idle sessions end, others after the answers that they wait for
 	closingIdle       // the same, with less patience
 	closingAll        // transactions that are still open are rolled back
+	refusing          // nothing new goes to members; sessions end with the answer that they wait for
 )
 
 const (
 	readinessDelay = 2300 * time.Millisecond // until the platform has seen that the process is not ready
 	killMargin     = 500 * time.Millisecond  // before the end of the grace period, at which the platform kills
 	wakeInterval   = 25 * time.Millisecond
+	lingerTime     = 100 * time.Millisecond // for a client that is told of the end to see it
 )
 
 // idleTimeouts are how long a session may be idle in each phase before it ends; 0: for ever.
@@ -29,6 +32,7 @@
 	draining:    300 * time.Millisecond,
 	closingIdle: 100 * time.Millisecond,
 	closingAll:  40 * time.Millisecond,
+	refusing:    40 * time.Millisecond,
 }
 
 func (p *Proxy) phase() phase { return phase(p.shutdownPhase.Load()) }
@@ -48,7 +52,11 @@
 	p.enter(closingIdle)
 	if !p.awaitSessions(startedAt.Add(grace / 2)) {
 		p.enter(closingAll)
-		p.awaitSessions(startedAt.Add(grace - killMargin))
+		last := grace - killMargin
+		if !p.awaitSessions(startedAt.Add((grace/2 + last) / 2)) {
+			p.enter(refusing)
+			p.awaitSessions(startedAt.Add(last))
+		}
 	}
 	_ = front.Close()
 }
@@ -73,3 +81,21 @@
 		s.wake()
 	}
 }
+
+// refuses says whether a statement that would go to a member is refused instead: what is sent so late could be cut by
+// the end of the process. A client that asks without a pause is never idle, and its session would last until then.
+func (s *session) refuses() bool { return s.proxy.phase() >= refusing }
+
+// endsAfterAnswer ends a session that was answered after the process has begun to refuse. The client may be sending its
+// next message: what comes is read and dropped for a while, as a connection that is closed with something unread is
+// reset, and the last answer may be lost by that.
+func (s *session) endsAfterAnswer() bool {
+	if s.tx != nil || !s.refuses() {
+		return false
+	}
+	if half, ok := s.client.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = s.client.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, s.client) // until the client is gone or the time is over
+	}
+	return true
+}
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -36,6 +36,10 @@
 		s.replyError(errTransactionOpen, wire.StateInTransaction)
 		return
 	}
+	if s.refuses() {
+		s.replyError(errRetryLater, wire.StateIdle)
+		return
+	}
 	route := s.route()
 	if route == nil {
 		s.replyError(databaseError(s.host), wire.StateIdle)
