--- a/internal/standin/replicaset/replicaset.go
+++ b/internal/standin/replicaset/replicaset.go
@@ -111,7 +111,7 @@
 		for _, m := range g.Members {
 			if m != primary && m.receivesFrom(primary) && allowed(m) {
 				m.Term = primary.LeaderTerm
-				m.Log = slices.Clone(primary.Log)
+				m.receive(primary.Log)
 			}
 		}
 		g.acknowledge(primary)
@@ -123,15 +123,30 @@
 	return m.Up && !m.Primary && !m.Paused && !m.NotReceiving && !m.Partitioned && m.Term <= primary.LeaderTerm
 }
 
+// receive makes a replica's log the primary's. Two logs with the same entry at a place are the same up to there.
+func (m *Member) receive(log []Entry) {
+	n := len(m.Log)
+	if n == 0 || n <= len(log) && m.Log[n-1] == log[n-1] {
+		m.Log = append(m.Log, log[n:]...)
+		return
+	}
+	m.Log = slices.Clone(log)
+}
+
+// has says whether a member's log has an entry: that of number 1 is the first.
+func (m *Member) has(e Entry) bool {
+	return uint64(len(m.Log)) >= e.Number && m.Log[e.Number-1] == e
+}
+
 // acknowledge acknowledges the pending commits of a primary that SyncN replicas have received.
 func (g *Group) acknowledge(primary *Member) {
 	g.pending = slices.DeleteFunc(g.pending, func(e Entry) bool {
-		if !slices.Contains(primary.Log, e) {
+		if !primary.has(e) {
 			return false
 		}
 		received := 0
 		for _, m := range g.Members {
-			if m != primary && slices.Contains(m.Log, e) {
+			if m != primary && m.has(e) {
 				received++
 			}
 		}
