standin/soak: clients that never pause and idle ones, kills of the whole core, repeated changes, larger deployments

Of the clients a third never pause and a third are mostly idle, as the fault of sessions without a pause would have shown sooner. A change that was acknowledged is sent again, reads of the configuration are held against what was acknowledged, and the number of processes is checked. The watching slows down with the number of processes.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -35,10 +35,14 @@
 	dialTimeout   = 2 * time.Second
 	attachTimeout = 2 * time.Second
 	redialPause   = 50 * time.Millisecond
-	longestThink  = 60 * time.Millisecond
-	prepared      = "ps" // the name of every session's prepared statement
+
+	transactionThink = 60 * time.Millisecond // between two statements of a transaction, at most
+	prepared         = "ps"                  // the name of every session's prepared statement
 )
 
+// thinks are clients' longest pauses between operations: some never pause, some are mostly idle.
+var thinks = []time.Duration{0, 60 * time.Millisecond, 2 * time.Second}
+
 // errSessionEnded is the error of a connection that ended before an answer was whole.
 var errSessionEnded = errors.New("the session has ended")
 
@@ -50,6 +54,7 @@
 	route   route
 	queries int
 	key     string
+	think   time.Duration // the longest pause between two operations
 
 	conn       net.Conn
 	reader     *wire.Reader
@@ -67,12 +72,19 @@
 			continue
 		}
 		for ctx.Err() == nil && c.operate(ctx) {
-			pause(ctx, time.Duration(c.random.Int64N(int64(longestThink))))
+			c.rest(ctx, c.think)
 		}
 		_ = c.conn.Close()
 	}
 }
 
+// rest pauses for a time that is drawn, up to the longest; 0: not at all.
+func (c *client) rest(ctx context.Context, longest time.Duration) {
+	if longest > 0 {
+		pause(ctx, time.Duration(c.random.Int64N(int64(longest))))
+	}
+}
+
 // pause waits, less where the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -203,7 +215,7 @@
 		return err
 	}
 	for range 1 + c.random.IntN(3) {
-		pause(ctx, time.Duration(c.random.Int64N(int64(longestThink))))
+		c.rest(ctx, transactionThink)
 		if mayWrite && c.random.IntN(2) == 0 {
 			err = c.storeInTransaction()
 		} else {
--- a/internal/standin/soak/monitor.go
+++ b/internal/standin/soak/monitor.go
@@ -16,14 +16,18 @@
 	"time"
 )
 
-const monitorInterval = 250 * time.Millisecond
+const (
+	monitorInterval = 250 * time.Millisecond
+	frontsAtOnce    = 10 // that are asked in each interval
+)
 
 // watchVersions has a proxy tell its configuration's version until the context ends: in one life it never falls, and
 // on a machine in touch it is what was acknowledged applyTime before.
 func (r *run) watchVersions(ctx context.Context, front int) {
 	name := proxyName(front)
 	life, highest := 0, uint64(0)
-	for ; ctx.Err() == nil; pause(ctx, monitorInterval) {
+	interval := monitorInterval * time.Duration(1+r.shape.Fronts/frontsAtOnce)
+	for ; ctx.Err() == nil; pause(ctx, interval) {
 		now, asked := r.lives.of(name), time.Now()
 		version, ok := r.version(front)
 		if !ok || now == 0 || r.lives.of(name) != now {
--- a/internal/standin/soak/operators.go
+++ b/internal/standin/soak/operators.go
@@ -12,8 +12,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"weirwind/internal/controlplane/config"
 )
 
 const (
@@ -67,11 +65,17 @@
 func (o *operators) show(ctx context.Context) (document, bool) {
 	for wait := firstPause; ctx.Err() == nil; wait = min(2*wait, longestRetry) {
 		for _, n := range o.machines() {
+			due := o.ackedBefore(time.Now().Add(-applyTime))
 			status, body := o.run.deployment.Call("GET", o.run.deployment.Cores[n], "/config/show", "", nil)
 			var d document
-			if status == http.StatusOK && json.Unmarshal([]byte(body), &d) == nil {
-				return d, true
+			if status != http.StatusOK || json.Unmarshal([]byte(body), &d) != nil {
+				continue
+			}
+			if d.Version < due {
+				o.run.ledger.violate("configuration", "core%d shows version %d %v after %d was acknowledged",
+					n, d.Version, applyTime, due)
 			}
+			return d, true
 		}
 		pause(ctx, wait)
 	}
@@ -130,6 +134,9 @@
 			status, answer := o.run.deployment.Call("POST", addr, path, strconv.FormatUint(c.base, 10), body)
 			if status == http.StatusOK || status >= 400 && status < 500 {
 				o.answered(c, status, unclear, answer)
+				if status == http.StatusOK {
+					o.repeat(c, path, body)
+				}
 				return
 			}
 			unclear = true
@@ -139,6 +146,19 @@
 	o.run.logf("%s: no clear answer", c)
 }
 
+// repeat sends a change again that was acknowledged, as an operator does whose answer was lost: while no other one was
+// sent since, it is not refused.
+func (o *operators) repeat(c *change, path string, body []byte) {
+	addr := o.run.deployment.Cores[o.machines()[0]]
+	status, answer := o.run.deployment.Call("POST", addr, path, strconv.FormatUint(c.base, 10), body)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if status >= 400 && status < 500 && o.changes[len(o.changes)-1] == c {
+		o.run.ledger.violate("configuration", "%s was acknowledged, and refused as it was sent again: %d %s",
+			c, status, answer)
+	}
+}
+
 // answered notes a clear answer. A refusal says nothing about an earlier sending whose answer was lost.
 func (o *operators) answered(c *change, status int, unclear bool, answer string) {
 	o.mu.Lock()
@@ -178,7 +198,7 @@
 		twin["name"] = c.marker + "b"
 		listed = append(listed, twin)
 	}
-	body = configuration(c.version, listed, o.run.shape.Tenants)
+	body = configuration(c.version, listed, o.run.shape)
 	if c.kind == ChangeUnending {
 		body = body[:len(body)/2]
 	}
@@ -186,12 +206,12 @@
 }
 
 // configuration is the text of a whole one.
-func configuration(version uint64, listed []any, tenants []config.Tenant) []byte {
+func configuration(version uint64, listed []any, shape Shape) []byte {
 	whole := map[string]any{"gen": version, "routes": listed,
-		"svcs":   []any{map[string]any{"name": "svc", "maxConns": maxMemberConns, "syncN": 1}},
+		"svcs":   []any{map[string]any{"name": "svc", "maxConns": shape.memberConns(), "syncN": 1}},
 		"limits": map[string]any{"txIdleMs": 1000}}
-	if len(tenants) > 0 {
-		whole["tenants"] = tenants
+	if len(shape.Tenants) > 0 {
+		whole["tenants"] = shape.Tenants
 	}
 	return encode(whole)
 }
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -27,9 +27,8 @@
 	lossSlack   = 200 * time.Millisecond
 	joinTime    = time.Second // from a new member's start until another one drains
 
-	workTime       = 15 * time.Millisecond // of a statement at a member
-	maxMemberConns = 80
-	firstMembers   = 3
+	workTime     = 15 * time.Millisecond // of a statement at a member
+	firstMembers = 3
 )
 
 // What a process that has lived from the begin may hold in the end beyond its begin, and of goroutines in all.
@@ -139,7 +138,7 @@
 	for _, name := range r.deployment.Running() {
 		r.lives.begin(name)
 	}
-	first := configuration(1, baseRoutes(), r.shape.Tenants)
+	first := configuration(1, baseRoutes(), r.shape)
 	r.deployment.Eventually("a configuration is accepted", func() bool {
 		status, _ := r.deployment.Call("POST", r.deployment.Cores[0], "/config/replace", "0", first)
 		return status == http.StatusOK
@@ -152,8 +151,9 @@
 
 // newClient makes a client; the nth of all uses the nth route, in turn.
 func (r *run) newClient(seed uint64, n int) *client {
-	return &client{run: r, random: rand.New(rand.NewPCG(seed, uint64(2+n))), name: fmt.Sprint("q", n),
-		key: fmt.Sprint("k", n), route: routes[n%len(routes)]}
+	random := rand.New(rand.NewPCG(seed, uint64(2+n)))
+	return &client{run: r, random: random, name: fmt.Sprint("q", n), key: fmt.Sprint("k", n),
+		route: routes[n%len(routes)], think: thinks[random.IntN(len(thinks))]}
 }
 
 func (r *run) logf(format string, args ...any) {
@@ -242,6 +242,9 @@
 // audit compares what there is in the end with what was acknowledged, ends all, and completes the result.
 func (r *run) audit(result *Result, before map[string]holding) {
 	result.Processes = len(r.deployment.Running())
+	if want := r.shape.Cores + 2*r.shape.Fronts; result.Processes != want {
+		r.ledger.violate("growth", "%d processes run, not %d", result.Processes, want)
+	}
 	r.auditHoldings(result, before)
 	shown, stopShowing := context.WithTimeout(context.Background(), operatorPatience)
 	defer stopShowing()
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -97,6 +97,9 @@
 	Tenants       []config.Tenant
 }
 
+// memberConns is how many connections each member takes: some for each proxy.
+func (s Shape) memberConns() int { return max(80, 4*s.Fronts) }
+
 // Schedule is what is played in a soak.
 type Schedule struct {
 	Seed    uint64
@@ -133,6 +136,7 @@
 	invalidPart     = 0.35
 	corePart        = 0.2 // of the signals that go to core machines
 	rollingPart     = 0.25
+	allCoresPart    = 0.25             // of the kills of core machines
 	rollCoresOver   = 40 * time.Second // horizons that have the time for a core's roll
 	mostAtOnceParts = 2                // at most one in so many fronts at once, but two at least
 )
@@ -235,13 +239,20 @@
 	return e, true
 }
 
-// coreEvent completes an event of core machines: one at a time, or all of them in turn.
+// coreEvent completes an event of core machines: one at a time, all of them in turn, or a kill of all at once.
 func (d *drawer) coreEvent(e Event) (Event, bool) {
 	if e.At < d.coreFree {
 		return e, false
 	}
 	shape := d.schedule.Shape
 	turn := e.Lasts + maxRestart + catchupTime
+	if e.Kind == KindKill && d.random.Float64() < allCoresPart {
+		for n := range shape.Cores {
+			e.Targets = append(e.Targets, fmt.Sprint(prefixCore, n))
+		}
+		d.coreFree = e.At + turn
+		return e, true
+	}
 	if e.Kind == KindRestart && shape.Horizon > rollCoresOver && d.random.Float64() < rollingPart {
 		for _, n := range d.random.Perm(shape.Cores) {
 			e.Targets = append(e.Targets, fmt.Sprint(prefixCore, n))
--- a/internal/standin/soak/schedule_test.go
+++ b/internal/standin/soak/schedule_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// One core machine at a time is disturbed, and counts as lost for a while after; so is one member.
+// One core machine at a time is disturbed, or all are killed, and counts as lost for a while after; so is one member.
 func TestScheduleSparesQuorums(t *testing.T) {
 	for seed := range uint64(50) {
 		coreFree, memberFree := time.Duration(0), time.Duration(0)
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -45,7 +45,7 @@
 				t.Errorf("seed %d\n%s\n%s\n%s", seed, r.Violations, s, r.Log)
 				save(t, seed, r)
 			case testing.Verbose():
-				t.Logf("%s\n%s", s, r.Log)
+				t.Logf("%s\n%s\nnot judged: %v", s, r.Log, r.Unjudged)
 			}
 		})
 	}
--- a/internal/standin/soak/starvation.go
+++ b/internal/standin/soak/starvation.go
@@ -17,8 +17,9 @@
 
 const (
 	starvationInterval = 250 * time.Millisecond
-	// starvationBound is what a thread waits for a processor in an interval, at least, where it counts as starved.
-	starvationBound = 150 * time.Millisecond
+	processesAtOnce    = 50 // that are sampled in an interval
+	// starvedPart is the part of an interval for which a thread waits for a processor where it counts as starved.
+	starvedPart = 0.6
 	// killTime is in which a process that gets SIGKILL is gone, unless a thread of it waits for a processor.
 	killTime = 500 * time.Millisecond
 	ownName  = "the test's process" // which is also clients, members and the platform
@@ -72,7 +73,9 @@
 // watchStarvation samples the threads of all processes until the context ends.
 func (r *run) watchStarvation(ctx context.Context) {
 	threads, sampled := map[string]map[string]thread{}, time.Now()
-	for ; ctx.Err() == nil; pause(ctx, starvationInterval) {
+	interval := starvationInterval * time.Duration(1+2*r.shape.Fronts/processesAtOnce)
+	bound := time.Duration(starvedPart * float64(interval))
+	for ; ctx.Err() == nil; pause(ctx, interval) {
 		now, next := time.Now(), map[string]map[string]thread{}
 		pids := map[string]int{ownName: os.Getpid()}
 		for _, name := range r.deployment.Running() {
@@ -80,7 +83,7 @@
 		}
 		for name, pid := range pids {
 			next[name] = threadsOf(pid)
-			if longest := longestWait(threads[name], next[name], now.Sub(sampled)); longest > starvationBound {
+			if longest := longestWait(threads[name], next[name], now.Sub(sampled)); longest > bound {
 				r.starved.note(name, sampled.Add(-max(0, longest-now.Sub(sampled))), now)
 			}
 		}
