--- a/internal/dataplane/proxy/session.go
+++ b/internal/dataplane/proxy/session.go
@@ -73,7 +73,7 @@
 			}
 			continue
 		}
-		if !s.handleMessage(line) || !s.flush() || s.ended {
+		if !s.handleMessage(line) || !s.flush() || s.ended || s.endsAfterAnswer() {
 			return
 		}
 		s.answeredAt = s.proxy.now()
--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -4,14 +4,18 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"weirwind/internal/controlplane"
 	"weirwind/internal/controlplane/agent"
@@ -57,9 +61,12 @@
 	meshPorts map[string]int      // the first port of processes that reach others' mesh ports there; others: basePort
 	feeds     map[string]string   // where proxies reach their agents, by proxy; others: where the agent listens
 	seeds     map[string][]string // control addresses of processes that don't know the first three machines
+	mu        sync.Mutex          // guards the next three
 	processes map[string]*exec.Cmd
+	ending    map[string]*exec.Cmd // those that were told to end last, by name
 	logs      map[string]*bytes.Buffer
-	platform  string // the address of the platform's API
+	ctx       context.Context // of members, heartbeats and the platform: it ends with the deployment
+	platform  string          // the address of the platform's API
 	stop      func()
 }
 
@@ -94,12 +101,14 @@
 		block:     block,
 		basePort:  block.Port(0),
 		processes: map[string]*exec.Cmd{},
+		ending:    map[string]*exec.Cmd{},
 		logs:      map[string]*bytes.Buffer{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	d.ctx = ctx
 	d.stop = func() {
 		cancel()
-		for name := range d.processes {
+		for _, name := range d.Running() {
 			d.Kill(name)
 		}
 		_ = block.Close() // a listener that nobody accepts at
@@ -159,18 +168,105 @@
 // Stop ends all processes.
 func (d *Deployment) Stop() { d.stop() }
 
-// Signal sends a signal to a process.
+// Log is what a process that has ended wrote, in all its lives.
+func (d *Deployment) Log(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if log := d.logs[name]; log != nil {
+		return log.String()
+	}
+	return ""
+}
+
+// Running are the names of the processes that were started and neither killed nor terminated since.
+func (d *Deployment) Running() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.processes))
+}
+
+// PID is a process's number, 0 for none that runs.
+func (d *Deployment) PID(name string) int {
+	if c := d.process(name); c != nil {
+		return c.Process.Pid
+	}
+	return 0
+}
+
+func (d *Deployment) process(name string) *exec.Cmd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.processes[name]
+}
+
+// take gives a process to its only caller, which ends it; nil where none runs.
+func (d *Deployment) take(name string) *exec.Cmd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.processes[name]
+	if c != nil {
+		d.ending[name] = c
+	}
+	delete(d.processes, name)
+	return c
+}
+
+// Signal sends a signal to a process, also to one that was told to end.
 func (d *Deployment) Signal(name string, signal syscall.Signal) {
-	_ = d.processes[name].Process.Signal(signal)
+	d.mu.Lock()
+	c := d.processes[name]
+	if c == nil {
+		c = d.ending[name]
+	}
+	d.mu.Unlock()
+	if c != nil {
+		_ = c.Process.Signal(signal) // it may have ended
+	}
 }
 
 // Kill ends a process at once and waits for its end.
 func (d *Deployment) Kill(name string) {
-	if c := d.processes[name]; c != nil {
-		_ = c.Process.Signal(syscall.SIGCONT)
-		_ = c.Process.Kill() // it may have ended
-		_ = c.Wait()         // it was killed
-		delete(d.processes, name)
+	if c := d.take(name); c != nil {
+		kill(c)
+	}
+}
+
+func kill(c *exec.Cmd) {
+	_ = c.Process.Signal(syscall.SIGCONT)
+	_ = c.Process.Kill() // it may have ended
+	_ = c.Wait()         // it was killed
+}
+
+// Terminate ends a process as the platform does, by SIGTERM and, after the grace period, SIGKILL. It waits for the end
+// and says whether the process came to it by itself.
+func (d *Deployment) Terminate(name string, grace time.Duration) (inTime bool) {
+	c := d.take(name)
+	if c == nil {
+		return true
+	}
+	_ = c.Process.Signal(syscall.SIGTERM)
+	return await(c, grace)
+}
+
+// Await waits for the end of a process that was told to end, and ends it after the grace period.
+func (d *Deployment) Await(name string, grace time.Duration) (inTime bool) {
+	c := d.take(name)
+	return c == nil || await(c, grace)
+}
+
+func await(c *exec.Cmd, grace time.Duration) (inTime bool) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = c.Wait() // how it ended is the caller's to judge
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(grace):
+		_ = c.Process.Kill()
+		<-ended
+		return false
 	}
 }
 
