standin/soak: bounds on files and goroutines follow the number of fronts

A core machine has a link with each front: with 100 fronts 222 goroutines were seen of 250 that were allowed, with 3 fronts 51. The bound for 3 fronts is now 106, and for 100 it is 300.

--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -31,11 +31,10 @@
 	firstMembers = 3
 )
 
-// What a process that has lived from the begin may hold in the end beyond its begin, and of goroutines in all.
-const (
-	moreFiles      = 100
-	mostGoroutines = 250
-)
+// What a process that has lived from the begin may hold in the end beyond its begin, and of goroutines in all: core
+// machines have a link with each front.
+func (s Shape) moreFiles() int      { return 60 + 2*s.Fronts }
+func (s Shape) mostGoroutines() int { return 100 + 2*s.Fronts }
 
 // run is a soak that runs.
 type run struct {
@@ -312,7 +311,7 @@
 	for name, now := range r.holdings() {
 		result.MostFiles = max(result.MostFiles, now.files)
 		result.MemoryMB += now.memoryKB >> 10
-		if r.lives.of(name) == 1 && now.files > before[name].files+moreFiles {
+		if r.lives.of(name) == 1 && now.files > before[name].files+r.shape.moreFiles() {
 			r.ledger.violate("growth", "%s has %d files open, %d at its begin", name, now.files, before[name].files)
 		}
 	}
@@ -332,7 +331,7 @@
 		result.Processlog[name] = log
 		count := goroutinesOf(log)
 		result.Goroutines = max(result.Goroutines, count)
-		if count > mostGoroutines {
+		if count > r.shape.mostGoroutines() {
 			r.ledger.violate("growth", "%s has %d goroutines with no client left", name, count)
 		}
 	}
