--- a/internal/controlplane/quota/limiter/doc.go
+++ b/internal/controlplane/quota/limiter/doc.go
@@ -1,5 +1,5 @@
-// Package limiter gives out tokens for tenants' operations at one holder of shares: a core machine, or a stand-by agent.
-// An operation is a single statement or a whole transaction.
+// Package limiter gives out tokens for tenants' operations at one holder of shares: a core machine, or a stand-by
+// agent. An operation is a single statement or a whole transaction.
 //
 // A tenant's limit holds over all proxies together. The leader of the core divides it: each holder has a share, 0 to 1,
 // of the tenant's rate and burst, and the shares of all holders sum to at most 1. A holder gives out tokens by a bucket
@@ -11,8 +11,8 @@
 //
 //   - Only the grant that answers the newest report is applied, once. When the leader has a report, no older grant can
 //     change any more what it says.
-//   - The lease runs from when the report was sent, which is before the leader received it. A holder without answers has
-//     no shares after the lease, and gives out nothing for limited tenants.
+//   - The lease runs from when the report was sent, which is before the leader received it. A holder without answers
+//     has no shares after the lease, and gives out nothing for limited tenants.
 //
 // # Small shares
 //
--- a/internal/controlplane/quota/limiter/limiter.go
+++ b/internal/controlplane/quota/limiter/limiter.go
@@ -42,8 +42,8 @@
 	AfterMs float64
 }
 
-// Limiter admits operations of tenants by the shares of their limits that this proxy holds. Its state is bounded by the
-// tenants that have limits.
+// Limiter gives out tokens for operations of tenants by the shares of their limits that this holder has. Its state is
+// bounded by the tenants that have limits.
 type Limiter struct {
 	incarnation uint64
 	windowMs    float64 // of the rule that limits keep
