--- a/internal/controlplane/agent/quotas_test.go
+++ b/internal/controlplane/agent/quotas_test.go
@@ -66,7 +66,7 @@
 		Tenants: []controlmsg.QuotaCount{{Tenant: "t", Operations: 1}}}}
 	h.pass(1)
 	h.a.sendQuotaRequest(request)
-	h.pass(quotaAnswerTimeout + 1)
+	h.pass(quotaAnswerTimeout + 1000) // real time runs on between two calls of pass, and is taken back by the next one
 	return h, h.links[len(h.links)-1], request
 }
 
@@ -92,7 +92,7 @@
 	if n := proxy.counters.Sent(uint8(controlmsg.Quotas)).Frames; n != 1 {
 		t.Errorf("the proxy was sent %d answers", n)
 	}
-	h.pass(1)
+	h.pass(1000)
 	h.a.takeFromCore(h.a.core, &controlmsg.Frame{Update: &controlmsg.StateUpdate{}})
 	h.a.sendQuotaRequest(request)
 	if !h.a.quotaWay.byCore() {
