--- a/internal/controlplane/quota/tenantbook.go
+++ b/internal/controlplane/quota/allocation.go
@@ -20,8 +20,8 @@
 	minDepth = 1.001
 )
 
-// tenantBook is the book of one tenant.
-type tenantBook struct {
+// allocation is what is known of one tenant's quota.
+type allocation struct {
 	limit    Limit
 	limited  bool               // false: the configuration gives it no quota any more
 	holdings map[string]holding // by holder
@@ -40,33 +40,33 @@
 	want     float64 // share
 }
 
-func newTenantBook(now, maxShare float64) *tenantBook {
-	return &tenantBook{holdings: map[string]holding{}, refilledAt: now, maxShare: maxShare}
+func newAllocation(now, maxShare float64) *allocation {
+	return &allocation{holdings: map[string]holding{}, refilledAt: now, maxShare: maxShare}
 }
 
 // reveal notes that a share that might be held unreported is not, as it was reported.
-func (b *tenantBook) reveal(share, now float64) {
+func (b *allocation) reveal(share, now float64) {
 	b.refill(now)
 	b.unknown = clampShare(b.unknown - share)
 }
 
 // limitUnknown notes that no more than a share can be held unreported.
-func (b *tenantBook) limitUnknown(most, now float64) {
-	if most < b.unknown {
+func (b *allocation) limitUnknown(limit, now float64) {
+	if limit < b.unknown {
 		b.refill(now)
-		b.unknown = most
+		b.unknown = limit
 	}
 }
 
 // setLimit sets the tenant's bucket. Tokens beyond the new depth are lost.
-func (b *tenantBook) setLimit(limit Limit, now float64) {
+func (b *allocation) setLimit(limit Limit, now float64) {
 	b.refill(now)
 	b.limit, b.limited = limit, true
 	b.clip()
 }
 
 // set replaces a holder's share.
-func (b *tenantBook) set(name string, h holding, now float64) {
+func (b *allocation) set(name string, h holding, now float64) {
 	b.refill(now)
 	former := b.holdings[name]
 	b.bound += h.bound - former.bound
@@ -82,10 +82,10 @@
 }
 
 // free is the share that certainly nobody holds.
-func (b *tenantBook) free() float64 { return clampShare(1 - b.bound - b.unknown) }
+func (b *allocation) free() float64 { return clampShare(1 - b.bound - b.unknown) }
 
 // refill adds the free part's tokens of the time since the last time.
-func (b *tenantBook) refill(now float64) {
+func (b *allocation) refill(now float64) {
 	if now <= b.refilledAt {
 		return
 	}
@@ -95,17 +95,17 @@
 }
 
 // clip takes what is too much out of the free part's bucket, after the part became smaller.
-func (b *tenantBook) clip() {
+func (b *allocation) clip() {
 	b.tokens = min(b.tokens, b.free()*b.limit.Burst)
 }
 
 // even is the share that a voter with any demand may have.
-func (b *tenantBook) even(voters int) float64 {
+func (b *allocation) even(voters int) float64 {
 	return max(evenPart/float64(max(voters, 1)), b.minShare())
 }
 
 // want is the share that a demand of so many operations a second needs.
-func (b *tenantBook) want(demand float64, voters int) float64 {
+func (b *allocation) want(demand float64, voters int) float64 {
 	if !b.limited || !(demand > 0) || math.IsInf(demand, 1) { // a demand that is no number is none
 		return 0
 	}
@@ -113,11 +113,11 @@
 }
 
 // minShare is the smallest share of use: its bucket holds one operation.
-func (b *tenantBook) minShare() float64 { return min(minDepth/b.limit.Burst, 1) }
+func (b *allocation) minShare() float64 { return min(minDepth/b.limit.Burst, 1) }
 
 // grant decides which share a holder that has just reported has from now on, and gives it the tokens of what is new.
 // Unless its report is current, it has no more than it reported: an earlier leader may give out the rest.
-func (b *tenantBook) grant(name string, current bool, voters int, now float64) (share, tokens float64) {
+func (b *allocation) grant(name string, current bool, voters int, now float64) (share, tokens float64) {
 	h := b.holdings[name]
 	target := min(b.target(h, voters), b.maxShare)
 	if !current {
@@ -143,7 +143,7 @@
 // target is the share that a holder is to have: an even share, and its part of what it wants beyond that, as far as
 // there is room. An even share stays free while some voter has no demand: it may be asked next. A holder may keep
 // somewhat more than it wants, so that shares don't change with every report.
-func (b *tenantBook) target(h holding, voters int) float64 {
+func (b *allocation) target(h holding, voters int) float64 {
 	even := b.even(voters)
 	least, beyond, asked := 0.0, 0.0, 0 // of all holders
 	for _, other := range b.holdings {
--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -22,10 +22,10 @@
 	maxShareOfSeveral = 0.5
 )
 
-// Allocator is a leader's book of shares, from the begin of its lead to the end. Its owner's goroutine alone uses it.
+// Allocator is a leader's account of shares, from the begin of its lead to the end. Its owner's goroutine alone uses it.
 type Allocator struct {
 	lead    uint64
-	tenants map[string]*tenantBook
+	tenants map[string]*allocation
 	holders map[string]*holder // by control address
 
 	// known: nobody holds a share that was not reported. It never becomes false again.
@@ -46,11 +46,11 @@
 	tenants          map[string]bool // those of which it has a holding
 }
 
-// New gives the book of a lead that begins now. lead is its term, above 0. holders are all that may hold shares of
+// New gives the account of a lead that begins now. lead is its term, above 0. holders are all that may hold shares of
 // earlier leads; nil: that is not known. several: the core goes on without some of its machines; it is the same in all
 // leads.
 func New(now float64, lead uint64, holders []string, several bool) *Allocator {
-	a := &Allocator{lead: lead, tenants: map[string]*tenantBook{}, holders: map[string]*holder{},
+	a := &Allocator{lead: lead, tenants: map[string]*allocation{}, holders: map[string]*holder{},
 		aloneFrom: now + overlap, unknownUntil: now + BoundLifetime, maxShare: 1}
 	if several {
 		a.maxShare = maxShareOfSeveral
@@ -79,26 +79,26 @@
 func (a *Allocator) SetLimits(limits map[string]Limit, now float64) {
 	a.expire(now)
 	for name, limit := range limits {
-		book := a.tenants[name]
-		if book == nil {
-			book = a.newBook(name, now)
+		allocation := a.tenants[name]
+		if allocation == nil {
+			allocation = a.addAllocation(name, now)
 		}
-		book.setLimit(limit, now)
+		allocation.setLimit(limit, now)
 	}
-	for name, book := range a.tenants {
+	for name, allocation := range a.tenants {
 		if _, limited := limits[name]; !limited {
-			book.limited = false
+			allocation.limited = false
 			a.forgetUnused(name)
 		}
 	}
 }
 
-// newBook adds a tenant's book.
-func (a *Allocator) newBook(name string, now float64) *tenantBook {
-	book := newTenantBook(now, a.maxShare)
-	book.unknown = a.mostUnknown()
-	a.tenants[name] = book
-	return book
+// addAllocation adds a tenant.
+func (a *Allocator) addAllocation(name string, now float64) *allocation {
+	allocation := newAllocation(now, a.maxShare)
+	allocation.unknown = a.maxUnknown()
+	a.tenants[name] = allocation
+	return allocation
 }
 
 // Report answers a holder's report. The answer is nil where the report is not the holder's newest, as it was overtaken
@@ -119,11 +119,11 @@
 		grant.Lead = a.lead
 	}
 	for _, demand := range r.Tenants {
-		book := a.tenants[demand.Tenant]
-		if book == nil || !book.limited {
+		allocation := a.tenants[demand.Tenant]
+		if allocation == nil || !allocation.limited {
 			continue
 		}
-		if share, tokens := book.grant(r.Holder, a.known || r.Lead == a.lead, a.voters, now); share > 0 {
+		if share, tokens := allocation.grant(r.Holder, a.known || r.Lead == a.lead, a.voters, now); share > 0 {
 			grant.Shares = append(grant.Shares, controlmsg.QuotaShare{Tenant: demand.Tenant, Share: share, Tokens: tokens})
 		}
 	}
@@ -175,17 +175,17 @@
 func (a *Allocator) takeHolding(holder string, demand controlmsg.QuotaDemand, current bool, now float64) {
 	tenant := demand.Tenant
 	share := clampShare(demand.Share)
-	book := a.tenants[tenant]
-	if book == nil {
+	allocation := a.tenants[tenant]
+	if allocation == nil {
 		if share == 0 {
 			return
 		}
-		book = a.newBook(tenant, now)
+		allocation = a.addAllocation(tenant, now)
 	}
 	if current && !a.holders[holder].revealed {
-		book.reveal(share, now)
+		allocation.reveal(share, now)
 	}
-	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: book.want(demand.Demand, a.voters)}, now)
+	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: allocation.want(demand.Demand, a.voters)}, now)
 }
 
 // setHolding replaces a holder's holding of a tenant; an empty one is forgotten.
@@ -221,14 +221,14 @@
 	case now >= a.unknownUntil:
 		a.known, since = true, a.unknownUntil
 	}
-	most := a.mostUnknown()
-	for _, book := range a.tenants {
-		book.limitUnknown(most, since)
+	limit := a.maxUnknown()
+	for _, allocation := range a.tenants {
+		allocation.limitUnknown(limit, since)
 	}
 }
 
-// mostUnknown is the largest share of any tenant that may be held unreported.
-func (a *Allocator) mostUnknown() float64 {
+// maxUnknown is the largest share of any tenant that may be held unreported.
+func (a *Allocator) maxUnknown() float64 {
 	switch {
 	case a.known:
 		return 0
@@ -248,7 +248,7 @@
 
 // forgetUnused forgets a tenant without a quota that nobody holds a share of.
 func (a *Allocator) forgetUnused(tenant string) {
-	if book := a.tenants[tenant]; !book.limited && len(book.holdings) == 0 {
+	if allocation := a.tenants[tenant]; !allocation.limited && len(allocation.holdings) == 0 {
 		delete(a.tenants, tenant)
 	}
 }
--- a/internal/controlplane/quota/doc.go
+++ b/internal/controlplane/quota/doc.go
@@ -1,4 +1,4 @@
-// Package quota shares tenants' quotas out among core machines: it is the book of the one that leads.
+// Package quota shares tenants' quotas out among core machines: it is the account that the leader keeps.
 //
 // Each tenant has a token bucket over all drivers, of a rate and a depth. Its operations come to all proxies, too few
 // to each for a bucket of its own: a proxy asks its core machine for a token for each operation. A core machine, the
