--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -22,7 +22,8 @@
 	maxShareOfSeveral = 0.5
 )
 
-// Allocator is a leader's account of shares, from the begin of its lead to the end. Its owner's goroutine alone uses it.
+// Allocator is a leader's account of shares, from the begin of its lead to the end. Its owner's goroutine alone uses
+// it.
 type Allocator struct {
 	lead    uint64
 	tenants map[string]*allocation
@@ -185,7 +186,8 @@
 	if current && !a.holders[holder].revealed {
 		allocation.reveal(share, now)
 	}
-	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: allocation.want(demand.Demand, a.voters)}, now)
+	want := allocation.want(demand.Demand, a.voters)
+	a.setHolding(holder, tenant, holding{reported: share, bound: share, want: want}, now)
 }
 
 // setHolding replaces a holder's holding of a tenant; an empty one is forgotten.
