--- a/internal/controlplane/quota/allocation.go
+++ b/internal/controlplane/quota/allocation.go
@@ -9,11 +9,8 @@
 	// headroom is how much more than its demand a holder wants: demand is measured late, and rises.
 	headroom = 1.3
 	// evenPart is the part of a quota of which all voters with any demand have the same: a machine that is asked for few
-	// operations has a token for them at once. Of a small quota it is larger, up to evenPartOfSmall, as far as the bucket
-	// of an even share holds fewer than evenDepth operations.
-	evenPart        = 0.5
-	evenPartOfSmall = 0.8
-	evenDepth       = 3.0
+	// operations has a token for them at once.
+	evenPart = 0.5
 	// maxSurplus is how many times what it wants a holder may keep, while all others have what they want.
 	maxSurplus = 1.5
 	// minDepth is the depth of the smallest bucket of use, in operations: one, and what rounding takes.
