--- a/internal/dataplane/proxy/connpool.go
+++ b/internal/dataplane/proxy/connpool.go
@@ -289,7 +289,7 @@
 // process don't all wait for one at the same time. Where there are tenants it makes none, as nobody knows whose the
 // first requests will be.
 func (r *router) warmUp(grp *memberGroup) {
-	if r.proxy.tenants.Load().inForce {
+	if r.proxy.tenantsInForce(r.config) {
 		return
 	}
 	primary := grp.routing.Primary()
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -40,8 +40,9 @@
 	router       *router
 	bufferBudget *wire.BufferBudget // for long messages that have not ended
 
+	tenantsByContract bool // clients attach with a tenant's key, whatever the configuration
+
 	config        atomic.Pointer[config.Config] // nil until the first came
-	tenants       atomic.Pointer[tenantIndex]   // of config, or of a newer one that is about to be stored there
 	denials       denials
 	agent         atomic.Pointer[transport.Link[controlmsg.Frame]]
 	shutdownPhase atomic.Int32 // a phase
@@ -53,9 +54,9 @@
 // newProxy returns a proxy whose goroutines end with ctx.
 func newProxy(ctx context.Context, s *settings.Settings, log events.Log) *Proxy {
 	p := &Proxy{settings: s, log: log, ctx: ctx, startedAt: time.Now(), sessions: map[*session]struct{}{},
-		bufferBudget: wire.NewBufferBudget(int64(s.MemoryMB) << 20 / bufferBudgetDiv)}
+		bufferBudget:      wire.NewBufferBudget(int64(s.MemoryMB) << 20 / bufferBudgetDiv),
+		tenantsByContract: s.HasContract(settings.ContractTenants)}
 	p.router = newRouter(p)
-	p.tenants.Store(newTenantIndex(s, nil))
 	p.denials.proxy = p
 	return p
 }
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -117,7 +117,6 @@
 	}
 	first := r.config == nil
 	r.config = cfg
-	r.proxy.tenants.Store(newTenantIndex(r.proxy.settings, cfg))
 	r.proxy.config.Store(cfg)
 	r.updateQuotas(cfg)
 	r.proxy.log.Event(events.ConfigApplied, "gen", cfg.Version, "routes", len(cfg.Routes))
--- a/internal/dataplane/proxy/tenants.go
+++ b/internal/dataplane/proxy/tenants.go
@@ -3,51 +3,29 @@
 import (
 	"weirwind/internal/controlplane/config"
 	"weirwind/internal/member/wire"
-	"weirwind/internal/util/settings"
 )
 
 // This file owns the lookup of the tenant that a client's operation is run for.
 
-// tenantIndex says whose each key is, by one configuration. It is not changed once sessions can see it.
-type tenantIndex struct {
-	// inForce: a client is served only in the name of a tenant, but on public routes.
-	inForce   bool
-	nameByKey map[string]string
-}
-
-// newTenantIndex builds the index of a configuration; nil: none is known. Tenants are in force by the deployment's
-// contract or by the configuration. A tenant whose name can't be sent to a member has no keys.
-func newTenantIndex(s *settings.Settings, cfg *config.Config) *tenantIndex {
-	index := &tenantIndex{inForce: s.HasContract(settings.ContractTenants), nameByKey: map[string]string{}}
-	if cfg == nil {
-		return index
-	}
-	index.inForce = index.inForce || len(cfg.Tenants) > 0
-	for i := range cfg.Tenants {
-		t := &cfg.Tenants[i]
-		if !wire.IsField(t.Name) {
-			continue
-		}
-		for _, key := range t.Keys {
-			index.nameByKey[key] = t.Name
-		}
-	}
-	return index
+// tenantsInForce reports whether a client is served only in the name of a tenant, but on public routes: by the
+// deployment's contract or by the configuration, which may be nil.
+func (p *Proxy) tenantsInForce(cfg *config.Config) bool {
+	return p.tenantsByContract || cfg != nil && len(cfg.Tenants) > 0
 }
 
 // tenantFor gives the name of the tenant that an operation on a route, which begins now, is run for: "" on a public
 // route and where there are no tenants. The key is looked up anew for each operation, as it may have been taken away
-// from the client or passed on to another tenant.
+// from the client or passed on to another tenant. A tenant whose name can't be sent to a member has no clients.
 func (s *session) tenantFor(route *config.Route) (string, error) {
-	index := s.proxy.tenants.Load()
-	if route.Public || !index.inForce {
+	cfg := s.proxy.config.Load()
+	if route.Public || !s.proxy.tenantsInForce(cfg) {
 		return "", nil
 	}
-	name, known := index.nameByKey[s.key]
-	if !known {
+	tenant := cfg.TenantByKey(s.key)
+	if tenant == nil || !wire.IsField(tenant.Name) {
 		return "", errUnknownKey
 	}
-	return name, nil
+	return tenant.Name, nil
 }
 
 // deny answers an operation whose client's key is no tenant's any more. The session ends after the answer.
