quotas: one limit type, one answer to a request, one way to the leader

- quotalimit.Limit stood twice, and maps were copied from one to the other.
- Core machines and stand-bys built answers to requests for tokens each by itself, with a constant each: limiter.Answer.
- Frames for the leader were sent by three copies of the same lines: reports on primaries, requests for leases, reports of quotas.
- A stand-by's report interval was a second condition beside due.

--- a/internal/controlplane/agent/quotarelay.go
+++ b/internal/controlplane/agent/quotarelay.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	quotaAnswerTimeout   = 200.0 // milliseconds without an answer, after which requests go another way
-	unknownTenantRetryMs = 200.0 // after which a proxy asks again for a tenant that a stand-by doesn't know
-	relayDialRounds      = 1     // of transport.DialTimeout: a stand-by is near, or not reached at all
+	quotaAnswerTimeout = 200.0 // milliseconds without an answer, after which requests go another way
+	relayDialRounds    = 1     // of transport.DialTimeout: a stand-by is near, or not reached at all
 )
 
 // quotaWay is the way that requests for tokens take, and those of other agents that came by this one.
--- a/internal/controlplane/agent/standby.go
+++ b/internal/controlplane/agent/standby.go
@@ -70,11 +70,7 @@
 	if err != nil { // as the core has accepted it, it is of a later version of the program
 		return
 	}
-	limits := map[string]limiter.Limit{}
-	for tenant, limit := range quota.Limits(current, a.settings, quota.StandbyPart) {
-		limits[tenant] = limiter.Limit(limit)
-	}
-	s.limiter.SetLimits(limits, now)
+	s.limiter.SetLimits(quota.Limits(current, a.settings, quota.StandbyPart), now)
 }
 
 // takeStandbyGrant takes the leader's answer to this agent's report.
@@ -91,13 +87,5 @@
 
 // answerFromShares answers a request for tokens by this agent's own shares.
 func (a *Agent) answerFromShares(r *controlmsg.QuotaRequest) *controlmsg.Frame {
-	answer := &controlmsg.QuotaAnswer{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq}
-	for _, asked := range r.Tenants {
-		tokens := controlmsg.QuotaTokens{Tenant: asked.Tenant, RetryAfterMs: unknownTenantRetryMs}
-		if a.standby.limiter.Limits(asked.Tenant) {
-			tokens = a.standby.limiter.Take(asked, a.now())
-		}
-		answer.Tenants = append(answer.Tenants, tokens)
-	}
-	return &controlmsg.Frame{QuotaAnswer: answer}
+	return &controlmsg.Frame{QuotaAnswer: a.standby.limiter.Answer(r, a.now())}
 }
--- a/internal/controlplane/failovers.go
+++ b/internal/controlplane/failovers.go
@@ -109,13 +109,8 @@
 // handlePrimaryReport takes what a driver reports of a primary. A machine that does not lead forwards it to the one
 // that does.
 func (s *softState) handlePrimaryReport(r *controlmsg.PrimaryReport, now float64) {
-	h := s.server
 	if !s.leadership.active {
-		h.loop.offer(func() { // drivers repeat their reports
-			if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
-				h.cores.send(leader.Addr, &controlmsg.Frame{PrimaryReport: r})
-			}
-		})
+		s.sendToLeader(&controlmsg.Frame{PrimaryReport: r})
 		return
 	}
 	byDriver := s.failovers.reports[r.Service]
--- a/internal/controlplane/leasesync.go
+++ b/internal/controlplane/leasesync.go
@@ -70,13 +70,8 @@
 	if !s.contact.established || !s.lacksLeases(now) {
 		return
 	}
-	request := &controlmsg.Frame{LeaseSync: &controlmsg.LeaseSync{Request: true, DriversHash: s.drivers.table.Digest()}}
-	h := s.server
-	h.loop.offer(func() { // repeated with the next digest
-		if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
-			h.cores.send(leader.Addr, request)
-		}
-	})
+	request := &controlmsg.LeaseSync{Request: true, DriversHash: s.drivers.table.Digest()}
+	s.sendToLeader(&controlmsg.Frame{LeaseSync: request}) // repeated with the next digest
 }
 
 // handleLeaseSync answers another machine's request, or takes the leader's answer. A machine that doesn't lead, or
--- a/internal/controlplane/quota/limiter/limiter.go
+++ b/internal/controlplane/quota/limiter/limiter.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"weirwind/internal/controlplane/config/quotalimit"
 	"weirwind/internal/controlplane/controlmsg"
 )
 
@@ -19,10 +20,7 @@
 const MinRetryAfterMs = 50.0
 
 // Limit is a tenant's limit over all holders.
-type Limit struct {
-	Rate  float64 // operations a second
-	Burst float64 // operations at once
-}
+type Limit = quotalimit.Limit
 
 // Verdict is what becomes of an operation.
 type Verdict uint8
@@ -106,9 +104,6 @@
 	l.names = slices.Sorted(maps.Keys(l.tenants))
 }
 
-// Limits reports whether a tenant has a limit.
-func (l *Limiter) Limits(name string) bool { return l.tenants[name] != nil }
-
 // Admit counts an operation that a client asks for, and decides on it. ahead is how many of the tenant's operations
 // wait already: those are served first.
 func (l *Limiter) Admit(name string, ahead int, now float64) Decision {
--- a/internal/controlplane/quota/limiter/report.go
+++ b/internal/controlplane/quota/limiter/report.go
@@ -28,10 +28,10 @@
 }
 
 // due reports whether the next report may be sent.
-func (r *reportState) due(now float64) bool {
+func (r *reportState) due(intervalMs, now float64) bool {
 	passed := now - r.sentAt
 	switch {
-	case r.seq == 0 || passed >= reportIntervalMs:
+	case r.seq == 0 || passed >= intervalMs:
 		return true
 	case r.need == atInterval:
 		return false
@@ -50,10 +50,11 @@
 // all that may. The caller sends it at once: from now on no earlier report's answer is applied.
 func (l *Limiter) NextReport(now float64) *controlmsg.QuotaReport {
 	l.expire(now)
+	interval := reportIntervalMs
 	if l.standby {
-		l.reports.need = atInterval
+		interval, l.reports.need = standbyIntervalMs, atInterval
 	}
-	if !l.reports.due(now) || l.standby && l.reports.seq > 0 && now-l.reports.sentAt < standbyIntervalMs {
+	if !l.reports.due(interval, now) {
 		return nil
 	}
 	listed := l.listTenants(now)
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -15,9 +15,6 @@
 // on them to the leader, and the leader's grants. A machine without contact with a quorum must grant nothing, as
 // another may lead; it gives out tokens until the lease of its shares is over.
 
-// unknownTenantRetryMs is after how long a proxy asks again for a tenant that has no limit here.
-const unknownTenantRetryMs = 200.0
-
 // quotas is what this machine holds of tenants' quotas, and what it has granted while it leads. It belongs to
 // softState.
 type quotas struct {
@@ -57,44 +54,34 @@
 	if q.limiter == nil || current == nil {
 		return
 	}
-	held := map[string]limiter.Limit{}
-	granted := quota.Limits(current, q.settings, quota.CorePart)
-	for tenant, limit := range granted {
-		held[tenant] = limiter.Limit(limit)
-	}
-	q.limiter.SetLimits(held, now)
+	limits := quota.Limits(current, q.settings, quota.CorePart)
+	q.limiter.SetLimits(limits, now)
 	if q.allocator != nil {
-		q.allocator.SetLimits(granted, now)
+		q.allocator.SetLimits(limits, now)
 		q.standbys.SetLimits(quota.Limits(current, q.settings, quota.StandbyPart), now)
 	}
 }
 
-// takeTokens takes tokens for some operations of a tenant, as many as there are.
-func (q *quotas) takeTokens(asked controlmsg.QuotaCount, now float64) controlmsg.QuotaTokens {
-	answer := q.tokensFor(asked, now)
-	q.given += uint64(answer.Tokens)
-	q.refused += uint64(max(asked.Operations-answer.Tokens, 0))
+// answer answers a proxy's request with the tokens that there are; without the contract, with all.
+func (q *quotas) answer(r *controlmsg.QuotaRequest, now float64) *controlmsg.QuotaAnswer {
+	if q.limiter == nil {
+		answer := &controlmsg.QuotaAnswer{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq}
+		for _, asked := range r.Tenants {
+			answer.Tenants = append(answer.Tenants, controlmsg.QuotaTokens{Tenant: asked.Tenant, Tokens: asked.Operations})
+		}
+		return answer
+	}
+	answer := q.limiter.Answer(r, now)
+	for i, tokens := range answer.Tenants {
+		q.given += uint64(tokens.Tokens)
+		q.refused += uint64(max(r.Tenants[i].Operations-tokens.Tokens, 0))
+	}
 	return answer
 }
 
-func (q *quotas) tokensFor(asked controlmsg.QuotaCount, now float64) controlmsg.QuotaTokens {
-	switch {
-	case q.limiter == nil:
-		return controlmsg.QuotaTokens{Tenant: asked.Tenant, Tokens: asked.Operations}
-	case !q.limiter.Limits(asked.Tenant):
-		// The proxy knows of a limit that this machine doesn't: one of the two configurations is old.
-		return controlmsg.QuotaTokens{Tenant: asked.Tenant, RetryAfterMs: unknownTenantRetryMs}
-	}
-	return q.limiter.Take(asked, now)
-}
-
 // handleQuotaRequest gives a proxy the tokens that there are.
 func (s *softState) handleQuotaRequest(from *link, r *controlmsg.QuotaRequest, now float64) {
-	answer := &controlmsg.QuotaAnswer{Driver: r.Driver, Incarnation: r.Incarnation, Seq: r.Seq}
-	for _, asked := range r.Tenants {
-		answer.Tenants = append(answer.Tenants, s.quotas.takeTokens(asked, now))
-	}
-	from.Send(&controlmsg.Frame{QuotaAnswer: answer})
+	from.Send(&controlmsg.Frame{QuotaAnswer: s.quotas.answer(r, now)})
 	s.sendQuotaReport(now)
 }
 
@@ -117,16 +104,6 @@
 	s.sendToLeader(&controlmsg.Frame{QuotaReport: report})
 }
 
-// sendToLeader sends a frame that is repeated by itself to the machine that leads.
-func (s *softState) sendToLeader(frame *controlmsg.Frame) {
-	h := s.server
-	h.loop.offer(func() {
-		if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
-			h.cores.send(leader.Addr, frame)
-		}
-	})
-}
-
 // answerQuotaReport answers a report at the leader; nil: there is no answer. Only voters may hold shares, as a new lead
 // knows those. Contact is asked for after the clock was read: what is granted counts from a moment at which no other
 // machine had led for longer than the contact lasts.
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -173,6 +173,16 @@
 	return s.committed.Shards.Version
 }
 
+// sendToLeader sends a frame to the machine that leads, if another one does. It may be lost: its sender repeats it.
+func (s *softState) sendToLeader(frame *controlmsg.Frame) {
+	h := s.server
+	h.loop.offer(func() {
+		if leader, ok := h.loop.node.Leader(); ok && leader.Addr != h.settings.ControlAddr {
+			h.cores.send(leader.Addr, frame)
+		}
+	})
+}
+
 // handleFrame takes a frame of another core machine or of an agent.
 func (s *softState) handleFrame(from *link, frame *controlmsg.Frame) {
 	now := s.server.now()
