standin/cluster: an undrain is repeated until it is acknowledged

The test dropped the answer, so that nobody undrained. It now asks until the answer is a success, which it did not look at before; what is held after it is the same. Why that machine was up so late was not traced further.

--- a/internal/standin/cluster/sessions_test.go
+++ b/internal/standin/cluster/sessions_test.go
@@ -368,7 +368,10 @@
 			sessionsCommand("drain", "-pace", "6", d.Cores[0], fmt.Sprint("site", n))
 			d.Kill(fmt.Sprint("site", (n+1)%3))
 			d.Eventually("the dead one is out", func() bool { return len(d.activeSites()) == 1 })
-			sessionsCommand("undrain", d.Cores[1], fmt.Sprint("site", n))
+			d.Eventually("the undrain is acknowledged", func() bool { // a machine without contact answers 503
+				code, _ := sessionsCommand("undrain", d.Cores[1], fmt.Sprint("site", n))
+				return code == 0 || len(d.activeSites()) == 2
+			})
 			d.Eventually("two are in", func() bool { return len(d.activeSites()) == 2 })
 			end()
 			open()
