--- a/review/runcase/main.go
+++ b/review/runcase/main.go
@@ -20,7 +20,7 @@
 )
 
 var cases = map[string]func(record *standin.Record, trouble bool) (int, error){
-	"1": staleAfterReadOnlyCommit,
+	"2": staleAfterReadOnlyCommit,
 }
 
 func main() { os.Exit(run()) }
