--- a/review/runcase/case2.go
+++ b/review/runcase/case2.go
@@ -217,8 +217,8 @@
 			t.record.Log("STALE: %s", text)
 		}
 	}
-	t.record.Log("%d commits acknowledged, %d reads ran, %d answered on the stale_ok route, %d operations failed, %d reads stale",
-		commits, reads, len(t.answered), t.failed, stale)
+	t.record.Log("%d commits acknowledged, %d reads ran, %d answered on the stale_ok route, %d operations failed, "+
+		"%d reads stale", commits, reads, len(t.answered), t.failed, stale)
 	if stale > 0 {
 		return broken, nil
 	}
--- a/review/standin/service.go
+++ b/review/standin/service.go
@@ -306,7 +306,8 @@
 			time.AfterFunc(promoteTime, func() { s.promote(m) })
 		}
 	}
-	s.record.Log("platform: failover to %s by %s with fence %d: %d", body.ID, r.Header.Get("Weirwind-Holder"), fence, status)
+	holder := r.Header.Get("Weirwind-Holder")
+	s.record.Log("platform: failover to %s by %s with fence %d: %d", body.ID, holder, fence, status)
 	w.WriteHeader(status)
 }
 
--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -83,8 +83,8 @@
 			}
 		}
 		if missing > 0 {
-			return fmt.Sprintf("read %s ran at member %s on a log that lacks %d commits; the oldest, %s, was acknowledged %d ms before its first byte",
-				id, r.member, missing, oldest, age.Milliseconds()), true
+			return fmt.Sprintf("read %s ran at member %s on a log that lacks %d commits; the oldest, %s, "+
+				"was acknowledged %d ms before its first byte", id, r.member, missing, oldest, age.Milliseconds()), true
 		}
 	}
 	return "", false
