Review: an interrupted script ends its processes

Cause: a script that is stopped from outside left its processes. Change: it ends them on a signal and after 110 s, with exit code 2.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -37,6 +38,11 @@
 	memberPort  = 6
 )
 
+const (
+	maxDuration     = 110 * time.Second // of a case
+	exitCouldNotRun = 2
+)
+
 // commands are the run lines of deploy/system.toml, by role.
 var commands = map[string][]string{
 	"proxy":        {"target/proxy", "-metrics", "9464/metrics"},
@@ -65,7 +71,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Deployment{Record: record, block: block, dir: dir, fronts: fronts}, nil
+	d := &Deployment{Record: record, block: block, dir: dir, fronts: fronts}
+	go d.endEarly()
+	return d, nil
+}
+
+// endEarly ends a case that is interrupted or takes too long, with the exit code of one that couldn't run.
+func (d *Deployment) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(maxDuration):
+	}
+	d.Stop()
+	_ = d.Record.Close()
+	os.Exit(exitCouldNotRun)
 }
 
 func (d *Deployment) control(n int) string { return d.block.Address(coreHost+n, controlPort) }
