--- a/review/runcase/case2.go
+++ b/review/runcase/case3.go
@@ -9,7 +9,7 @@
 	"weirwind/review/standin"
 )
 
-// Figures of case 2.
+// Figures of case 3.
 const (
 	maxStale   = 1500 * time.Millisecond // maxStaleMs of the stale_ok route
 	txRest     = 2600 * time.Millisecond // pause inside a transaction, below txIdleMs (3,000)
