A proxy no longer takes the COMMIT of a transaction without writes for a primary's answer

Cause: sendInTransaction reported each success in a plain transaction as group.AnsweredAsPrimary. A member that has lost the lead refuses all statements of such a transaction but one: the COMMIT of a transaction that wrote nothing (PROTOCOL.md, Members). That success put the deposed member back into the writer slot, which drops the real primary's watermarks, and its log position became the bound of reads that are dated up to the COMMIT. Where the proxy had not heard of the failover yet, the position became a bound without a change of the slot.

Change: such a success is evidence only if a write of the transaction was answered with success. A write that may have run (FAILED, TIMEOUT) isn't enough, as its transaction may have written nothing.

--- a/internal/dataplane/group/doc.go
+++ b/internal/dataplane/group/doc.go
@@ -22,7 +22,9 @@
 // request was sent, so that a delayed answer never overrides newer evidence.
 //
 // The slot is filled by a heartbeat with the role primary ("beat"), by an answer that only a primary sends ("answer"),
-// and by a health check answered as primary ("probe"). It is emptied when its member
+// and by a health check answered as primary ("probe"). A success in a transaction that may write is such an answer,
+// except to the COMMIT of a transaction that wrote nothing: a deposed primary accepts that one too. The slot is emptied
+// when its member
 //
 //   - drains: the control plane is about to promote another member, and a write sent now could be lost in between;
 //   - is removed from the directory;
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -25,9 +25,10 @@
 
 	admitted bool // it was counted in the quota of its tenant
 
-	pinned       *connCheckout // nil before it begins at a member and after it has ended there
-	statementRan bool          // a member has answered one of its statements
-	writeRan     bool          // one of its writes ran or may have run
+	pinned         *connCheckout // nil before it begins at a member and after it has ended there
+	statementRan   bool          // a member has answered one of its statements
+	writeRan       bool          // one of its writes ran or may have run
+	writeSucceeded bool          // one of its writes was answered with success; implies writeRan
 
 	failed          bool  // it was rolled back; only COMMIT or ABORT is accepted
 	unreportedError error // the reason of the failure, until the client is answered with it
@@ -109,15 +110,23 @@
 	commit := st.parsed.Verb == "COMMIT" && tx.writeRan
 	router.do(func() { checkout.group.routing.RecordSend(checkout.member, sentAt, commit) })
 	reply, err := exchange(checkout.conn, batch.String(), preludes, s.proxy.timeAt(deadline), s.forwardRows)
-	switch {
-	case err != nil:
+	if err != nil {
 		s.recordOutcome(checkout, sentAt, group.NoAnswer, wire.Position{})
-	case reply.OK && !tx.readOnly:
-		s.recordOutcome(checkout, sentAt, group.AnsweredAsPrimary, reply.Position)
-	default:
-		s.recordOutcome(checkout, sentAt, outcomeOf(&reply), reply.Position)
+		return reply, err
+	}
+	s.recordOutcome(checkout, sentAt, tx.outcomeOf(st, &reply), reply.Position)
+	return reply, nil
+}
+
+// outcomeOf returns the outcome for routing of a member's reply to a statement of the transaction. Unless the
+// transaction is read-only, a success proves that the member is the primary, with one exception: a member that has lost
+// the lead refuses all statements but the COMMIT of a transaction that wrote nothing.
+func (tx *transaction) outcomeOf(st *statement, reply *memberconn.Reply) group.Outcome {
+	mayBeReplica := tx.readOnly || st.parsed.Verb == "COMMIT" && !tx.writeSucceeded
+	if reply.OK && !mayBeReplica {
+		return group.AnsweredAsPrimary
 	}
-	return reply, err
+	return outcomeOf(reply)
 }
 
 // handleNoResponseInTransaction ends a transaction after a statement without an answer. Closing the connection rolls
@@ -140,8 +149,9 @@
 // forwardInTransaction forwards a member's reply and updates the state of the transaction from it.
 func (s *session) forwardInTransaction(tx *transaction, st *statement, reply *memberconn.Reply) {
 	tx.statementRan = true
-	if s.isWrite(st) && (reply.OK || mayHaveRun(reply.Code)) {
-		tx.writeRan = true
+	if s.isWrite(st) {
+		tx.writeRan = tx.writeRan || reply.OK || mayHaveRun(reply.Code)
+		tx.writeSucceeded = tx.writeSucceeded || reply.OK
 	}
 	switch {
 	case st.parsed.Verb == "COMMIT":
