Proxy: single statements and transactions share the checks before their start

Cause: the refusal during a shutdown, the look-up of the route and that of the tenant stood twice, in runStatement and in begin. Change: startOperation has them once; no change of behaviour.

--- a/internal/dataplane/proxy/message.go
+++ b/internal/dataplane/proxy/message.go
@@ -112,21 +112,29 @@
 		s.runInTransaction(st)
 		return
 	}
+	if route, tenant, ok := s.startOperation(); ok {
+		s.runSingle(st, route, tenant)
+	}
+}
+
+// startOperation returns the route and the tenant of a new single statement or transaction. If it may not start, the
+// client is answered and ok is false.
+func (s *session) startOperation() (route *config.Route, tenant string, ok bool) {
 	if s.refusesStatements() {
 		s.replyError(errRetryLater, wire.StateIdle)
-		return
+		return nil, "", false
 	}
-	route := s.route()
+	route = s.route()
 	if route == nil {
 		s.replyError(databaseError(s.host), wire.StateIdle)
-		return
+		return nil, "", false
 	}
 	tenant, err := s.tenantFor(route)
 	if err != nil {
 		s.deny()
-		return
+		return nil, "", false
 	}
-	s.runSingle(st, route, tenant)
+	return route, tenant, true
 }
 
 // route returns the route of the session's host in the current configuration, nil if there is none. A single statement,
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -40,18 +40,8 @@
 		s.replyError(errTransactionOpen, wire.StateInTransaction)
 		return
 	}
-	if s.refusesStatements() {
-		s.replyError(errRetryLater, wire.StateIdle)
-		return
-	}
-	route := s.route()
-	if route == nil {
-		s.replyError(databaseError(s.host), wire.StateIdle)
-		return
-	}
-	tenant, err := s.tenantFor(route)
-	if err != nil {
-		s.deny()
+	route, tenant, ok := s.startOperation()
+	if !ok {
 		return
 	}
 	s.tx = &transaction{id: id, text: text, readOnly: readOnly, startedAt: s.proxy.now(), route: route, tenant: tenant}
