Soak: a session of a process that was killed while its client rested ended with the process

The check "cut" was wrong: it looked for a SIGKILL between a statement's sending and its end only. A client that rests (up to 2 s between operations) finds the connection ended at its next statement, after the process is back, and the check took that for a connection that a running process had closed.

No connection outlives a SIGKILL of its process.

Change: the span begins at the session's last answer, at which the connection was still whole. It is as strict: an end is explained by a kill only if the kill came after the process's last answer on that very connection. The report says how long before that answer was.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -60,8 +60,9 @@
 	reader     *wire.Reader
 	proxy      string
 	prepared   bool
-	lastCommit *commit // the session's last acknowledged commit
-	state      string  // transaction state in the last READY message
+	lastCommit *commit   // the session's last acknowledged commit
+	state      string    // transaction state in the last READY message
+	answeredAt time.Time // of the session's last READY message
 }
 
 // serve uses sessions until the context is done.
@@ -104,6 +105,7 @@
 	_ = conn.SetDeadline(time.Now().Add(attachTimeout)) // an error comes back from the read
 	if _, err := fmt.Fprintf(conn, "ATTACH %s u1\r\n", c.route.name); err == nil {
 		if line, err := c.reader.ReadMessage(); err == nil && line == "READY I -" {
+			c.answeredAt = time.Now()
 			return true
 		}
 	}
@@ -275,6 +277,7 @@
 		switch kind {
 		case wire.MsgReady:
 			c.state, _ = wire.CutField(rest)
+			c.answeredAt = time.Now()
 			return answer, nil
 		case wire.MsgRow:
 			rows = append(rows, rest)
@@ -312,14 +315,15 @@
 	var timeout net.Error
 	timedOut := errors.As(err, &timeout) && timeout.Timeout()
 	frozen := j.disturbed(c.proxy, sent, now, KindFreeze)
-	killed := j.disturbed(c.proxy, sent, now, KindKill)
+	killed := j.disturbed(c.proxy, c.answeredAt, now, KindKill) // also while the client rested
 	switch {
 	case timedOut && !frozen:
 		c.run.recordMissed(c.proxy, since, "no answer", "%s %s at %s: neither answer nor end within %v",
 			id, text, c.proxy, answerTimeout)
 	case timedOut, killed, frozen:
 	case !j.disturbed(c.proxy, sent.Add(-contactTime), now, KindRestart):
-		l.violate("cut", "%s %s at %s, which is not being stopped: %v after %v", id, text, c.proxy, err, now.Sub(sent))
+		l.violate("cut", "%s %s at %s, which is not being stopped: %v after %v, %v after the last answer", id, text,
+			c.proxy, err, now.Sub(sent), now.Sub(c.answeredAt))
 	case (l.hasReached(id) || now.Sub(sent) > lossSlack) && j.faultFree(sent, now):
 		c.run.recordMissed(c.proxy, since, "lost answer", "%s %s at %s: %v after %v, at a member: %v",
 			id, text, c.proxy, err, now.Sub(sent), l.hasReached(id))
