Soak: primaries cut off from the other members, and transactions that rest

Change: a kind of event, "cut off", for up to 6 s, two of five draws of a fault of a member; a quarter of the transactions rest up to 3 s before their end, and txIdleMs is 2,800 so that some rests are ended for it. One member at a time is disturbed, as before.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -38,6 +38,9 @@
 
 	maxStatementPause = 60 * time.Millisecond // maximum pause between two statements of a transaction
 	preparedName      = "ps"                  // the name of every session's prepared statement
+
+	idleInTransactionTimeout = 2800 * time.Millisecond // txIdleMs of the configuration
+	maxCommitPause           = 3 * time.Second         // maximum rest before the end of a transaction
 )
 
 // thinkTimes are clients' maximum pauses between operations: some clients never pause, some are mostly idle.
@@ -204,7 +207,8 @@
 	}
 }
 
-// transaction runs a transaction of a few statements, with pauses, and commits it or rolls it back.
+// transaction runs a transaction of a few statements, with pauses, and commits it or rolls it back. Some rest before
+// their end, so that the primary may have changed by then.
 func (c *client) transaction(ctx context.Context) error {
 	mayWrite, required := c.route.writes && c.random.IntN(3) > 0, c.requiredCommit()
 	begin := "BEGIN"
@@ -227,6 +231,9 @@
 			return err
 		}
 	}
+	if c.random.IntN(4) == 0 {
+		c.randomPause(ctx, maxCommitPause)
+	}
 	return c.endTransaction()
 }
 
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -26,7 +26,7 @@
 		r.operators.makeChange(ctx, e.Change)
 	case KindRelease:
 		r.release(e.Targets[0], e.Duration)
-	case KindCrash, KindLag:
+	case KindCrash, KindLag, KindPartition:
 		r.disturbMember(e)
 	case KindLostAnswers:
 		defer r.journal.begin("", e.Kind)()
@@ -130,7 +130,7 @@
 	return id
 }
 
-// disturbMember crashes a member for a while, or keeps a replica from receiving.
+// disturbMember crashes a member for a while, keeps a replica from receiving, or cuts the primary off from the others.
 func (r *run) disturbMember(e Event) {
 	id := r.findMember(e.Targets[0])
 	if id == "" {
@@ -139,15 +139,21 @@
 	}
 	defer r.journal.begin(id, e.Kind)()
 	service := r.deployment.Service
-	if e.Kind == KindLag {
-		service.With(func(group *replicaset.Group) { group.Member(id).NotReceiving = true })
-		time.Sleep(e.Duration)
-		service.With(func(group *replicaset.Group) { group.Member(id).NotReceiving = false })
-		return
+	update := func(change func(*replicaset.Member)) {
+		service.With(func(group *replicaset.Group) { change(group.Member(id)) })
+	}
+	switch e.Kind {
+	case KindLag:
+		update(func(m *replicaset.Member) { m.NotReceiving = true })
+		defer update(func(m *replicaset.Member) { m.NotReceiving = false })
+	case KindPartition:
+		update(func(m *replicaset.Member) { m.Partitioned = true })
+		defer update(func(m *replicaset.Member) { m.Partitioned = false })
+	default:
+		service.Crash(id)
+		defer update((*replicaset.Member).Restart)
 	}
-	service.Crash(id)
 	time.Sleep(e.Duration)
-	service.With(func(group *replicaset.Group) { group.Member(id).Restart() })
 }
 
 // release replaces a member: a new one joins, and the old one drains and leaves.
--- a/internal/standin/soak/journal.go
+++ b/internal/standin/soak/journal.go
@@ -27,7 +27,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	d := &disturbance{process: process, kind: kind, from: time.Now()}
-	if kind != KindCrash && kind != KindLag && kind != KindRelease && kind != KindLostAnswers {
+	if !kind.isMemberFault() && kind != KindRelease && kind != KindLostAnswers {
 		d.machine = machine(process)
 	}
 	j.all = append(j.all, d)
--- a/internal/standin/soak/operators.go
+++ b/internal/standin/soak/operators.go
@@ -210,7 +210,7 @@
 func configuration(version uint64, routeList []any, shape Shape) []byte {
 	config := map[string]any{"gen": version, "routes": routeList,
 		"svcs":   []any{map[string]any{"name": "svc", "maxConns": shape.memberConns(), "syncN": 1}},
-		"limits": map[string]any{"txIdleMs": 1000}}
+		"limits": map[string]any{"txIdleMs": idleInTransactionTimeout.Milliseconds()}}
 	if len(shape.Tenants) > 0 {
 		config["tenants"] = shape.Tenants
 	}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -25,14 +25,18 @@
 	KindFreeze      Kind = "freeze"  // SIGSTOP, and SIGCONT after a while
 	KindCrash       Kind = "crash"   // a member crashes, and returns with its log
 	KindLag         Kind = "lag"     // a replica receives nothing for a while
+	KindPartition   Kind = "cut off" // the primary reaches no other member for a while, but clients and the core reach it
 	KindLostAnswers Kind = "silence" // answers to some of the next writes are lost
 )
 
 // IsFault reports whether events of this kind are faults, not planned work.
 func (k Kind) IsFault() bool {
-	return k == KindKill || k == KindFreeze || k == KindCrash || k == KindLag || k == KindLostAnswers
+	return k == KindKill || k == KindFreeze || k == KindLostAnswers || k.isMemberFault()
 }
 
+// isMemberFault reports whether events of this kind are faults of one member.
+func (k Kind) isMemberFault() bool { return k == KindCrash || k == KindLag || k == KindPartition }
+
 // Change is a kind of configuration change by an operator.
 type Change string
 
@@ -129,6 +133,7 @@
 	maxFreeze           = 3 * time.Second
 	maxPause            = 1500 * time.Millisecond
 	maxMemberFault      = 4 * time.Second
+	maxPartition        = 6 * time.Second // another member is promoted, and commits acknowledged there grow old
 	maxHangupInterval   = 150 * time.Millisecond
 	maxHangups          = 6
 	maxLostAnswers      = 5
@@ -176,7 +181,8 @@
 	kinds := []Kind{KindRestart, KindRestart, KindRestart, KindHangup, KindHangup, KindChange, KindChange, KindChange,
 		KindRelease}
 	if !d.schedule.PlannedOnly {
-		kinds = append(kinds, KindKill, KindKill, KindFreeze, KindFreeze, KindCrash, KindCrash, KindLag, KindLostAnswers)
+		kinds = append(kinds, KindKill, KindKill, KindFreeze, KindFreeze, KindCrash, KindCrash, KindLag, KindLostAnswers,
+			KindPartition, KindPartition)
 	}
 	e = Event{At: at, Kind: kinds[d.random.IntN(len(kinds))]}
 	switch e.Kind {
@@ -190,7 +196,7 @@
 	case KindLostAnswers:
 		e.Times = 1 + d.random.IntN(maxLostAnswers)
 		return e, true
-	case KindCrash, KindLag, KindRelease:
+	case KindCrash, KindLag, KindPartition, KindRelease:
 		return d.memberEvent(e)
 	}
 	return d.processEvent(e)
@@ -203,7 +209,8 @@
 	return validChanges[d.random.IntN(len(validChanges))]
 }
 
-// memberEvent completes an event on members. One member at a time crashes or is replaced; a replica may lag meanwhile.
+// memberEvent completes an event on members. One member at a time crashes, is cut off or is replaced; a replica may lag
+// meanwhile.
 func (d *generator) memberEvent(e Event) (Event, bool) {
 	freeAt := &d.memberFreeAt
 	if e.Kind == KindLag {
@@ -216,8 +223,11 @@
 	if e.Kind != KindLag && d.random.IntN(2) == 0 {
 		e.Targets = []string{targetPrimary}
 	}
-	if e.Kind == KindRelease {
+	switch e.Kind {
+	case KindRelease:
 		e.Duration = drainTime
+	case KindPartition:
+		e.Targets, e.Duration = []string{targetPrimary}, d.randomDuration(minFault, maxPartition)
 	}
 	*freeAt = e.At + e.Duration + memberFaultGap
 	return e, true
--- a/internal/standin/soak/schedule_test.go
+++ b/internal/standin/soak/schedule_test.go
@@ -28,7 +28,7 @@
 			planned++
 		}
 	}
-	if len(kinds) != 9 || planned < 4 || planned > 16 {
+	if len(kinds) != 10 || planned < 4 || planned > 16 {
 		t.Errorf("%v, %d of 20 planned", kinds, planned)
 	}
 }
@@ -40,7 +40,7 @@
 		coreFreeAt, memberFreeAt := time.Duration(0), time.Duration(0)
 		for _, e := range Generate(seed, longShape).Events {
 			switch {
-			case e.Kind == KindCrash || e.Kind == KindRelease:
+			case e.Kind == KindCrash || e.Kind == KindRelease || e.Kind == KindPartition:
 				if e.At < memberFreeAt {
 					t.Errorf("seed %d: %v, and another member until %v", seed, e, memberFreeAt)
 				}
