Soak: the tracker of processes stands in a file of its own

Cause: events.go had two jobs, and "lives" needed explaining. Change: processTracker in processes.go, by the name of what it tracks; moved and renamed only. Held by: vet, the package's tests.

--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -56,9 +55,9 @@
 	}
 	end := r.journal.begin(name, e.Kind)
 	defer end()
-	if !r.lives.claimEnd(name) {
+	if !r.processes.claimEnd(name) {
 		r.logf("%s %s: it is being restarted", e.Kind, name)
-		if e.Kind == KindKill && r.lives.isEnding(name) {
+		if e.Kind == KindKill && r.processes.isEnding(name) {
 			r.deployment.Signal(name, syscall.SIGKILL) // during its graceful shutdown
 		}
 		return
@@ -68,10 +67,10 @@
 	} else {
 		r.terminate(name)
 	}
-	r.lives.recordEnd(name)
+	r.processes.recordEnd(name)
 	time.Sleep(e.Duration)
 	r.deployment.Start(name, false)
-	r.lives.recordStart(name)
+	r.processes.recordStart(name)
 }
 
 // terminate ends a process as the platform does.
@@ -106,7 +105,7 @@
 func (r *run) hangUp(e Event) {
 	for range e.Times {
 		for _, name := range e.Targets {
-			if r.lives.age(name) < minHangupAge && !r.lives.isEnding(name) {
+			if r.processes.age(name) < minHangupAge && !r.processes.isEnding(name) {
 				continue
 			}
 			end := r.journal.begin(name, KindHangup)
@@ -176,79 +175,3 @@
 	acknowledged := r.deployment.RemoveMember(id)
 	r.logf("release: %s left for %s, acknowledged: %v", id, joined, acknowledged)
 }
-
-// processLives counts the starts of each process, and tracks which processes run.
-type processLives struct {
-	mu      sync.Mutex
-	number  map[string]int
-	started map[string]time.Time // start times of the running processes
-	ending  map[string]bool      // processes that were told to end and have not ended yet
-}
-
-func newProcessLives() *processLives {
-	return &processLives{number: map[string]int{}, started: map[string]time.Time{}, ending: map[string]bool{}}
-}
-
-func (l *processLives) recordStart(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.number[name]++
-	l.started[name] = time.Now()
-}
-
-// claimEnd marks a process as ending. It returns true for only one caller, which ends the process.
-func (l *processLives) claimEnd(name string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_, runs := l.started[name]
-	if runs {
-		delete(l.started, name)
-		l.ending[name] = true
-	}
-	return runs
-}
-
-// recordEnd records that a process that was told to end has ended.
-func (l *processLives) recordEnd(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.ending, name)
-}
-
-// isEnding reports whether a process was told to end and has not ended yet.
-func (l *processLives) isEnding(name string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.ending[name]
-}
-
-// current returns how often a running process was started; 0 if it is not running.
-func (l *processLives) current(name string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, runs := l.started[name]; !runs {
-		return 0
-	}
-	return l.number[name]
-}
-
-// age returns how long a process has run; 0 if it is not running.
-func (l *processLives) age(name string) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if started, runs := l.started[name]; runs {
-		return time.Since(started)
-	}
-	return 0
-}
-
-// running returns the sorted names of the processes that run and were not told to end.
-func (l *processLives) running() (names []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name := range l.started {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/standin/soak/monitor.go
+++ b/internal/standin/soak/monitor.go
@@ -28,9 +28,9 @@
 	life, highest := 0, uint64(0)
 	interval := monitorInterval * time.Duration(1+r.shape.Fronts/frontsPerInterval)
 	for ; ctx.Err() == nil; pause(ctx, interval) {
-		now, asked := r.lives.current(name), time.Now()
+		now, asked := r.processes.current(name), time.Now()
 		version, ok := r.version(front)
-		if !ok || now == 0 || r.lives.current(name) != now {
+		if !ok || now == 0 || r.processes.current(name) != now {
 			continue
 		}
 		if now != life {
@@ -63,16 +63,16 @@
 // watchProcesses reports and restarts processes that exit unexpectedly, until the context is done.
 func (r *run) watchProcesses(ctx context.Context) {
 	for ; ctx.Err() == nil; pause(ctx, monitorInterval) {
-		for _, name := range r.lives.running() {
-			life := r.lives.current(name)
-			if !hasEnded(r.deployment.PID(name)) || r.lives.current(name) != life || !r.lives.claimEnd(name) {
+		for _, name := range r.processes.running() {
+			life := r.processes.current(name)
+			if !hasEnded(r.deployment.PID(name)) || r.processes.current(name) != life || !r.processes.claimEnd(name) {
 				continue
 			}
 			r.ledger.violate("own end", "%s exited unexpectedly", name)
 			r.deployment.Kill(name)
-			r.lives.recordEnd(name)
+			r.processes.recordEnd(name)
 			r.deployment.Start(name, false)
-			r.lives.recordStart(name)
+			r.processes.recordStart(name)
 		}
 	}
 }
@@ -92,7 +92,7 @@
 // resourceUse returns the resources of the running processes, by name.
 func (r *run) resourceUse() map[string]resources {
 	all := map[string]resources{}
-	for _, name := range r.lives.running() {
+	for _, name := range r.processes.running() {
 		all[name] = resourcesOf(r.deployment.PID(name))
 	}
 	return all
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -44,7 +44,7 @@
 	ledger     *ledger
 	journal    *journal
 	operators  *operators
-	lives      *processLives
+	processes  *processTracker
 	starved    *starvation
 	members    atomic.Int64 // number of the newest member
 	began      time.Time
@@ -102,8 +102,8 @@
 // Run executes a schedule on a deployment of its own.
 func Run(t *testing.T, s Schedule) Result {
 	t.Helper()
-	r := &run{t: t, shape: s.Shape, ledger: newLedger(), journal: &journal{}, lives: newProcessLives(), began: time.Now(),
-		starved: &starvation{spans: map[string][]span{}}}
+	r := &run{t: t, shape: s.Shape, ledger: newLedger(), journal: &journal{}, processes: newProcessTracker(),
+		began: time.Now(), starved: &starvation{spans: map[string][]span{}}}
 	r.operators = &operators{run: r, random: rand.New(rand.NewPCG(s.Seed, 1))}
 	r.members.Store(initialMembers - 1)
 	r.start()
@@ -136,7 +136,7 @@
 	service := r.deployment.Service
 	service.With(func(*replicaset.Group) { service.Observer, service.WorkTime = r.ledger, workTime })
 	for _, name := range r.deployment.Running() {
-		r.lives.recordStart(name)
+		r.processes.recordStart(name)
 	}
 	first := configuration(1, baseRoutes(), r.shape)
 	r.deployment.Eventually("a configuration is accepted", func() bool {
@@ -312,7 +312,7 @@
 	for name, now := range r.resourceUse() {
 		result.MaxFiles = max(result.MaxFiles, now.files)
 		result.MemoryMB += now.memoryKB >> 10
-		if r.lives.current(name) == 1 && now.files > before[name].files+r.shape.maxExtraFiles() {
+		if r.processes.current(name) == 1 && now.files > before[name].files+r.shape.maxExtraFiles() {
 			r.ledger.violate("growth", "%s has %d files open, %d at its start", name, now.files, before[name].files)
 		}
 	}
@@ -320,9 +320,9 @@
 
 // countGoroutines ends all processes with SIGQUIT and counts the goroutines in their dumps.
 func (r *run) countGoroutines(result *Result) {
-	names := r.lives.running()
+	names := r.processes.running()
 	for _, name := range names {
-		r.lives.claimEnd(name)
+		r.processes.claimEnd(name)
 		r.deployment.Signal(name, syscall.SIGQUIT)
 	}
 	result.ProcessLogs = map[string]string{}
