--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -238,8 +238,8 @@
 	_ = c.Wait()         // the error is that it was killed
 }
 
-// Terminate ends a process as the platform does, by SIGTERM and, after the grace period, SIGKILL. It waits for the end
-// and reports whether the process ended within the grace period.
+// Terminate ends a process as the platform does, by SIGTERM and, after the grace period and a dump of its goroutines,
+// SIGKILL. It waits for the end and reports whether the process ended within the grace period.
 func (d *Deployment) Terminate(name string, grace time.Duration) (inTime bool) {
 	c := d.removeRunning(name)
 	if c == nil {
@@ -256,6 +256,9 @@
 	return c == nil || await(c, grace)
 }
 
+// DumpTime is how long a process that has not ended in time may write a dump of its goroutines before it is killed.
+const DumpTime = 300 * time.Millisecond
+
 func await(c *exec.Cmd, grace time.Duration) (inTime bool) {
 	ended := make(chan struct{})
 	go func() {
@@ -266,6 +269,11 @@
 	case <-ended:
 		return true
 	case <-time.After(grace):
+		_ = c.Process.Signal(syscall.SIGQUIT) // its log then shows what it waits for
+		select {
+		case <-ended:
+		case <-time.After(DumpTime):
+		}
 		_ = c.Process.Kill()
 		<-ended
 		return false
--- a/internal/standin/soak/monitor.go
+++ b/internal/standin/soak/monitor.go
@@ -113,6 +113,19 @@
 // goroutineHeader matches the first line of each goroutine in a dump.
 var goroutineHeader = regexp.MustCompile(`(?m)^goroutine \d+ .*\[`)
 
+// lastState returns the last events in a log before the dump at its end, and the main goroutine's stack in that dump.
+func lastState(log string) string {
+	const maxEvents = 5
+	events, dump := log, ""
+	if begin := strings.LastIndex(log, "SIGQUIT: quit"); begin >= 0 {
+		events, dump = log[:begin], log[begin:]
+	}
+	_, stack, _ := strings.Cut(dump, "\ngoroutine 1 ")
+	stack, _, _ = strings.Cut(stack, "\n\n")
+	lines := strings.Split(strings.TrimSpace(events), "\n")
+	return strings.Join(lines[max(0, len(lines)-maxEvents):], "\n") + "\ngoroutine 1 " + stack
+}
+
 // goroutinesOf returns the number of goroutines in a dump at the end of a log.
 func goroutinesOf(log string) int {
 	begin := strings.LastIndex(log, "SIGQUIT: quit")
--- a/internal/standin/soak/schedule_test.go
+++ b/internal/standin/soak/schedule_test.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// The last state of a process that was late has its last events and its main goroutine.
+func TestLastState(t *testing.T) {
+	log := "1 proxy E101\n2 proxy E102\nSIGQUIT: quit\nPC=0x1\n\ngoroutine 0 [idle]:\nx()\n\ngoroutine 1 [sleep]:\nmain()\n\ngoroutine 2:\n"
+	for text, want := range map[string]string{
+		log:      "1 proxy E101\n2 proxy E102\ngoroutine 1 [sleep]:\nmain()",
+		log[:25]: "1 proxy E101\n2 proxy E102\ngoroutine 1 ",
+	} {
+		if got := lastState(text); got != want {
+			t.Errorf("%q, not %q", got, want)
+		}
+	}
+}
+
 // A thread that was ready and didn't run was starved, whether its wait has ended or not; one that slept was not.
 func TestStarvationIsDetected(t *testing.T) {
 	const second, half = time.Second, time.Second / 2
