A promote is confirmed only by a reply to a query that was sent after the platform accepted it

Seen by callers: of commits that were acknowledged after a failover some were gone (LOST), and reads did not see them (STALE), when two primaries of a service in a row were cut off from the core within 2 to 4 s. Cause: stepConfirming took the role in the candidate's latest heartbeat for the confirmation, however old that heartbeat was. A former primary that was cut off when it lost the lead still has the role primary in its last one. The other replicas were resumed while the promote was under way: the old primary acknowledged commits with them that the promoted member lacked. As the primary that was recorded did not lead yet, its predecessor's heartbeat passed for the newest claim, and a third failover began at once. Change: only a reply to a query sent since the platform's answer confirms. A heartbeat with the role makes the query go out at once; it is no proof either, since it may have been sent before. Replicas are resumed in the step that confirms, not in the one after it. Why this works: a member replies as primary only if it is one, and the query was sent when the promote was accepted already. Held by: TestOnlyReplyToLaterQueryConfirmsPromote, which failed before for an old heartbeat and for a late one.

--- a/internal/controlplane/failover/doc.go
+++ b/internal/controlplane/failover/doc.go
@@ -73,7 +73,8 @@
 //	                                                                  earlier promotes may still be carried out
 //	phasePromoting "calling"    the platform answers 200              confirming
 //	                            another answer, or none               pausing
-//	phaseConfirming "proving"   the candidate is the primary          watching; replicas are resumed
+//	phaseConfirming "proving"   the candidate replies that it is the  watching; replicas are resumed
+//	                            primary
 //	                            the candidate left, a timeout         pausing
 //	phaseFencing "fencing"      the platform answers 200              quiescing
 //	                            another answer, or none               watching
@@ -85,6 +86,8 @@
 //     replicas stay paused until a later call was answered. Only a 409 means that the call was not carried out.
 //   - The status of a member is as old as its query, not as its reply: HandleStatus takes the time at which the query
 //     was sent, and each phase compares it with its own start.
+//   - The role in a heartbeat is older than its arrival by an unknown time: it may have been sent before a promote that
+//     has taken effect since. So it is a reason to query the member, and never confirms a promote.
 //   - Only the reply to a pause makes a replica count as paused, and a promote relies on no reply that is older than
 //     pauseValidity: the replica may have restarted since, and so have lost the pause.
 //   - A pause whose reply was lost may have arrived, or may arrive late. So a replica is queried (resumeCheckDue) until
--- a/internal/controlplane/failover/promoting.go
+++ b/internal/controlplane/failover/promoting.go
@@ -2,6 +2,11 @@
 
 // This file implements phasePromoting and phaseConfirming: the platform is called, then the candidate confirms that it
 // is the primary.
+//
+// The confirmation ends the pauses of the other replicas, so it has to speak of a moment after the promote took effect:
+// until then the old primary may serve, and replicas that receive would acknowledge commits that the candidate lacks.
+// Only a reply to a query that was sent after the platform accepted the promote does. A heartbeat does not: it tells a
+// role of the time at which it was sent, which is not known, and the candidate may have been the primary before.
 
 // promote calls the platform to make the candidate the primary.
 func (c *Controller) promote(now float64) {
@@ -51,15 +56,14 @@
 	}
 }
 
-// stepConfirming waits until the candidate reports that it is the primary.
+// stepConfirming waits until the candidate replies that it is the primary.
 func (c *Controller) stepConfirming(view *View, now float64) {
-	o := c.observation(c.candidate)
 	m := findMember(view, c.candidate)
 	if m == nil {
 		c.restart(now)
 		return
 	}
-	if m.Primary || o.known && o.status.Primary && o.queriedAt >= c.phaseStart {
+	if c.promoteConfirmed() {
 		c.complete(view, now)
 		return
 	}
@@ -71,13 +75,31 @@
 			c.query(c.candidate, QueryStatus, now)
 		}
 	}
+	if m.Primary && c.heartbeatIsNews(m, now) {
+		c.query(c.candidate, QueryStatus, now)
+	}
 	if now-c.phaseStart > confirmTimeout {
 		c.logOnce(c.candidate + " does not take the lead")
 		c.restart(now)
 	}
 }
 
-// complete ends a failover or switchover, as the candidate is the primary now.
+// heartbeatIsNews reports whether a member's latest heartbeat arrived in this phase, and later than the query that the
+// member last replied to was sent.
+func (c *Controller) heartbeatIsNews(m *Member, now float64) bool {
+	arrivedAt := now - m.SinceHeartbeat
+	return arrivedAt > max(c.phaseStart, c.observation(m.ID).queriedAt)
+}
+
+// promoteConfirmed reports whether the candidate replied that it is the primary, to a query that was sent after the
+// platform accepted the promote.
+func (c *Controller) promoteConfirmed() bool {
+	o := c.observation(c.candidate)
+	return o.known && o.status.Primary && o.queriedAt >= c.phaseStart
+}
+
+// complete ends a failover or switchover, as the candidate is the primary now. Replicas are resumed at once: no commit is
+// acknowledged before.
 func (c *Controller) complete(view *View, now float64) {
 	c.addAction(Log, c.candidate, "leads")
 	if c.oldPrimary != "" {
@@ -87,4 +109,5 @@
 	c.scheduleResumes(view, now)
 	c.primary = c.candidate
 	c.enterPhase(phaseWatching, now)
+	c.resumePaused(view, now)
 }
--- /dev/null
+++ b/internal/controlplane/failover/promoting_test.go
@@ -0,0 +1,87 @@
+package failover
+
+import (
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"weirwind/internal/member/wire"
+)
+
+// stepUntilConfirming takes a controller to phaseConfirming at now: primary b is silent, and the promote of the former
+// primary a, whose latest heartbeat still has the role primary, was accepted.
+func stepUntilConfirming(now float64) (*Controller, *View) {
+	c := New(-5000)
+	view := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: []Member{
+		{ID: "a", Primary: true, SinceHeartbeat: 1100}, {ID: "b", Primary: true, SinceHeartbeat: 1000}, {ID: "c", Replica: true}}}
+	c.earlierPromotesVoid = true
+	c.HandleStatus("b", QueryStatus, now-1500, newStatus(true, 9))
+	for _, id := range []string{"a", "c"} {
+		c.HandleStatus(id, QueryStatus, now-1500, newStatus(false, 9))
+	}
+	c.HandleStatusFailure("b", false, now-100)
+	c.Step(view, now-100)
+	paused := newStatus(false, 9)
+	paused.PromisedTerm = 2
+	for _, id := range []string{"a", "c"} {
+		c.HandleStatus(id, PauseReplication, now-100, paused)
+	}
+	c.Step(view, now-50)
+	c.HandlePromoteResult("a", statusAccepted, now)
+	return c, view
+}
+
+// primaryOfTerm returns the status of a primary.
+func primaryOfTerm(term uint64) wire.MemberStatus {
+	return wire.MemberStatus{Primary: true, Term: term, PromisedTerm: term, Received: wire.Position{Term: 1, Number: 9}}
+}
+
+func includes(actions []Action, kind ActionKind, id string) bool {
+	return slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == kind && a.ID == id })
+}
+
+// Guards against a promote that is confirmed by a role from before it took effect: replicas were resumed while the old
+// primary still served, and the commits that these acknowledged were not in the promoted member's log.
+func TestOnlyReplyToLaterQueryConfirmsPromote(t *testing.T) {
+	const accepted = 10000.0
+	Convey("A former primary was promoted again", t, func() {
+		c, view := stepUntilConfirming(accepted)
+		So(c.State(), ShouldEqual, "proving: a after b")
+		Convey("A heartbeat from before the promote doesn't confirm it", func() {
+			actions := c.Step(view, accepted+25)
+			So(c.Phase(), ShouldEqual, "proving")
+			So(includes(actions, ResumeReplication, "c"), ShouldBeFalse)
+		})
+		Convey("A heartbeat that arrives after it may have been sent before: the member is asked at once", func() {
+			view.Members[0].SinceHeartbeat = 10
+			actions := c.Step(view, accepted+25)
+			So(c.Phase(), ShouldEqual, "proving")
+			So(includes(actions, QueryStatus, "a"), ShouldBeTrue)
+			Convey("and isn't the primary if it replies that it is a replica", func() {
+				c.HandleStatus("a", QueryStatus, accepted+25, newStatus(false, 9))
+				c.Step(view, accepted+50)
+				So(c.Phase(), ShouldEqual, "proving")
+			})
+			Convey("and is the primary if it replies so", func() {
+				c.HandleStatus("a", QueryStatus, accepted+25, primaryOfTerm(3))
+				actions := c.Step(view, accepted+50)
+				So(c.State(), ShouldEqual, "watching a")
+				So(includes(actions, ResumeReplication, "c"), ShouldBeTrue)
+			})
+		})
+		Convey("A reply to a query that was sent before the promote was accepted doesn't confirm it", func() {
+			c.HandleStatus("a", QueryStatus, accepted-1, primaryOfTerm(3))
+			c.Step(view, accepted+25)
+			So(c.Phase(), ShouldEqual, "proving")
+		})
+		Convey("The member that lost the lead meanwhile isn't taken for the primary afterwards", func() {
+			c.HandleStatus("a", QueryStatus, accepted+700, primaryOfTerm(3))
+			c.Step(view, accepted+725)
+			view.Members[1].SinceHeartbeat = 0 // b's heartbeat is late: it was sent while it led
+			actions := c.Step(view, accepted+750)
+			So(c.State(), ShouldEqual, "watching a")
+			So(includes(actions, PauseReplication, "a"), ShouldBeFalse)
+		})
+	})
+}
