A pause no longer counts once a resume was sent

Cause: when the candidate of a planned change is given up, the next one is resumed, as it has to receive. Its observation kept `paused` until the reply. If the old primary is found silent in the same step, the change turns into a failover, and the pause that was just ended counted toward the quorum, with the end of the log that the replica had before. Change: sending a resume ends the claim that the member is paused; only the reply to a later pause makes it count again. One digest of five is recorded anew: one more line is logged ("waits for") in its histories.

--- a/internal/controlplane/failover/digest_test.go
+++ b/internal/controlplane/failover/digest_test.go
@@ -165,7 +165,7 @@
 	}{
 		{"three members, one acknowledgement", 1, []string{"a", "b", "c"}, 0x6c5e8264e72fa1f2},
 		{"five members, two acknowledgements", 2, []string{"a", "b", "c", "d", "e"}, 0xeab2acab4c03e13d},
-		{"four members, no acknowledgement", 0, []string{"a", "b", "c", "d"}, 0xbab1bffa6380b255},
+		{"four members, no acknowledgement", 0, []string{"a", "b", "c", "d"}, 0x5222c3a64c5bbbf5},
 		{"a primary and one replica", 1, []string{"a", "b"}, 0x8e5086af1fc05120},
 		{"a single primary", 0, []string{"a"}, 0x841d83015b29b8f2},
 	} {
--- a/internal/controlplane/failover/observation.go
+++ b/internal/controlplane/failover/observation.go
@@ -18,7 +18,8 @@
 	pendingKind  ActionKind
 	pendingSince float64 // when the latest query was sent
 
-	// paused is set if the member confirmed a pause of this failover, and no later reply contradicts it.
+	// paused is set if the member confirmed a pause of this failover, no later reply contradicts it, and no resume was
+	// sent since.
 	paused bool
 	// reportsPause is set if the member is paused according to its latest reply, regardless of which leader paused it.
 	reportsPause bool
@@ -119,6 +120,7 @@
 	}
 	o.pending, o.pendingKind, o.pendingSince = true, kind, now
 	o.pauseSent = o.pauseSent || kind == PauseReplication
+	o.paused = o.paused && kind != ResumeReplication // the member may receive from now on
 	c.addAction(kind, id, "")
 }
 
--- /dev/null
+++ b/internal/controlplane/failover/pausing_test.go
@@ -0,0 +1,45 @@
+package failover
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a pause that counts although a resume was sent after it: with the candidate of a switchover given up
+// and the next one being resumed, the old primary fell silent, and a promote relied on the pause that was just ended.
+func TestPauseDoesNotCountOnceResumeWasSent(t *testing.T) {
+	c := New(-5000)
+	view := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: []Member{{ID: "a", Primary: true},
+		{ID: "b", Replica: true}, {ID: "c", Replica: true}, {ID: "d", Replica: true}}}
+	const drainAt, candidateBackAt = 1000.0, 2540.0 // a and b don't reply from the first on, b until the second
+	resumed := "" // the member whose resume is on its way
+	var transcript []string
+	for now := 0.0; now < 6000; now += 25 {
+		view.Members[0].Draining = now >= drainAt
+		for _, a := range c.Step(view, now) {
+			transcript = append(transcript, []string{"status", "pause", "resume", "promote", "drain", "log", "stepdown",
+				"removal"}[a.Kind]+" "+a.ID+" "+a.Reason)
+			status := newStatus(a.ID == "a", 9)
+			switch {
+			case a.Kind == Log || a.Kind == EnforceDrain:
+			case a.Kind == Promote:
+				if resumed == "" {
+					t.Fatalf("promoted before any replica was resumed: %s", strings.Join(transcript, "\n"))
+				}
+				t.Fatalf("%s may receive again, but counts as paused: %s", resumed, strings.Join(transcript, "\n"))
+			case a.Kind == ResumeReplication:
+				resumed = a.ID // it is carried out, and its reply is on its way until the end of the test
+			case a.ID == "a" && now >= drainAt, a.ID == "b" && now >= drainAt && now < candidateBackAt:
+				c.HandleStatusFailure(a.ID, false, now)
+			case a.Kind == PauseReplication:
+				status.PromisedTerm = a.Term + 1
+				c.HandleStatus(a.ID, a.Kind, now, status)
+			default:
+				c.HandleStatus(a.ID, a.Kind, now, status)
+			}
+		}
+	}
+	if resumed == "" {
+		t.Fatalf("no replica was resumed: %s", strings.Join(transcript, "\n"))
+	}
+}
