A switchover selects another candidate when its candidate has left

Cause: a switchover whose candidate leaves goes back to pausing, but keeps the candidate that is gone. All other replicas are paused, the catch-up finds no candidate, and so on: 30 s later, at the history's end, three paused replicas stood beside a primary that nobody drained any more. Change: a candidate that can't be queried counts as none, so that the next one is selected, or the switchover is abandoned.

--- a/internal/controlplane/failover/pausing.go
+++ b/internal/controlplane/failover/pausing.go
@@ -36,12 +36,8 @@
 	if c.abandonIfPrimaryExists(view, now) {
 		return
 	}
-	if c.mode.planned() && c.candidate == "" {
-		c.candidate = c.preferredReplica(replicas)
-		if c.candidate == "" && !hasSuccessor(view, c.oldPrimary) {
-			c.abandon(view, "nobody could take over", now)
-			return
-		}
+	if c.mode.planned() && !c.selectSuccessor(view, replicas, now) {
+		return
 	}
 	if now >= c.nextQueryAt {
 		c.nextQueryAt = now + urgentInterval
@@ -60,6 +56,20 @@
 	}
 }
 
+// selectSuccessor selects the candidate of a switchover, unless there is one already that can be queried. It returns
+// false if it abandoned the switchover, as no member could take over.
+func (c *Controller) selectSuccessor(view *View, replicas []Member, now float64) bool {
+	if findMember(view, c.candidate) != nil {
+		return true
+	}
+	c.candidate = c.preferredReplica(replicas)
+	if c.candidate == "" && !hasSuccessor(view, c.oldPrimary) {
+		c.abandon(view, "nobody could take over", now)
+		return false
+	}
+	return true
+}
+
 // startCatchingUp enters phaseCatchingUp and takes its first step at once.
 func (c *Controller) startCatchingUp(view *View, now float64) {
 	c.enterPhase(phaseCatchingUp, now)
--- a/internal/controlplane/failover/pausing_test.go
+++ b/internal/controlplane/failover/pausing_test.go
@@ -12,7 +12,7 @@
 	view := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: []Member{{ID: "a", Primary: true},
 		{ID: "b", Replica: true}, {ID: "c", Replica: true}, {ID: "d", Replica: true}}}
 	const drainAt, candidateBackAt = 1000.0, 2540.0 // a and b don't reply from the first on, b until the second
-	resumed := "" // the member whose resume is on its way
+	resumed := ""                                   // the member whose resume is on its way
 	var transcript []string
 	for now := 0.0; now < 6000; now += 25 {
 		view.Members[0].Draining = now >= drainAt
@@ -43,3 +43,37 @@
 		t.Fatalf("no replica was resumed: %s", strings.Join(transcript, "\n"))
 	}
 }
+
+// Guards against a switchover that waits without end for a candidate that has left, with all replicas paused, so that
+// no commit is acknowledged any more.
+func TestSwitchoverReplacesCandidateThatLeft(t *testing.T) {
+	c := New(-5000)
+	remaining := []Member{{ID: "a", Primary: true, Draining: true}, {ID: "c", Replica: true}, {ID: "d", Replica: true}}
+	view := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: append(remaining[:1:1], Member{ID: "b", Replica: true},
+		remaining[1], remaining[2])}
+	promoted := ""
+	for now := 0.0; now < 6000 && promoted == ""; now += 25 {
+		if now == 1000 {
+			view.Members = remaining
+		}
+		for _, a := range c.Step(view, now) {
+			status := newStatus(a.ID == "a", 9)
+			switch a.Kind {
+			case Log, EnforceDrain:
+			case Promote:
+				promoted = a.ID
+			case PauseReplication:
+				status.PromisedTerm = a.Term + 1
+				c.HandleStatus(a.ID, a.Kind, now, status)
+			default:
+				if a.ID == "b" { // it lags behind
+					status = newStatus(false, 8)
+				}
+				c.HandleStatus(a.ID, a.Kind, now, status)
+			}
+		}
+	}
+	if promoted != "c" {
+		t.Errorf("promoted %q; %s", promoted, c.State())
+	}
+}
