Failover's simulation draws pairs of cuts from the control plane, late heartbeats and starts between them

The count of absent members in TestFailoverAfterLeaderChangeLosesNoCommit stands without its loop: all that `absent` returns are.

--- a/internal/controlplane/failover/faults_test.go
+++ b/internal/controlplane/failover/faults_test.go
@@ -85,12 +85,7 @@
 // injectFault, and returns its description.
 func (sim *simulation) injectHardFault() string {
 	primary := sim.group.Leader()
-	var replicas []string
-	for _, m := range sim.group.Members {
-		if m != primary && m.Up {
-			replicas = append(replicas, m.ID)
-		}
-	}
+	replicas := sim.runningReplicas()
 	switch sim.random.IntN(5) {
 	case 0, 1:
 		if sim.control.latePromotes > 0 {
@@ -106,17 +101,7 @@
 		return "new leader of the control plane without any heartbeats"
 	case 2:
 		if len(replicas) > 1 {
-			id := replicas[sim.random.IntN(len(replicas))]
-			sim.group.Member(id).Draining = true
-			sim.after(400+2000*sim.random.Float64(), func() {
-				sim.group.Remove(id)
-				sim.control.depart(id)
-			})
-			sim.joins++
-			next := fmt.Sprint("n", sim.joins)
-			sim.group.Join(next)
-			sim.blockReceivingFor(next, receiveDelay)
-			return id + " replaced by " + next
+			return sim.replace(replicas[sim.random.IntN(len(replicas))])
 		}
 	case 3:
 		sim.control.latePromoteRate = 0.5
@@ -142,6 +127,31 @@
 	return sim.injectFault()
 }
 
+// replace makes a new member join, and another one drain and leave.
+func (sim *simulation) replace(id string) string {
+	sim.group.Member(id).Draining = true
+	sim.after(400+2000*sim.random.Float64(), func() {
+		sim.group.Remove(id)
+		sim.control.depart(id)
+	})
+	sim.joins++
+	next := fmt.Sprint("n", sim.joins)
+	sim.group.Join(next)
+	sim.blockReceivingFor(next, receiveDelay)
+	return id + " replaced by " + next
+}
+
+// runningReplicas returns the IDs of the members that are up, without the primary.
+func (sim *simulation) runningReplicas() (ids []string) {
+	primary := sim.group.Leader()
+	for _, m := range sim.group.Members {
+		if m != primary && m.Up {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 // blockReceivingFor stops a member from receiving for a time.
 func (sim *simulation) blockReceivingFor(id string, ms float64) {
 	sim.group.Member(id).NotReceiving = true
--- a/internal/controlplane/failover/safety_test.go
+++ b/internal/controlplane/failover/safety_test.go
@@ -74,13 +74,7 @@
 				strings.Join(sim.transcript, "\n"))
 		}
 		if primary := sim.group.Leader(); primary == nil || primary.Paused {
-			uncovered := 0
-			for _, m := range sim.control.absent() {
-				if m.Absent {
-					uncovered++
-				}
-			}
-			if waiting++; uncovered == 0 {
+			if waiting++; len(sim.control.absent()) == 0 {
 				t.Fatalf("seed %d, %v: no primary, though all members that may have a commit are reachable\n%s", seed, faults,
 					strings.Join(sim.transcript, "\n"))
 			}
--- a/internal/controlplane/failover/simulation_test.go
+++ b/internal/controlplane/failover/simulation_test.go
@@ -11,7 +11,6 @@
 
 const (
 	stepMillis         = 25.0
-	heartbeatMillis    = 1200.0
 	queryTimeoutMillis = 700.0
 	refusalMillis      = 10.0   // until a refused connection is reported
 	callTimeoutMillis  = 2000.0 // for calls to the platform
@@ -28,12 +27,12 @@
 	scheduled  []event
 	transcript []string
 
-	highestToken    uint64             // highest fencing token that the platform has seen
-	lastHeartbeat   map[string]float64 // by member
-	reportedPrimary map[string]bool    // by member ID, as in its last heartbeat
-	drainEnforced   map[string]bool    // members to which drivers send no new work
-	stalledAt       float64            // latest time at which a primary was partitioned from its replicas
-	writes, joins   int                // number of writes, and of members that joined
+	highestToken  uint64 // highest fencing token that the platform has seen
+	heartbeats    heartbeats
+	cutUntil      map[string]float64 // time until which the control plane and a member can't reach each other, by member ID
+	drainEnforced map[string]bool    // members to which drivers send no new work
+	stalledAt     float64            // latest time at which a primary was partitioned from its replicas
+	writes, joins int                // number of writes, and of members that joined
 
 	lossRate          float64       // share of queries, promotes and answers that are lost
 	lateStatementRate float64       // share of queries that are executed after they were given up
@@ -51,14 +50,14 @@
 
 func newSimulationOf(seed uint64, syncReplicas int, ids ...string) *simulation {
 	return &simulation{
-		random:          rand.New(rand.NewPCG(seed, 3)),
-		group:           replicaset.New(syncReplicas, ids...),
-		control:         newControlPlane(ids...),
-		controller:      New(0),
-		lastHeartbeat:   map[string]float64{},
-		reportedPrimary: map[string]bool{"a": true},
-		drainEnforced:   map[string]bool{},
-		record:          func(...any) {},
+		random:        rand.New(rand.NewPCG(seed, 3)),
+		group:         replicaset.New(syncReplicas, ids...),
+		control:       newControlPlane(ids...),
+		controller:    New(0),
+		heartbeats:    newHeartbeats("a"),
+		cutUntil:      map[string]float64{},
+		drainEnforced: map[string]bool{},
+		record:        func(...any) {},
 	}
 }
 
@@ -101,15 +100,6 @@
 	}
 }
 
-func (sim *simulation) sendHeartbeats() {
-	for _, m := range sim.group.Members {
-		if m.Up && (sim.now-sim.lastHeartbeat[m.ID] > heartbeatMillis || sim.reportedPrimary[m.ID] != m.Primary) {
-			sim.lastHeartbeat[m.ID], sim.reportedPrimary[m.ID] = sim.now, m.Primary
-			sim.control.heartbeat(m.ID, sim.now)
-		}
-	}
-}
-
 // write makes clients write at every running primary that is not drained.
 func (sim *simulation) write() {
 	for _, m := range sim.group.Members {
@@ -132,9 +122,9 @@
 		if !sim.control.known[m.ID] {
 			continue
 		}
-		primary := sim.reportedPrimary[m.ID]
-		v.Members = append(v.Members, Member{ID: m.ID, Generation: "v1", Primary: primary, Replica: !primary,
-			Draining: m.Draining, SinceHeartbeat: sim.now - sim.lastHeartbeat[m.ID], Unlisted: !sim.control.roster[m.ID]})
+		latest := sim.heartbeats.arrived[m.ID]
+		v.Members = append(v.Members, Member{ID: m.ID, Generation: "v1", Primary: latest.primary, Replica: !latest.primary,
+			Draining: m.Draining, SinceHeartbeat: sim.now - latest.at, Unlisted: !sim.control.roster[m.ID]})
 	}
 	v.Members = append(v.Members, sim.control.absent()...)
 	if sim.now-sim.stalledAt < 300 {
@@ -233,7 +223,7 @@
 		return
 	}
 	sim.after(10+30*sim.random.Float64(), func() {
-		if m == nil || !m.Up || sim.random.Float64() < sim.lossRate {
+		if m == nil || !m.Up || sim.cutOff(m.ID) || sim.random.Float64() < sim.lossRate {
 			wait := queryTimeoutMillis
 			if sim.refuseConnections {
 				wait = refusalMillis
