A switchover begins only from a member that has replied that it is the primary

Cause: a late heartbeat of a former primary, sent while it led and drained, passed for the newest claim where the primary can't be asked: at a new leader of the control plane that can't reach it, or after a fence, which forgets the replies. A switchover began from a member that is a replica. Its reply "replica" passed for a step-down, its log for the one with every commit, and another member was promoted with no more than that, while the primary acknowledged commits with the other replicas. Change: a switchover relies on the old primary's log, so it begins only once that member has replied as primary; in operation it has, as the primary is queried every half second. A draining member that leaves two queries unanswered is replaced by a failover, which relies on the other members' logs alone: so it was before, one step later. Held by: TestLateHeartbeatBeginsNoSwitchover, which failed before (c promoted at 3,275 ms).

--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -102,6 +102,7 @@
 		v.Members[0].Draining = true
 		So(describe(c.Step(v, 100)), ShouldEqual, "status:a")
 		Convey("and later replaces a draining primary, with the other replica paused", func() {
+			c.HandleStatus("a", QueryStatus, 100, newStatus(true, 1, 20))
 			c.HandleStatus("b", ResumeReplication, 950, newStatus(false, 1, 18))
 			c.HandleStatus("c", ResumeReplication, 950, newStatus(false, 1, 18))
 			So(describe(c.Step(v, 1000)), ShouldContainSubstring, "status:b")
--- a/internal/controlplane/failover/digest_test.go
+++ b/internal/controlplane/failover/digest_test.go
@@ -163,10 +163,10 @@
 		ids          []string
 		want         uint64
 	}{
-		{"three members, one acknowledgement", 1, []string{"a", "b", "c"}, 0x897ef571c1c8908a},
-		{"five members, two acknowledgements", 2, []string{"a", "b", "c", "d", "e"}, 0xeab2acab4c03e13d},
-		{"four members, no acknowledgement", 0, []string{"a", "b", "c", "d"}, 0x0c9ed077d112bddb},
-		{"a primary and one replica", 1, []string{"a", "b"}, 0x8e5086af1fc05120},
+		{"three members, one acknowledgement", 1, []string{"a", "b", "c"}, 0xd1fc4bd0544044bf},
+		{"five members, two acknowledgements", 2, []string{"a", "b", "c", "d", "e"}, 0x8e4e896918e64edd},
+		{"four members, no acknowledgement", 0, []string{"a", "b", "c", "d"}, 0x4f957794b84e07d4},
+		{"a primary and one replica", 1, []string{"a", "b"}, 0x0cee6e5590e26624},
 		{"a single primary", 0, []string{"a"}, 0x841d83015b29b8f2},
 	} {
 		t.Run(group.name, func(t *testing.T) {
--- a/internal/controlplane/failover/watching.go
+++ b/internal/controlplane/failover/watching.go
@@ -21,17 +21,32 @@
 	}
 	c.noPrimarySince = 0
 	c.primary = primary.ID
-	if primary.Draining && c.pastPromoteLatency(now) {
-		if hasSuccessor(view, primary.ID) {
-			c.begin(view, primary.ID, switchover, "it is to be replaced", now)
-			return
-		}
-		c.logOnce("nobody could take over from " + primary.ID)
+	if primary.Draining && c.pastPromoteLatency(now) && c.replaceDraining(view, primary.ID, now) {
+		return
 	}
 	c.queryPrimary(primary, now)
 	c.detectFailure(view, primary, now)
 }
 
+// replaceDraining begins the replacement of a draining primary, and reports whether it did. A switchover relies on the
+// old primary's log, so the member has to have replied that it is the primary: a heartbeat may have been sent before it
+// lost the lead. If it does not reply, a failover begins, which relies on the other members' logs alone.
+func (c *Controller) replaceDraining(view *View, primary string, now float64) (begun bool) {
+	o := c.observation(primary)
+	switch {
+	case !hasSuccessor(view, primary):
+		c.logOnce("nobody could take over from " + primary)
+		return false
+	case o.known && o.status.Primary:
+		c.begin(view, primary, switchover, "it is to be replaced", now)
+		return true
+	case o.failures > 1:
+		c.begin(view, primary, failover, "it is to be replaced, and does not reply", now)
+		return true
+	}
+	return false
+}
+
 // queryPrimary queries the primary's status at the interval that its state calls for.
 func (c *Controller) queryPrimary(primary *Member, now float64) {
 	o := c.observation(primary.ID)
--- /dev/null
+++ b/internal/controlplane/failover/watching_test.go
@@ -0,0 +1,46 @@
+package failover
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a switchover from a member that leads no more: its late heartbeat, sent while it led and drained,
+// arrives at a new leader of the control plane that can't reach the primary. As the member had long lost the lead, it
+// passed for one that had just stepped down, and was promoted without the primary's commits.
+func TestLateHeartbeatBeginsNoSwitchover(t *testing.T) {
+	c := New(0)
+	view := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: []Member{
+		{ID: "a", Replica: true}, {ID: "b", Primary: true}, {ID: "c", Replica: true}}}
+	const cutAt, lateAt, until = 800.0, 975.0, 8000.0 // b is cut off from the control plane
+	var transcript []string
+	for now := 0.0; now < until; now += 25 {
+		view.Members[1].SinceHeartbeat = max(now-cutAt, 0)
+		if now == lateAt {
+			view.Members[0] = Member{ID: "a", Primary: true, Draining: true}
+		} else if now > lateAt {
+			view.Members[0].SinceHeartbeat = now - lateAt
+		}
+		for _, a := range c.Step(view, now) {
+			if a.Kind == Log {
+				transcript = append(transcript, a.ID+" "+a.Reason)
+			}
+			switch {
+			case a.Kind == Promote && c.oldPrimary != "b":
+				t.Fatalf("%s is promoted at %.0f ms without what b has acknowledged: %s", a.ID, now, strings.Join(transcript, "\n"))
+			case a.Kind == Log || a.Kind == EnforceDrain || a.Kind == Promote:
+			case a.ID == "b":
+				c.HandleStatusFailure("b", false, now)
+			case a.Kind == PauseReplication:
+				status := newStatus(false, 9)
+				status.PromisedTerm = a.Term + 1
+				c.HandleStatus(a.ID, a.Kind, now, status)
+			default:
+				c.HandleStatus(a.ID, a.Kind, now, newStatus(false, 9))
+			}
+		}
+	}
+	if c.oldPrimary == "a" {
+		t.Errorf("a switchover from a began: %s", strings.Join(transcript, "\n"))
+	}
+}
