Proxy: an answer from before a member was promoted no longer empties the writer slot

Cause: "is a replica" was dated by the answer's arrival. The request had been sent before the member was promoted. Change: the answer counts for the moment at which its request was sent, and empties the slot only if that is no earlier than the evidence that filled it. A request sent since then and refused empties it as before, also if others were answered meanwhile. Held by: TestEarlierReplicaAnswerKeepsSlot, which failed before for the health check and for the refusal.

--- a/internal/dataplane/group/doc.go
+++ b/internal/dataplane/group/doc.go
@@ -28,7 +28,8 @@
 //
 //   - drains: the control plane is about to promote another member, and a write sent now could be lost in between;
 //   - is removed from the directory;
-//   - refuses a request as read-only (a miss), or reports the role replica: it has been demoted;
+//   - refuses a request as read-only (a miss), or reports the role replica: it has been demoted. An answer to a request
+//     from before the slot was filled does not count: the member has been promoted since;
 //   - accepts no connection, and has not answered on other connections recently either.
 //
 // While the slot is empty, Route returns no target for writes and linearizable reads: the caller keeps them queued
--- a/internal/dataplane/group/group.go
+++ b/internal/dataplane/group/group.go
@@ -17,6 +17,7 @@
 	Slot writerslot.Slot[string]
 	// SlotReason is the cause of the last change of the slot, for logs and operators.
 	SlotReason string
+	slotFillAt float64 // time of the evidence on which the slot was last filled
 
 	watermarks    watermarks
 	nextProbe     float64 // no probe is due before this time
@@ -57,8 +58,16 @@
 	case record.Role == directory.RolePrimary:
 		g.offerSlot(m, now, "beat")
 	case record.Role == directory.RoleReplica:
-		m.replicaSeenAt = now
-		g.vacateSlot(record.ID, now, "replica")
+		g.recordReplica(m, now, now, "replica")
+	}
+}
+
+// recordReplica processes evidence that a member is a replica: a heartbeat, or an answer to a request that was sent at
+// evidenceAt. Evidence from before the member was put into the slot does not empty it: it has been promoted since.
+func (g *Group) recordReplica(member *Member, evidenceAt, now float64, reason string) {
+	member.replicaSeenAt = max(member.replicaSeenAt, evidenceAt)
+	if evidenceAt >= g.slotFillAt {
+		g.vacateSlot(member.ID, now, reason)
 	}
 }
 
@@ -84,6 +93,7 @@
 		return
 	}
 	g.Slot.Fill(member.ID, evidenceAt)
+	g.slotFillAt = evidenceAt
 	g.SlotReason = member.ID + " by " + source
 	member.Suspected, member.ejectedUntil = false, 0
 	g.watermarks = nil // a former primary's positions don't cover what this one acknowledges
--- a/internal/dataplane/group/group_test.go
+++ b/internal/dataplane/group/group_test.go
@@ -130,3 +130,34 @@
 		})
 	})
 }
+
+// Guards against answers from before a member was promoted that empty the slot it was put into since: writes then waited
+// for the next evidence, although the primary was known.
+func TestEarlierReplicaAnswerKeepsSlot(t *testing.T) {
+	Convey("A group whose slot is filled while a request to the new primary is pending", t, func() {
+		g := newTestGroup()
+		a, b := g.Members["a"], g.Members["b"]
+		g.RecordOutcome(a, 50, 100, RefusedReadOnly, wire.Position{})
+		So(g.Slot.Holder, ShouldBeEmpty)
+		promoted := directory.Member{ID: "b", Zone: "here", Role: directory.RolePrimary, Incarnation: 1, Seq: 2}
+		g.UpdateMember(promoted, 150)
+		So(g.Slot.Holder, ShouldEqual, "b")
+		Convey("keeps it after a health check that was sent before", func() {
+			g.RecordProbe(b, 110, 155, wire.MemberStatus{Received: logPosition(1, 7)})
+			So(g.Slot.Holder, ShouldEqual, "b")
+		})
+		Convey("keeps it after the refusal of a request that was sent before", func() {
+			g.RecordOutcome(b, 110, 155, RefusedReadOnly, wire.Position{})
+			So(g.Slot.Holder, ShouldEqual, "b")
+		})
+		Convey("empties it after a health check that was sent since", func() {
+			g.RecordProbe(b, 150, 180, wire.MemberStatus{Received: logPosition(1, 7)})
+			So(g.Slot.Holder, ShouldBeEmpty)
+		})
+		Convey("empties it after the refusal of a request that was sent since, though others were answered meanwhile", func() {
+			g.RecordOutcome(b, 170, 180, AnsweredAsPrimary, logPosition(2, 8))
+			g.RecordOutcome(b, 160, 190, RefusedReadOnly, wire.Position{})
+			So(g.Slot.Holder, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/dataplane/group/health.go
+++ b/internal/dataplane/group/health.go
@@ -63,12 +63,11 @@
 	case AnsweredAsPrimary:
 		g.confirmPrimary(member, sentAt, "answer", position)
 	case RefusedReadOnly:
-		member.replicaSeenAt = now
 		reason := "miss"
 		if sentAt < g.Slot.SeenAt {
 			reason = "miss, late"
 		}
-		g.vacateSlot(member.ID, now, reason)
+		g.recordReplica(member, sentAt, now, reason)
 	case RefusedLagging:
 		member.laggedAt = now
 	}
@@ -99,8 +98,7 @@
 	member.probing = false
 	member.responded(now)
 	if !status.Primary {
-		member.replicaSeenAt = now
-		g.vacateSlot(member.ID, now, "replica by probe")
+		g.recordReplica(member, sentAt, now, "replica by probe")
 		return
 	}
 	if member.Position.Less(status.Received) {
--- a/internal/dataplane/group/member.go
+++ b/internal/dataplane/group/member.go
@@ -43,7 +43,7 @@
 	pendingCommits []float64 // those of them whose answer waits for replicas too
 	latency        float64   // moving average of the time from a send to its answer
 
-	replicaSeenAt float64 // newest evidence that it is a replica
+	replicaSeenAt float64 // time of the newest evidence that it is a replica
 	laggedAt      float64 // when it last refused a read because its log did not reach the position
 	ejectedUntil  float64 // routing excludes it until then; 0: it is not ejected
 	ejection      float64 // duration of the last ejection; 0 after an answer
