Proxy: a late answer of a removed member doesn't fill the writer slot

The slot then named a member that is not in the group, against its own invariant. Cause: offerSlot looked at the evidence's time alone, and a member that left while a request to it was pending keeps its record.

--- a/internal/dataplane/group/group_test.go
+++ b/internal/dataplane/group/group_test.go
@@ -161,3 +161,18 @@
 		})
 	})
 }
+
+// Guards against a late answer of a member that was removed: it filled the slot with a member that is not in the group.
+func TestRemovedMemberFillsNoSlot(t *testing.T) {
+	Convey("A group whose primary is removed while a request to it is pending", t, func() {
+		g := newTestGroup()
+		a := g.Members["a"]
+		g.UpdateMember(directory.Member{ID: "a", Zone: "near", Tombstone: true, Incarnation: 1, Seq: 2}, 100)
+		So(g.Slot.Holder, ShouldBeEmpty)
+		for _, sentAt := range []float64{50, 110} {
+			g.RecordOutcome(a, sentAt, 150, AnsweredAsPrimary, logPosition(1, 7))
+			So(g.Slot.Holder, ShouldBeEmpty)
+		}
+		So(g.ProbesToSend(160), ShouldNotBeEmpty)
+	})
+}
