Drivers' reports count only for the member that they are on

Cause: the leader counted every report on a service's primary that was less than 1.5 s old, whichever member it was on. Just after a change of the primary the reports on the former one counted against its successor: one reply that took more than 160 ms was enough for another failover. Change: reports are counted by member, and the failure detector reads those on the primary that it watches. Held by: TestReportsOnFormerPrimaryBeginNoFailover, which fails with all reports counted together (a failover from b at 400 ms, on reports about a).

--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -135,15 +135,15 @@
 		}
 		return 0
 	}
-	v.StallReports = 2
+	v.Members[0].Reports.Stalled = 2
 	if at := firstBegin(0, 300); at != 0 {
 		t.Fatalf("began at %.0f", at)
 	}
-	v.StallReports = 0
+	v.Members[0].Reports.Stalled = 0
 	if at := firstBegin(300, 350); at != 0 {
 		t.Fatalf("began at %.0f without reports", at)
 	}
-	v.StallReports = 2
+	v.Members[0].Reports.Stalled = 2
 	if at := firstBegin(350, 1000); at != 750 {
 		t.Fatalf("began at %.0f, want %.0f after the second reports began", at, stallTimeout)
 	}
--- a/internal/controlplane/failover/digest_test.go
+++ b/internal/controlplane/failover/digest_test.go
@@ -55,10 +55,11 @@
 }
 
 func (h *digestHistory) addReports(v *View, seed uint64) {
-	v.SuspectReports, v.HealthyReports, v.MembershipUncertain = h.suspects, h.healthy, h.uncertain
-	v.StallReports += h.stalls
+	v.MembershipUncertain = h.uncertain
 	for i := range v.Members {
 		m := &v.Members[i]
+		m.Reports.Suspect, m.Reports.Healthy = h.suspects, h.healthy
+		m.Reports.Stalled += h.stalls
 		m.Distance = float64(i % 2)
 		m.Generation = [...]string{"v1", "v2"}[int(seed+uint64(i))/2%2]
 		if m.ID == h.staleMember {
--- a/internal/controlplane/failover/simulation_test.go
+++ b/internal/controlplane/failover/simulation_test.go
@@ -128,7 +128,9 @@
 	}
 	v.Members = append(v.Members, sim.control.absent()...)
 	if sim.now-sim.stalledAt < 300 {
-		v.StallReports = 2
+		for i := range v.Members {
+			v.Members[i].Reports.Stalled = 2
+		}
 	}
 	if sim.modifyView != nil {
 		sim.modifyView(v)
--- a/internal/controlplane/failover/view.go
+++ b/internal/controlplane/failover/view.go
@@ -12,6 +12,14 @@
 	Unlisted       bool    // not on the roster yet: it can't become the candidate and does not count for coverage
 	SinceHeartbeat float64 // milliseconds since the last heartbeat
 	Distance       float64 // from the old primary's zone; smaller is preferred among equal candidates
+	Reports        DriverReports
+}
+
+// DriverReports are the numbers of drivers by their recent report on a member that they take for the primary.
+type DriverReports struct {
+	Suspect int // they get no reply from it
+	Stalled int // they get replies, but no commits
+	Healthy int // it serves them
 }
 
 // View is a snapshot of a service.
@@ -24,10 +32,7 @@
 	// this one: there may be replicas that it does not know.
 	MembershipUncertain bool
 
-	Drivers        int // number of all drivers
-	SuspectReports int // number of drivers that get no reply from the primary
-	StallReports   int // number of drivers that get replies, but no commits
-	HealthyReports int // number of drivers that the primary serves
+	Drivers int // number of all drivers
 }
 
 // Action is a task for the caller.
--- a/internal/controlplane/failover/watching.go
+++ b/internal/controlplane/failover/watching.go
@@ -65,14 +65,14 @@
 	o := c.observation(primary.ID)
 	mayBegin := c.pastPromoteLatency(now)
 	silentFor := min(primary.SinceHeartbeat, now-o.queriedAt)
-	if mayBegin && suspected(view, o, silentFor, now) {
+	if mayBegin && suspected(primary.Reports, view.Drivers, o, silentFor, now) {
 		c.begin(view, primary.ID, failover, "drivers wait for it in vain", now)
 		return
 	}
-	if view.SuspectReports > 0 && !o.pending && now-o.queriedAt > suspectedReplyTimeout {
+	if primary.Reports.Suspect > 0 && !o.pending && now-o.queriedAt > suspectedReplyTimeout {
 		c.query(primary.ID, QueryStatus, now)
 	}
-	if view.StallReports+view.SuspectReports == 0 || !mayBegin {
+	if primary.Reports.Stalled+primary.Reports.Suspect == 0 || !mayBegin {
 		c.stalledPositions = nil
 	} else if c.stalled(view, primary.ID, now) {
 		c.begin(view, primary.ID, failover, "its commits reach no replica", now)
@@ -83,15 +83,15 @@
 	case !mayBegin:
 	case o.refusals >= maxRefusals:
 		c.begin(view, primary.ID, failover, "it takes no connection", now)
-	case o.failures > 0 && silentFor >= silenceTimeout && view.HealthyReports == 0:
+	case o.failures > 0 && silentFor >= silenceTimeout && primary.Reports.Healthy == 0:
 		c.begin(view, primary.ID, failover, "it is silent", now)
 	}
 }
 
 // suspected reports whether the primary does not reply while enough drivers get no reply from it either.
-func suspected(view *View, primary *observation, silentFor, now float64) bool {
+func suspected(reports DriverReports, drivers int, primary *observation, silentFor, now float64) bool {
 	return primary.pending && now-primary.pendingSince > suspectedReplyTimeout &&
-		view.SuspectReports >= max(2, view.Drivers/3) && view.HealthyReports == 0 &&
+		reports.Suspect >= max(2, drivers/3) && reports.Healthy == 0 &&
 		silentFor >= minSuspectedSilence
 }
 
--- a/internal/controlplane/failover/watching_test.go
+++ b/internal/controlplane/failover/watching_test.go
@@ -44,3 +44,30 @@
 		t.Errorf("a switchover from a began: %s", strings.Join(transcript, "\n"))
 	}
 }
+
+// Guards against drivers' reports on a former primary that count against its successor: a failover from a healthy primary
+// began, as one reply of it took 200 ms.
+func TestReportsOnFormerPrimaryBeginNoFailover(t *testing.T) {
+	c := New(-5000)
+	onFormer := DriverReports{Suspect: 6, Stalled: 6}
+	view := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: []Member{
+		{ID: "a", Replica: true, Reports: onFormer}, {ID: "b", Primary: true, SinceHeartbeat: 600}, {ID: "c", Replica: true}}}
+	c.Step(view, 0)
+	for id, number := range map[string]uint64{"a": 8, "b": 9, "c": 8} {
+		c.HandleStatus(id, QueryStatus, 0, newStatus(id == "b", number))
+	}
+	for now := 25.0; now < 700; now += 25 {
+		for _, a := range c.Step(view, now) {
+			if a.Kind == PauseReplication {
+				t.Fatalf("a failover begins at %.0f ms", now)
+			}
+			if a.ID != "b" { // b's reply is on its way
+				c.HandleStatus(a.ID, a.Kind, now, newStatus(false, 8))
+			}
+		}
+	}
+	view.Members[0].Reports, view.Members[1].Reports = DriverReports{}, onFormer
+	if actions := c.Step(view, 700); !includes(actions, PauseReplication, "a") {
+		t.Error("no failover begins although the drivers report this primary")
+	}
+}
--- a/internal/controlplane/failovers.go
+++ b/internal/controlplane/failovers.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -191,14 +192,21 @@
 	return view
 }
 
+// countReport counts a driver's report for the member that it is on. After a change of the primary there are reports on
+// the former one.
 func countReport(view *failover.View, r *controlmsg.PrimaryReport) {
+	i := slices.IndexFunc(view.Members, func(m failover.Member) bool { return m.ID == r.MemberID })
+	if i < 0 {
+		return
+	}
+	reports := &view.Members[i].Reports
 	switch {
 	case r.CommitsStalled:
-		view.StallReports++
+		reports.Stalled++
 	case r.UnresponsiveMs > 0 || r.Unreachable:
-		view.SuspectReports++
+		reports.Suspect++
 	default:
-		view.HealthyReports++
+		reports.Healthy++
 	}
 }
 
