--- a/internal/util/ci/knownred_test.go
+++ b/internal/util/ci/knownred_test.go
@@ -21,6 +21,7 @@
 func TestGood(t *testing.T)  {}
 func TestRed(t *testing.T)   { t.Run("part", func(t *testing.T) { t.Error("a known fault") }) }
 func TestPanic(t *testing.T) { panic("a known panic") }
+func TestIdle(t *testing.T)  { t.Skip("not here") }
 `,
 	"b/b_test.go": "package b\n\nimport \"testing\"\n\nfunc TestGood(t *testing.T) {}\n",
 }
@@ -34,6 +35,7 @@
 	panics = "\ntest: sample/a.TestPanic\ncommand: go test -run TestPanic ./a\nseed: 4\n" +
 		"seen: the index is off by one\nissue: 8\n"
 	good     = "\ntest: sample/a.TestGood\ncommand: go test ./a\nseen: it was flaky\nissue: 9\n"
+	idle     = "\ntest: sample/a.TestIdle\ncommand: go test ./a\nseen: it is flaky\nissue: 10\n"
 	goodOfB  = "\ntest: sample/b.TestGood\ncommand: go test ./b\nseen: it was flaky\nissue: 9"
 	otherRed = "package b\n\nimport \"testing\"\n\nfunc TestRed(t *testing.T) { t.Error(\"nobody listed this one\") }\n"
 	noBuild  = "package b\n\nfunc broken( {\n"
@@ -53,6 +55,7 @@
 		"a listed name in another package":      {list: red + panics, b: otherRed, wantOutput: "nobody listed this one"},
 		"a package that does not build":         {list: red + panics, b: noBuild, wantOutput: "sample/b"},
 		"a listed test that passes":             {list: red + panics + good, pass: true, wantOutput: "sample/a.TestGood passed"},
+		"a listed test that is skipped":         {list: red + panics + idle, pass: true, wantOutput: "sample/a.TestIdle was skipped: it was not run"},
 		"four entries, no newline at the end":   {list: red + panics + good + goodOfB, pass: true, wantOutput: "sample/b.TestGood passed"},
 		"what was seen is printed":              {list: red + panics, pass: true, wantOutput: "seen: the index is off by one"},
 		"a repeated test":                       {list: red + panics + good + good, wantOutput: "line 17: sample/a.TestGood is named twice"},
