Soak: pairs of primaries that are cut off from the core, late heartbeats and promotes that take a while

TestSoakCoreCutsWithRestarts restarts replicas between the cuts as well. A stand-in's member records its drain when a heartbeat that says so was acknowledged, not any heartbeat.

--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -68,6 +68,8 @@
 	ctx         context.Context // of members, heartbeats and the platform; done when the deployment stops
 	platform    string          // the address of the platform's API
 	stop        func()
+
+	heartbeatPeriod time.Duration // of members
 }
 
 // memberIDs are the ids of the members of svc.
@@ -80,6 +82,12 @@
 	return newDeployment(t, cores, fronts, func(*Deployment) {}, sameAddr)
 }
 
+// NewWithHeartbeats is New with a heartbeat of each member once a period, and at once after a change of its role.
+func NewWithHeartbeats(t *testing.T, cores, fronts int, period time.Duration) *Deployment {
+	t.Helper()
+	return newDeployment(t, cores, fronts, func(d *Deployment) { d.heartbeatPeriod = period }, sameAddr)
+}
+
 func sameAddr(addr string) string { return addr }
 
 // newDeployment starts a deployment. prepare may change the deployment before its processes start. Members and platform
@@ -103,6 +111,8 @@
 		processes:   map[string]*exec.Cmd{},
 		terminating: map[string]*exec.Cmd{},
 		logs:        map[string]*bytes.Buffer{},
+
+		heartbeatPeriod: defaultHeartbeatPeriod,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.ctx = ctx
--- a/internal/standin/cluster/service.go
+++ b/internal/standin/cluster/service.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,8 +21,10 @@
 )
 
 const (
-	heartbeatPeriod = 200 * time.Millisecond
-	maxDrainDelay   = 7 * time.Second // after a member's acknowledged drain: until when statements may still reach it
+	defaultHeartbeatPeriod = 200 * time.Millisecond
+	heartbeatCheckPeriod   = 200 * time.Millisecond // in which a member notices that a heartbeat is due
+
+	maxDrainDelay = 7 * time.Second // after a member's acknowledged drain: until when statements may still reach it
 )
 
 // Service is a replication group on sockets that records the statements that its members run. While it runs, its
@@ -39,6 +42,14 @@
 	Observer      Observer               // is told of what members run; may be nil
 	WorkTime      time.Duration          // additional execution time of a client's statement at a member
 
+	// CutFromCore has the number of faults that keep a member and the core from reaching each other, by member. Clients,
+	// other members and the platform reach the member.
+	CutFromCore map[string]int
+	// LateHeartbeats is the share of heartbeats that arrive late, by up to MaxHeartbeatDelay.
+	LateHeartbeats    float64
+	MaxHeartbeatDelay time.Duration
+	MaxPromoteDelay   time.Duration // from the platform's answer until a promote takes effect; zero: at once
+
 	mu               sync.Mutex // guards all fields
 	group            *replicaset.Group
 	addrs            map[string]string            // by member
@@ -75,6 +86,8 @@
 		progress:   make(chan struct{}),
 		Executions: map[string]int{},
 		drained:    map[string]time.Time{},
+
+		CutFromCore: map[string]int{},
 	}
 }
 
@@ -170,13 +183,19 @@
 	go s.serve(id, conn)
 }
 
-// sendHeartbeats sends a member's heartbeats to the core until the context is done.
+// sendHeartbeats sends a member's heartbeats to the core until the context is done: one in each period, and one after
+// each change of the member's role.
 func (d *Deployment) sendHeartbeats(ctx context.Context, service *Service, id string) {
 	go func() {
-		tick := time.NewTicker(heartbeatPeriod)
+		tick := time.NewTicker(heartbeatCheckPeriod)
 		defer tick.Stop()
-		for core := 0; ; {
-			core = service.heartbeat(id, d.Cores, core)
+		core, sentAt, sentPrimary := 0, time.Time{}, false
+		for {
+			primary := service.isPrimary(id)
+			if primary != sentPrimary || time.Since(sentAt) >= d.heartbeatPeriod-heartbeatCheckPeriod/2 {
+				sentAt, sentPrimary = time.Now(), primary
+				core = service.heartbeat(id, d.Cores, core)
+			}
 			select {
 			case <-ctx.Done():
 				return
@@ -186,38 +205,63 @@
 	}()
 }
 
+func (s *Service) isPrimary(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.group.Member(id)
+	return m != nil && m.Primary
+}
+
+// memberHeartbeat is a member's heartbeat as it was when it was sent.
+type memberHeartbeat struct {
+	id       string
+	body     []byte
+	draining bool
+	delay    time.Duration // until it arrives
+}
+
 // heartbeat sends a member's state to the core machines in turn, starting with first, until one acknowledges it. It
-// returns that machine's index, or first if none does.
+// returns that machine's index, or first if none does or the heartbeat is late.
 func (s *Service) heartbeat(id string, cores []string, first int) int {
-	body, up := s.heartbeatBody(id)
-	if !up {
+	next, ok := s.nextHeartbeat(id)
+	if !ok {
 		return first
 	}
+	if next.delay > 0 {
+		time.AfterFunc(next.delay, func() { s.postHeartbeat(next, cores, first) })
+		return first
+	}
+	return s.postHeartbeat(next, cores, first)
+}
+
+func (s *Service) postHeartbeat(heartbeat memberHeartbeat, cores []string, first int) int {
 	client := http.Client{Timeout: time.Second}
 	for i := range cores {
 		n := (first + i) % len(cores)
-		url := "http://" + cores[n] + "/members/" + id + "/heartbeat"
-		resp, err := client.Post(url, "application/json", bytes.NewReader(body))
+		url := "http://" + cores[n] + "/members/" + heartbeat.id + "/heartbeat"
+		resp, err := client.Post(url, "application/json", bytes.NewReader(heartbeat.body))
 		if err != nil {
 			continue
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
-			s.recordDrain(id)
+			if heartbeat.draining {
+				s.recordDrain(heartbeat.id)
+			}
 			return n
 		}
 	}
 	return first
 }
 
-// heartbeatBody returns a member's next heartbeat; up is false while the member is down.
-func (s *Service) heartbeatBody(id string) (body []byte, up bool) {
+// nextHeartbeat returns a member's next heartbeat; ok is false while the member is down or cut off from the core.
+func (s *Service) nextHeartbeat(id string) (heartbeat memberHeartbeat, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.group.Member(id)
 	if m == nil {
-		return nil, false
+		return heartbeat, false
 	}
 	role := "replica"
 	if m.Primary {
@@ -228,17 +272,25 @@
 	if m.Draining {
 		state = "draining"
 	}
-	body, _ = json.Marshal(map[string]any{"svc": s.Name, "addr": s.addrs[id], "zone": "z1", "gen": "v1", "slots": 7,
+	body, _ := json.Marshal(map[string]any{"svc": s.Name, "addr": s.addrs[id], "zone": "z1", "gen": "v1", "slots": 7,
 		"state": state, "warmupMs": 0, "dbRole": role, "seq": s.sequences[id]})
-	return body, m.Up
+	heartbeat = memberHeartbeat{id: id, body: body, draining: m.Draining}
+	if s.LateHeartbeats > 0 && rand.Float64() < s.LateHeartbeats {
+		heartbeat.delay = randomDelay(s.MaxHeartbeatDelay)
+	}
+	return heartbeat, m.Up && s.CutFromCore[id] == 0
+}
+
+// randomDelay returns a random duration up to a maximum; zero if that is zero.
+func randomDelay(most time.Duration) time.Duration {
+	return time.Duration(rand.Float64() * float64(most))
 }
 
 // recordDrain records when the core first acknowledged that a member is draining.
 func (s *Service) recordDrain(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := s.group.Member(id)
-	if _, known := s.drained[id]; !known && m != nil && m.Draining {
+	if _, known := s.drained[id]; !known {
 		s.drained[id] = time.Now()
 	}
 }
@@ -260,13 +312,29 @@
 		}
 		s.fencingToken = fence
 		s.Promoted = append(s.Promoted, call.ID)
-		ok = group.Promote(call.ID)
+		ok = s.promote(group, call.ID)
 	})
 	if !ok {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
 
+// promote promotes a member, after a delay if promotes take one. It returns false if the member is not up. The caller
+// holds the lock.
+func (s *Service) promote(group *replicaset.Group, id string) bool {
+	if s.MaxPromoteDelay == 0 {
+		return group.Promote(id)
+	}
+	m := group.Member(id)
+	if m == nil || !m.Up {
+		return false
+	}
+	time.AfterFunc(randomDelay(s.MaxPromoteDelay), func() {
+		s.With(func(group *replicaset.Group) { group.Promote(id) })
+	})
+	return true
+}
+
 // simulateWork notifies the observer of a client's statement and sleeps for its execution time.
 func (s *Service) simulateWork(id string) {
 	s.mu.Lock()
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,11 @@
 	unnumbered      = "-" // the query id of the control plane's statements
 )
 
+const cutPollInterval = 20 * time.Millisecond // while a member is cut off from the core
+
+// controlVerbs are the verbs of the control plane's statements.
+var controlVerbs = []string{"STAT", "PAUSE", "CONT", "STEPDOWN"}
+
 // session is a connection to a member, with its state. Methods that answer a statement return ok false if the answer is
 // lost and the connection is to be closed.
 type session struct {
@@ -129,10 +135,32 @@
 	}
 	if id != unnumbered {
 		c.service.simulateWork(id)
+	} else if c.awaitCore(text) {
+		return "", false
 	}
 	return c.execute(id, text)
 }
 
+// awaitCore keeps a statement of the control plane waiting while its member is cut off from the core, and reports
+// whether it was: then it is not executed. Proxies' health checks are such statements too.
+func (c *session) awaitCore(text string) (wasCut bool) {
+	verb, _ := wire.CutField(text)
+	if !slices.Contains(controlVerbs, verb) {
+		return false
+	}
+	for c.service.cutFromCore(c.member) {
+		wasCut = true
+		time.Sleep(cutPollInterval)
+	}
+	return wasCut
+}
+
+func (s *Service) cutFromCore(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.CutFromCore[id] > 0
+}
+
 func (c *session) execute(id, text string) (answer string, ok bool) {
 	s := c.service
 	s.mu.Lock()
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -28,20 +28,27 @@
 		r.release(e.Targets[0], e.Duration)
 	case KindCrash, KindLag, KindPartition:
 		r.disturbMember(e)
+	case KindCoreCut:
+		r.cutPrimaries(e)
 	case KindLostAnswers:
 		defer r.journal.begin("", e.Kind)()
 		r.deployment.Service.With(func(*replicaset.Group) { r.deployment.Service.LoseAnswers += e.Times })
 	case KindHangup:
 		r.hangUp(e)
 	default:
-		r.disturbProcesses(e)
+		r.disturbProcesses(ctx, e)
 	}
 }
 
 // disturbProcesses applies an event to its targets, all at once or at intervals.
-func (r *run) disturbProcesses(e Event) {
+func (r *run) disturbProcesses(ctx context.Context, e Event) {
 	var all sync.WaitGroup
-	for _, name := range e.Targets {
+	for _, target := range e.Targets {
+		name := r.resolveTarget(ctx, target)
+		if name == "" {
+			r.logf("%s: there is no %s", e.Kind, target)
+			continue
+		}
 		all.Go(func() { r.disturbProcess(name, e) })
 		time.Sleep(e.Interval)
 	}
--- a/internal/standin/soak/names.go
+++ b/internal/standin/soak/names.go
@@ -14,10 +14,11 @@
 	prefixProxy = "proxy"
 )
 
-// Targets of events on members; the member is determined when the event is executed.
+// Targets that are determined when the event is executed: members, and the core machine that leads.
 const (
 	targetPrimary = "primary"
 	targetReplica = "replica"
+	targetLeader  = prefixCore + " leader"
 )
 
 // machine returns the machine of a process; the agent and the proxy of the same number share one.
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -107,6 +107,9 @@
 	r.operators = &operators{run: r, random: rand.New(rand.NewPCG(s.Seed, 1))}
 	r.members.Store(initialMembers - 1)
 	r.start()
+	if s.Shape.CoreCuts {
+		r.makeLate()
+	}
 	before := r.resourceUse()
 
 	ctx, stop := context.WithCancel(context.Background())
@@ -132,7 +135,11 @@
 
 // start starts the deployment and sends the first configuration until it is accepted.
 func (r *run) start() {
-	r.deployment = cluster.New(r.t, r.shape.Cores, r.shape.Fronts)
+	if r.shape.CoreCuts {
+		r.deployment = cluster.NewWithHeartbeats(r.t, r.shape.Cores, r.shape.Fronts, heartbeatPeriod)
+	} else {
+		r.deployment = cluster.New(r.t, r.shape.Cores, r.shape.Fronts)
+	}
 	service := r.deployment.Service
 	service.With(func(*replicaset.Group) { service.Observer, service.WorkTime = r.ledger, workTime })
 	for _, name := range r.deployment.Running() {
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -3,6 +3,7 @@
 // This file generates schedules from seeds.
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -27,6 +28,8 @@
 	KindLag         Kind = "lag"     // a replica receives nothing for a while
 	KindPartition   Kind = "cut off" // the primary reaches no other member for a while, but clients and the core reach it
 	KindLostAnswers Kind = "silence" // answers to some of the next writes are lost
+	// KindCoreCut cuts the primary off from the core alone, and after Interval the member that is the primary then.
+	KindCoreCut Kind = "core cut"
 )
 
 // IsFault reports whether events of this kind are faults, not planned work.
@@ -35,7 +38,9 @@
 }
 
 // isMemberFault reports whether events of this kind are faults of one member.
-func (k Kind) isMemberFault() bool { return k == KindCrash || k == KindLag || k == KindPartition }
+func (k Kind) isMemberFault() bool {
+	return k == KindCrash || k == KindLag || k == KindPartition || k == KindCoreCut
+}
 
 // Change is a kind of configuration change by an operator.
 type Change string
@@ -99,6 +104,11 @@
 	Horizon       time.Duration // time in which events start
 	MeanGap       time.Duration // mean time between two events
 	Tenants       []config.Tenant
+	// CoreCuts makes the schedule one of pairs of core cuts, with a change of the core's leader between some of them, beside
+	// events of processes. Heartbeats are late, and promotes take a while.
+	CoreCuts bool
+	// Restarts adds a replica that restarts between the cuts of some pairs. It needs CoreCuts.
+	Restarts bool
 }
 
 // memberConns returns the maximum number of connections of each member, which allows some for each proxy.
@@ -158,12 +168,15 @@
 // Generate returns the schedule of a seed.
 func Generate(seed uint64, shape Shape) Schedule {
 	d := &generator{random: rand.New(rand.NewPCG(seed, 0)), schedule: &Schedule{Seed: seed, Shape: shape}}
-	d.schedule.PlannedOnly = d.random.Float64() < plannedProbability
+	d.schedule.PlannedOnly = d.random.Float64() < plannedProbability && !shape.CoreCuts
 	for at := d.gap(); at < shape.Horizon; at += d.gap() {
-		if e, ok := d.event(at); ok {
+		if shape.CoreCuts {
+			d.schedule.Events = append(d.schedule.Events, d.coreCutEvents(at)...)
+		} else if e, ok := d.event(at); ok {
 			d.schedule.Events = append(d.schedule.Events, e)
 		}
 	}
+	slices.SortStableFunc(d.schedule.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return *d.schedule
 }
 
--- a/internal/standin/soak/schedule_test.go
+++ b/internal/standin/soak/schedule_test.go
@@ -123,3 +123,27 @@
 		}
 	}
 }
+
+// Schedules with core cuts have pairs of cuts that begin within maxCoreCutGap, some with a kill of the core's leader or a
+// restarting replica between them; only one pair at a time is under way.
+func TestScheduleOfCoreCuts(t *testing.T) {
+	shape := longShape
+	shape.CoreCuts, shape.Restarts = true, true
+	kinds := map[Kind]int{}
+	for seed := range uint64(20) {
+		freeAt := time.Duration(0)
+		for _, e := range Generate(seed, shape).Events {
+			kinds[e.Kind]++
+			if e.Kind != KindCoreCut {
+				continue
+			}
+			if e.At < freeAt || e.Interval > maxCoreCutGap {
+				t.Errorf("seed %d: %v, and another pair until %v", seed, e, freeAt)
+			}
+			freeAt = e.At + e.Interval + e.Duration
+		}
+	}
+	if kinds[KindCoreCut] < 300 || kinds[KindKill] < 50 || kinds[KindCrash] < 100 || kinds[KindRestart] < 300 {
+		t.Errorf("%v", kinds)
+	}
+}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -12,14 +12,16 @@
 )
 
 var (
-	seeds     = flag.Int("soak.seeds", 2, "number of seeds that TestSoak runs")
-	firstSeed = flag.Uint64("soak.first", 1, "the first seed")
-	cores     = flag.Int("soak.cores", 3, "core machines")
-	fronts    = flag.Int("soak.fronts", 3, "machines with an agent and a proxy")
-	clients   = flag.Int("soak.clients", 12, "number of concurrent sessions")
-	horizon   = flag.Duration("soak.horizon", 10*time.Second, "the time in which events start")
-	meanGap   = flag.Duration("soak.gap", 700*time.Millisecond, "the mean time between two events")
-	keepDir   = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
+	seeds        = flag.Int("soak.seeds", 2, "number of seeds that TestSoak runs")
+	cutSeeds     = flag.Int("soak.cuts", 1, "number of seeds that TestSoakCoreCuts runs")
+	restartSeeds = flag.Int("soak.restarts", 1, "number of seeds that TestSoakCoreCutsWithRestarts runs")
+	firstSeed    = flag.Uint64("soak.first", 1, "the first seed")
+	cores        = flag.Int("soak.cores", 3, "core machines")
+	fronts       = flag.Int("soak.fronts", 3, "machines with an agent and a proxy")
+	clients      = flag.Int("soak.clients", 12, "number of concurrent sessions")
+	horizon      = flag.Duration("soak.horizon", 10*time.Second, "the time in which events start")
+	meanGap      = flag.Duration("soak.gap", 700*time.Millisecond, "the mean time between two events")
+	keepDir      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
 func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
@@ -28,21 +30,44 @@
 	return Shape{Cores: *cores, Fronts: *fronts, Clients: *clients, Horizon: *horizon, MeanGap: *meanGap}
 }
 
+func coreCutShape() Shape {
+	s := shape()
+	s.CoreCuts, s.Horizon = true, 2*s.Horizon
+	return s
+}
+
 // Overlapping series of signals, restarts, faults and configuration changes violate no invariant, while clients use the
 // deployment.
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { soakSeed(t, seed) })
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { soakSeed(t, seed, shape()) })
+	}
+}
+
+// Guards against evidence of an earlier time that passes for the present: pairs of primaries that are cut off from the
+// core, one soon after the other, with late heartbeats and changes of the core's leader between them.
+func TestSoakCoreCuts(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*cutSeeds); seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { soakSeed(t, seed, coreCutShape()) })
+	}
+}
+
+// Guards against replicas that restart between such cuts, and acknowledge commits of the old primary.
+func TestSoakCoreCutsWithRestarts(t *testing.T) {
+	s := coreCutShape()
+	s.Restarts = true
+	for seed := *firstSeed; seed < *firstSeed+uint64(*restartSeeds); seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { soakSeed(t, seed, s) })
 	}
 }
 
 // Seed 3 stands in a test of its own for KNOWN-RED.txt: two proxies were once still running after their grace period.
-func TestSoakSeed3(t *testing.T) { soakSeed(t, 3) }
+func TestSoakSeed3(t *testing.T) { soakSeed(t, 3, shape()) }
 
-// soakSeed runs a seed and reports what it violated.
-func soakSeed(t *testing.T, seed uint64) {
+// soakSeed runs a seed of a shape and reports what it violated.
+func soakSeed(t *testing.T, seed uint64, shape Shape) {
 	t.Helper()
-	s := Generate(seed, shape())
+	s := Generate(seed, shape)
 	began := time.Now()
 	r := Run(t, s)
 	t.Logf("seed %d: %d processes, %d events, %d changes acknowledged, recovered in %v, %d MB, %d files, "+
