--- a/internal/controlplane/failover/doc.go
+++ b/internal/controlplane/failover/doc.go
@@ -40,8 +40,8 @@
 // A failover from a failed primary begins if it refuses two connections in a row, is silent for a second, does not
 // reply while a third of the drivers (at least two) suspect it, or replies but commits nothing while its replicas
 // are behind it and make no progress. A failover without an old primary begins if all members on the roster replied
-// that they are not the primary. A switchover begins if the primary is draining and has replied that it is the primary; a
-// draining member that does not reply is replaced by a failover. The rest depends on the mode:
+// that they are not the primary. A switchover begins if the primary is draining and has replied that it is the primary;
+// one that drains and does not reply is replaced by a failover. The rest depends on the mode:
 //
 //	mode                   commits acknowledged by  why the candidate has every acknowledged commit
 //	failover               no one, as fewer than    a quorum of replicas is paused, and its log is the
--- a/internal/controlplane/failover/promoting.go
+++ b/internal/controlplane/failover/promoting.go
@@ -98,8 +98,8 @@
 	return o.known && o.status.Primary && o.queriedAt >= c.phaseStart
 }
 
-// complete ends a failover or switchover, as the candidate is the primary now. Replicas are resumed at once: no commit is
-// acknowledged before.
+// complete ends a failover or switchover, as the candidate is the primary now. Replicas are resumed at once: no commit
+// is acknowledged before.
 func (c *Controller) complete(view *View, now float64) {
 	c.addAction(Log, c.candidate, "leads")
 	if c.oldPrimary != "" {
--- a/internal/dataplane/group/group.go
+++ b/internal/dataplane/group/group.go
@@ -87,8 +87,8 @@
 	g.resetProbes(now)
 }
 
-// offerSlot puts a member into the slot if evidence of the time evidenceAt allows it. A member that was removed from the
-// directory, and whose answer is late, is not put into it.
+// offerSlot puts a member into the slot if evidence of the time evidenceAt allows it. A member that was removed from
+// the directory, and whose answer is late, is not put into it.
 func (g *Group) offerSlot(member *Member, evidenceAt float64, source string) {
 	if g.Members[member.ID] != member {
 		return
--- a/internal/standin/cluster/process.go
+++ b/internal/standin/cluster/process.go
@@ -127,7 +127,8 @@
 	lines := []string{"hostname=" + name, "zone=" + zone, "region=r1", "zones.z1=r1", "zones.z2=r1", "zones.z3=r1",
 		fmt.Sprintf("portRange=%d,%d", meshPort, meshPort+2), "peers=" + strings.Join(seeds, ","),
 		fmt.Sprint("init=", bootstrap),
-		"tolerate.nodes=1", fmt.Sprint("beatMs=", d.heartbeatPeriod.Milliseconds()), "bounds.graceS=2", "cloudApi.addr=" + d.platform}
+		"tolerate.nodes=1", fmt.Sprint("beatMs=", d.heartbeatPeriod.Milliseconds()), "bounds.graceS=2",
+		"cloudApi.addr=" + d.platform}
 	switch kind.network {
 	case coreNet:
 		lines = append(lines, "listen.ctl="+d.Cores[n], "datadir="+filepath.Join(d.dir, name))
--- a/internal/standin/soak/corecuts.go
+++ b/internal/standin/soak/corecuts.go
@@ -30,22 +30,11 @@
 	maxPromoteDelay   = 600 * time.Millisecond
 )
 
-// coreCutEvents returns the events that begin at a time: a pair of core cuts with what happens between them, or an event
-// of processes.
+// coreCutEvents returns the events that begin at a time: a pair of core cuts with what happens between them, or an
+// event of processes.
 func (d *generator) coreCutEvents(at time.Duration) (events []Event) {
 	if at < max(firstCoreCut, d.memberFreeAt) {
-		kinds := []Kind{KindRestart, KindHangup, KindChange, KindChange}
-		e := Event{At: at, Kind: kinds[d.random.IntN(len(kinds))]}
-		switch e.Kind {
-		case KindChange:
-			e.Change = d.change()
-		case KindHangup:
-			e.Targets, e.Times = d.anyProcesses(), 1+d.random.IntN(maxHangups)
-			e.Interval = d.randomDuration(10*time.Millisecond, maxHangupInterval)
-		default:
-			e.Targets, e.Duration = d.fronts(), d.randomDuration(minFault, maxPause)
-		}
-		return []Event{e}
+		return []Event{d.plannedEvent(at)}
 	}
 	pair := Event{At: at, Kind: KindCoreCut, Targets: []string{targetPrimary},
 		Interval: d.randomDuration(minFault, maxCoreCutGap), Duration: d.randomDuration(minCoreCut, maxCoreCut)}
@@ -53,7 +42,8 @@
 	events = append(events, pair)
 	between := func() time.Duration { return at + d.randomDuration(0, pair.Interval+time.Second) }
 	if d.random.Float64() < leaderKillProbability && at >= d.coreFreeAt {
-		kill := Event{At: between(), Kind: KindKill, Targets: []string{targetLeader}, Duration: d.randomDuration(minFault, maxPause)}
+		kill := Event{At: between(), Kind: KindKill, Targets: []string{targetLeader},
+			Duration: d.randomDuration(minFault, maxPause)}
 		d.coreFreeAt = kill.At + kill.Duration + maxRestartTime + catchupTime
 		events = append(events, kill)
 	}
@@ -64,6 +54,21 @@
 	return events
 }
 
+// plannedEvent returns a restart of fronts, a series of SIGHUP or a change of the configuration.
+func (d *generator) plannedEvent(at time.Duration) Event {
+	kinds := []Kind{KindRestart, KindHangup, KindChange, KindChange}
+	e := Event{At: at, Kind: kinds[d.random.IntN(len(kinds))]}
+	switch e.Kind {
+	case KindChange:
+		e.Change = d.change()
+	case KindHangup:
+		d.setHangups(&e)
+	default:
+		e.Targets, e.Duration = d.fronts(), d.randomDuration(minFault, maxPause)
+	}
+	return e
+}
+
 // cutPrimaries executes a pair of core cuts.
 func (r *run) cutPrimaries(pair Event) {
 	var cuts sync.WaitGroup
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -104,8 +104,8 @@
 	Horizon       time.Duration // time in which events start
 	MeanGap       time.Duration // mean time between two events
 	Tenants       []config.Tenant
-	// CoreCuts makes the schedule one of pairs of core cuts, with a change of the core's leader between some of them, beside
-	// events of processes. Heartbeats are late, and promotes take a while.
+	// CoreCuts makes the schedule one of pairs of core cuts, with a change of the core's leader between some of them,
+	// beside events of processes. Heartbeats are late, and promotes take a while.
 	CoreCuts bool
 	// Restarts adds a replica that restarts between the cuts of some pairs. It needs CoreCuts.
 	Restarts bool
@@ -203,8 +203,7 @@
 		e.Change = d.change()
 		return e, true
 	case KindHangup:
-		e.Targets, e.Times = d.anyProcesses(), 1+d.random.IntN(maxHangups)
-		e.Interval = d.randomDuration(10*time.Millisecond, maxHangupInterval)
+		d.setHangups(&e)
 		return e, true
 	case KindLostAnswers:
 		e.Times = 1 + d.random.IntN(maxLostAnswers)
@@ -215,6 +214,12 @@
 	return d.processEvent(e)
 }
 
+// setHangups completes a series of SIGHUP.
+func (d *generator) setHangups(e *Event) {
+	e.Targets, e.Times = d.anyProcesses(), 1+d.random.IntN(maxHangups)
+	e.Interval = d.randomDuration(10*time.Millisecond, maxHangupInterval)
+}
+
 func (d *generator) change() Change {
 	if d.random.Float64() < invalidProbability {
 		return invalidChanges[d.random.IntN(len(invalidChanges))]
