Soak: processes in their grace period are watched for starvation too

Cause: the watch sampled the threads of running processes, and one that was told to end no longer counts as running. So the rule that a bound is not judged while the machine didn't run a thread for 150 ms never held for "late end", the bound on a process after SIGTERM. Change: the deployment tells the ids of processes that were told to end and have not ended yet, and forgets those that have. No bound and no fraction changed. Held by: TestPIDsIncludeProcessesThatAreShuttingDown, which fails without the terminating processes.

--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -63,7 +63,7 @@
 	seeds       map[string][]string // by process: core machines' addresses in its settings, if not the first three
 	mu          sync.Mutex          // guards the next three
 	processes   map[string]*exec.Cmd
-	terminating map[string]*exec.Cmd // by name: the processes that were last told to end
+	terminating map[string]*exec.Cmd // by name: the processes that were told to end and have not ended yet
 	logs        map[string]*bytes.Buffer
 	ctx         context.Context // of members, heartbeats and the platform; done when the deployment stops
 	platform    string          // the address of the platform's API
@@ -195,6 +195,20 @@
 	return slices.Sorted(maps.Keys(d.processes))
 }
 
+// PIDs returns the ids of all processes by name, also of those that were told to end and have not ended yet.
+func (d *Deployment) PIDs() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pids := map[string]int{}
+	for name, c := range d.terminating {
+		pids[name] = c.Process.Pid
+	}
+	for name, c := range d.processes {
+		pids[name] = c.Process.Pid
+	}
+	return pids
+}
+
 // PID returns the id of a running process, 0 if there is none of that name.
 func (d *Deployment) PID(name string) int {
 	if c := d.process(name); c != nil {
@@ -238,10 +252,20 @@
 // Kill sends SIGKILL to a process and waits for its end.
 func (d *Deployment) Kill(name string) {
 	if c := d.removeRunning(name); c != nil {
+		defer d.recordEnd(name, c)
 		kill(c)
 	}
 }
 
+// recordEnd records that a process that was told to end has ended.
+func (d *Deployment) recordEnd(name string, ended *exec.Cmd) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.terminating[name] == ended {
+		delete(d.terminating, name)
+	}
+}
+
 func kill(c *exec.Cmd) {
 	_ = c.Process.Signal(syscall.SIGCONT)
 	_ = c.Process.Kill() // it may have ended
@@ -255,6 +279,7 @@
 	if c == nil {
 		return true
 	}
+	defer d.recordEnd(name, c)
 	_ = c.Process.Signal(syscall.SIGTERM)
 	return await(c, grace)
 }
@@ -263,7 +288,11 @@
 // the process ended in time.
 func (d *Deployment) Await(name string, grace time.Duration) (inTime bool) {
 	c := d.removeRunning(name)
-	return c == nil || await(c, grace)
+	if c == nil {
+		return true
+	}
+	defer d.recordEnd(name, c)
+	return await(c, grace)
 }
 
 // DumpTime is how long a process that has not ended in time may write a dump of its goroutines before it is killed.
--- a/internal/standin/cluster/shutdown_test.go
+++ b/internal/standin/cluster/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,3 +76,26 @@
 	}
 	all.Wait()
 }
+
+// Guards against processes that are not watched in their grace period: one that got no processor then counted as late.
+func TestPIDsIncludeProcessesThatAreShuttingDown(t *testing.T) {
+	d := New(t, 3, 1)
+	d.Eventually("a proxy runs", func() bool {
+		code, _ := d.Call("GET", d.ReadyAddr(0), "/ready", "", nil)
+		return code != 0
+	})
+	before := d.PIDs()["proxy0"]
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.Terminate("proxy0", 4*time.Second)
+	}()
+	d.Eventually("the proxy was told to end", func() bool { return !slices.Contains(d.Running(), "proxy0") })
+	if got := d.PIDs()["proxy0"]; got == 0 || got != before {
+		t.Errorf("the id of the proxy in its grace period is %d, it was %d", got, before)
+	}
+	<-ended
+	if got := d.PIDs()["proxy0"]; got != 0 {
+		t.Errorf("the proxy that ended has the id %d", got)
+	}
+}
--- a/internal/standin/soak/starvation.go
+++ b/internal/standin/soak/starvation.go
@@ -77,10 +77,8 @@
 	bound := time.Duration(starvedFraction * float64(interval))
 	for ; ctx.Err() == nil; pause(ctx, interval) {
 		now, next := time.Now(), map[string]map[string]thread{}
-		pids := map[string]int{testProcess: os.Getpid()}
-		for _, name := range r.deployment.Running() {
-			pids[name] = r.deployment.PID(name)
-		}
+		pids := r.deployment.PIDs() // a process may be starved in its grace period too
+		pids[testProcess] = os.Getpid()
 		for name, pid := range pids {
 			next[name] = threadsOf(pid)
 			if longest := longestWait(threads[name], next[name], now.Sub(sampled)); longest > bound {
