--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -10,6 +10,9 @@
 	"weirwind/internal/member/wire"
 )
 
+// actionNames are the names of actions in the tests' transcripts, by kind.
+var actionNames = [...]string{"status", "pause", "resume", "promote", "drain", "log", "stepdown", "removal"}
+
 // Steps the controller through a failover, two switchovers and lost answers, and checks the actions of each step.
 func TestControllerTranscript(t *testing.T) {
 	newStatus := func(primary bool, term, n uint64) wire.MemberStatus {
@@ -29,8 +32,7 @@
 		var b strings.Builder
 		for _, a := range actions {
 			if a.Kind != Log {
-				fmt.Fprintf(&b, "%s:%s ",
-					[...]string{"status", "pause", "resume", "promote", "drain", "log", "stepdown"}[a.Kind], a.ID)
+				fmt.Fprintf(&b, "%s:%s ", actionNames[a.Kind], a.ID)
 			}
 		}
 		return strings.TrimSpace(b.String())
--- a/internal/controlplane/failover/coverage_test.go
+++ b/internal/controlplane/failover/coverage_test.go
@@ -12,6 +12,15 @@
 	return wire.MemberStatus{Primary: primary, Term: 1, Received: wire.Position{Term: 1, Number: number}}
 }
 
+// statusAfter returns the status with which a member replies to an action, from the one that it had before: a paused
+// replica promises the term of the pause.
+func statusAfter(a Action, before wire.MemberStatus) wire.MemberStatus {
+	if a.Kind == PauseReplication {
+		before.PromisedTerm = a.Term + 1
+	}
+	return before
+}
+
 func allowsRemoval(actions []Action, id string) bool {
 	return slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == AllowRemoval && a.ID == id })
 }
@@ -96,11 +105,8 @@
 				case StepDown:
 					oldPrimaryActive = false
 					c.HandleStatus("a", StepDown, now, newStatus(false, 9))
-				case PauseReplication:
-					status.PromisedTerm = a.Term + 1
-					c.HandleStatus(a.ID, PauseReplication, now, status)
-				case QueryStatus, ResumeReplication:
-					c.HandleStatus(a.ID, a.Kind, now, status)
+				case PauseReplication, QueryStatus, ResumeReplication:
+					c.HandleStatus(a.ID, a.Kind, now, statusAfter(a, status))
 				}
 			}
 		}
@@ -116,14 +122,10 @@
 	for now := from; now < until; now += 50 {
 		for _, a := range c.Step(v, now) {
 			all = append(all, a)
-			status := newStatus(false, 9)
-			if a.Kind == PauseReplication {
-				status.PromisedTerm = a.Term + 1
-			}
 			switch {
 			case a.Kind == Log || a.Kind == Promote:
 			case slices.Contains(reachable, a.ID):
-				c.HandleStatus(a.ID, a.Kind, now, status)
+				c.HandleStatus(a.ID, a.Kind, now, statusAfter(a, newStatus(false, 9)))
 			default:
 				c.HandleStatusFailure(a.ID, false, now)
 			}
--- a/internal/controlplane/failover/heartbeats_test.go
+++ b/internal/controlplane/failover/heartbeats_test.go
@@ -14,10 +14,8 @@
 	sent    map[string]heartbeat
 	arrived map[string]heartbeat // without those that arrived after a later one
 
-	// lateRate is the share of heartbeats that arrive late, by up to maxDelay milliseconds. A member's first one is late
-	// only if lateFirst is set.
+	// lateRate is the share of heartbeats that arrive late, by up to maxDelay milliseconds. A member's first one never is.
 	lateRate, maxDelay float64
-	lateFirst          bool
 }
 
 func newHeartbeats(primary string) heartbeats {
@@ -38,7 +36,7 @@
 		h.sent[m.ID] = next
 		switch {
 		case sim.cutOff(m.ID):
-		case (next.number > 1 || h.lateFirst) && h.lateRate > 0 && sim.random.Float64() < h.lateRate:
+		case next.number > 1 && h.lateRate > 0 && sim.random.Float64() < h.lateRate:
 			sim.after(h.maxDelay*sim.random.Float64(), func() { sim.receiveHeartbeat(m.ID, next) })
 		default:
 			sim.receiveHeartbeat(m.ID, next)
--- a/internal/controlplane/failover/pausing_test.go
+++ b/internal/controlplane/failover/pausing_test.go
@@ -17,9 +17,7 @@
 	for now := 0.0; now < 6000; now += 25 {
 		view.Members[0].Draining = now >= drainAt
 		for _, a := range c.Step(view, now) {
-			transcript = append(transcript, []string{"status", "pause", "resume", "promote", "drain", "log", "stepdown",
-				"removal"}[a.Kind]+" "+a.ID+" "+a.Reason)
-			status := newStatus(a.ID == "a", 9)
+			transcript = append(transcript, actionNames[a.Kind]+" "+a.ID+" "+a.Reason)
 			switch {
 			case a.Kind == Log || a.Kind == EnforceDrain:
 			case a.Kind == Promote:
@@ -31,11 +29,8 @@
 				resumed = a.ID // it is carried out, and its reply is on its way until the end of the test
 			case a.ID == "a" && now >= drainAt, a.ID == "b" && now >= drainAt && now < candidateBackAt:
 				c.HandleStatusFailure(a.ID, false, now)
-			case a.Kind == PauseReplication:
-				status.PromisedTerm = a.Term + 1
-				c.HandleStatus(a.ID, a.Kind, now, status)
 			default:
-				c.HandleStatus(a.ID, a.Kind, now, status)
+				c.HandleStatus(a.ID, a.Kind, now, statusAfter(a, newStatus(a.ID == "a", 9)))
 			}
 		}
 	}
@@ -62,14 +57,11 @@
 			case Log, EnforceDrain:
 			case Promote:
 				promoted = a.ID
-			case PauseReplication:
-				status.PromisedTerm = a.Term + 1
-				c.HandleStatus(a.ID, a.Kind, now, status)
 			default:
 				if a.ID == "b" { // it lags behind
 					status = newStatus(false, 8)
 				}
-				c.HandleStatus(a.ID, a.Kind, now, status)
+				c.HandleStatus(a.ID, a.Kind, now, statusAfter(a, status))
 			}
 		}
 	}
--- a/internal/controlplane/failover/watching_test.go
+++ b/internal/controlplane/failover/watching_test.go
@@ -31,12 +31,8 @@
 			case a.Kind == Log || a.Kind == EnforceDrain || a.Kind == Promote:
 			case a.ID == "b":
 				c.HandleStatusFailure("b", false, now)
-			case a.Kind == PauseReplication:
-				status := newStatus(false, 9)
-				status.PromisedTerm = a.Term + 1
-				c.HandleStatus(a.ID, a.Kind, now, status)
 			default:
-				c.HandleStatus(a.ID, a.Kind, now, newStatus(false, 9))
+				c.HandleStatus(a.ID, a.Kind, now, statusAfter(a, newStatus(false, 9)))
 			}
 		}
 	}
--- a/internal/standin/cluster/deployment.go
+++ b/internal/standin/cluster/deployment.go
@@ -251,10 +251,21 @@
 
 // Kill sends SIGKILL to a process and waits for its end.
 func (d *Deployment) Kill(name string) {
-	if c := d.removeRunning(name); c != nil {
-		defer d.recordEnd(name, c)
+	d.end(name, func(c *exec.Cmd) (inTime bool) {
 		kill(c)
+		return true
+	})
+}
+
+// end takes a process from the running ones and waits for its end as wait does, which reports whether it came in time.
+// A process that is not running has ended.
+func (d *Deployment) end(name string, wait func(*exec.Cmd) (inTime bool)) (inTime bool) {
+	c := d.removeRunning(name)
+	if c == nil {
+		return true
 	}
+	defer d.recordEnd(name, c)
+	return wait(c)
 }
 
 // recordEnd records that a process that was told to end has ended.
@@ -275,24 +286,16 @@
 // Terminate ends a process as the platform does, by SIGTERM and, after the grace period and a dump of its goroutines,
 // SIGKILL. It waits for the end and reports whether the process ended within the grace period.
 func (d *Deployment) Terminate(name string, grace time.Duration) (inTime bool) {
-	c := d.removeRunning(name)
-	if c == nil {
-		return true
-	}
-	defer d.recordEnd(name, c)
-	_ = c.Process.Signal(syscall.SIGTERM)
-	return await(c, grace)
+	return d.end(name, func(c *exec.Cmd) bool {
+		_ = c.Process.Signal(syscall.SIGTERM)
+		return await(c, grace)
+	})
 }
 
 // Await waits for the end of a process that was told to end, and kills it after the grace period. It reports whether
 // the process ended in time.
 func (d *Deployment) Await(name string, grace time.Duration) (inTime bool) {
-	c := d.removeRunning(name)
-	if c == nil {
-		return true
-	}
-	defer d.recordEnd(name, c)
-	return await(c, grace)
+	return d.end(name, func(c *exec.Cmd) bool { return await(c, grace) })
 }
 
 // DumpTime is how long a process that has not ended in time may write a dump of its goroutines before it is killed.
