--- a/internal/controlplane/failover/faults_test.go
+++ b/internal/controlplane/failover/faults_test.go
@@ -1,6 +1,10 @@
 package failover
 
-import "fmt"
+import (
+	"fmt"
+
+	"weirwind/internal/standin/replicaset"
+)
 
 // The simulated histories exclude two cases against which the controller can't protect (see docs/control-state.md):
 //   - A replica that starts receives commits before it can be paused, while a promote is in flight and the old primary
@@ -184,3 +188,51 @@
 		sim.restart(id)
 	})
 }
+
+// Times of a member that crashes and is back while a promote of another one is under way, in milliseconds.
+const (
+	maxReturnDelay = 300.0 // from the call of the promote to the return
+	maxStartDelay  = 150.0 // from the return until another member joins
+	maxDowntime    = 3000.0
+)
+
+// crashUntilPromote crashes a member, which is back with its log and role, under another ID, as soon as a promote of
+// another one is called. A third one joins then.
+func (sim *simulation) crashUntilPromote(id string) string {
+	member := sim.group.Member(id)
+	member.Up = false
+	sim.joins++
+	next := fmt.Sprint("n", sim.joins)
+	sim.returnOnPromote(member, next, sim.now)
+	return id + " down, to be back as " + next
+}
+
+// returnOnPromote restarts a member that is down since crashedAt under another ID, once a promote was called.
+func (sim *simulation) returnOnPromote(member *replicaset.Member, next string, crashedAt float64) {
+	if member.Up || sim.group.Member(member.ID) != member {
+		return
+	}
+	if !sim.controller.issued && sim.now-crashedAt < maxDowntime {
+		sim.after(stepMillis, func() { sim.returnOnPromote(member, next, crashedAt) })
+		return
+	}
+	sim.after(maxReturnDelay*sim.random.Float64(), func() { sim.restartAs(member, next) })
+}
+
+// restartAs restarts a member that is down under another ID, and has another member join soon after.
+func (sim *simulation) restartAs(member *replicaset.Member, next string) {
+	former := member.ID
+	if member.Up || sim.group.Member(former) != member {
+		return
+	}
+	member.Restart()
+	sim.group.DropPending(member)
+	member.ID = next
+	sim.restarts[next] = restart{sim.now, sim.discoveryDelay.draw(sim.random)}
+	sim.control.depart(former)
+	sim.after(maxStartDelay*sim.random.Float64(), func() {
+		if replicas := sim.runningReplicas(); len(replicas) > 1 {
+			sim.replace(replicas[sim.random.IntN(len(replicas))])
+		}
+	})
+}
--- a/internal/controlplane/failover/heartbeats_test.go
+++ b/internal/controlplane/failover/heartbeats_test.go
@@ -16,6 +16,9 @@
 
 	// lateRate is the share of heartbeats that arrive late, by up to maxDelay milliseconds. A member's first one never is.
 	lateRate, maxDelay float64
+	// leaderDelay is the time in milliseconds from the arrival of a heartbeat at a machine of the control plane, which
+	// tells drivers, until the leader knows of it.
+	leaderDelay float64
 }
 
 func newHeartbeats(primary string) heartbeats {
@@ -51,7 +54,15 @@
 	}
 	received.at = sim.now
 	sim.heartbeats.arrived[id] = received
-	sim.control.heartbeat(id, sim.now)
+	if sim.heartbeats.leaderDelay == 0 {
+		sim.control.heartbeat(id, sim.now)
+		return
+	}
+	sim.after(sim.heartbeats.leaderDelay, func() {
+		if sim.group.Member(id) != nil {
+			sim.control.heartbeat(id, sim.now)
+		}
+	})
 }
 
 // cutOff reports whether a member and the control plane can't reach each other.
--- a/internal/controlplane/failover/promotehistories_test.go
+++ b/internal/controlplane/failover/promotehistories_test.go
@@ -12,6 +12,9 @@
 	starts        bool    // members join and restart, and receive at once
 	leaderChanges bool    // the leader of the control plane changes, and the new one knows only what was committed
 	lossRate      float64 // share of queries, promotes and answers that are lost
+	relayLossRate float64 // share of relays of which no attempt reaches the member
+	cutsRefuse    bool    // connections to primaries that are cut off are refused
+	backAtOnce    bool    // crashed primaries are back soon, under another ID
 }
 
 // Times of these histories, in milliseconds.
@@ -23,10 +26,13 @@
 )
 
 // failPrimary makes the primary fail, as the control plane sees it, and returns what happened.
-func (sim *simulation) failPrimary() string {
+func (sim *simulation) failPrimary(h *promoteHistory) string {
 	primary := sim.group.Leader()
-	if primary == nil {
+	switch {
+	case primary == nil:
 		return "no primary"
+	case h.backAtOnce:
+		return sim.crashUntilPromote(primary.ID)
 	}
 	switch sim.random.IntN(3) {
 	case 0:
@@ -67,12 +73,17 @@
 	sim = newSimulationOf(seed, 1, ids...)
 	sim.control.delayReceiving = true
 	sim.effectDelay, sim.receiveDelay, sim.discoveryDelay = h.effectDelay, 0, delayRange{100, 400}
+	sim.relayLossRate, sim.cutsRefuse = h.relayLossRate, h.cutsRefuse
+	if h.backAtOnce {
+		sim.refuseConnections, sim.discoveryDelay = true, delayRange{1, 20}
+		sim.heartbeats.leaderDelay = 75
+	}
 	inject := func(what string) { injected = append(injected, fmt.Sprintf("%.0f %s", sim.now, what)) }
 	sim.run(2500)
 	for range promoteRounds {
 		sim.lossRate = h.lossRate
 		for range 2 {
-			inject(sim.failPrimary())
+			inject(sim.failPrimary(h))
 			for range 2 {
 				sim.run(maxEventDelay * sim.random.Float64())
 				inject(sim.injectBesides(h))
@@ -131,3 +142,25 @@
 func TestStartsLateEffectsAndNextLeadersLoseNoCommit(t *testing.T) {
 	(&promoteHistory{effectDelay: delayRange{0, 8000}, starts: true, leaderChanges: true, lossRate: 0.1}).check(t)
 }
+
+// Guards against the silence of some agents that passes for a primary that nobody reaches.
+func TestLostRelaysLoseNoCommit(t *testing.T) {
+	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, leaderChanges: true, lossRate: 0.1,
+		relayLossRate: 1. / 3}).check(t)
+}
+
+// Guards against a primary that serves clients while neither the core nor any agent reaches it.
+func TestPrimaryThatNoAgentReachesLosesNoCommit(t *testing.T) {
+	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, leaderChanges: true, lossRate: 0.1,
+		relayLossRate: 1}).check(t)
+}
+
+// Guards against a refused connection that passes for a primary that is gone.
+func TestRefusedConnectionsToLivePrimaryLoseNoCommit(t *testing.T) {
+	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, leaderChanges: true, cutsRefuse: true}).check(t)
+}
+
+// Guards against a crashed primary that is back under another ID, and is written to while a promote is under way.
+func TestPrimaryBackUnderAnotherIDLosesNoCommit(t *testing.T) {
+	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, backAtOnce: true}).check(t)
+}
--- a/internal/controlplane/failover/simulation_test.go
+++ b/internal/controlplane/failover/simulation_test.go
@@ -43,6 +43,8 @@
 	lossRate          float64       // share of queries, promotes and answers that are lost
 	lateStatementRate float64       // share of queries that are executed after they were given up
 	refuseConnections bool          // members that are down refuse connections instead of not replying
+	relayLossRate     float64       // share of relays of which no attempt reaches the member
+	cutsRefuse        bool          // connections to members that are cut off are refused
 	effectDelay       delayRange    // from an accepted promote to its effect
 	receiveDelay      float64       // until a member that has started receives entries
 	modifyView        func(v *View) // changes each view before the controller gets it; may be nil
@@ -139,7 +141,7 @@
 // heartbeat has arrived there, as its address and its ID may have changed.
 func (sim *simulation) discovered(id string) bool {
 	restart, restarted := sim.restarts[id]
-	return !restarted || sim.heartbeats.arrived[id].at > restart.at && sim.now > sim.heartbeats.arrived[id].at+restart.discovery ||
+	return !restarted || sim.heartbeats.arrived[id].at >= restart.at && sim.now > sim.heartbeats.arrived[id].at+restart.discovery ||
 		sim.now > restart.at+heartbeatMillis+restart.discovery
 }
 
@@ -271,11 +273,12 @@
 	}
 	sim.after(10+30*sim.random.Float64(), func() {
 		if m == nil || !m.Up || sim.cutOff(m.ID) || sim.random.Float64() < sim.lossRate {
+			cutRefuses := sim.cutsRefuse && m != nil && sim.cutOff(m.ID)
 			wait := queryTimeoutMillis
-			if sim.refuseConnections {
+			if sim.refuseConnections || cutRefuses {
 				wait = refusalMillis
 			}
-			sim.after(wait, func() { c.HandleStatusFailure(a.ID, sim.refuseConnections, sim.now) })
+			sim.after(wait, func() { c.HandleStatusFailure(a.ID, sim.refuseConnections || cutRefuses, sim.now) })
 			return
 		}
 		execute(m, a)
@@ -305,7 +308,8 @@
 	sent := sim.now
 	sim.after(20+60*sim.random.Float64(), func() {
 		m := sim.group.Member(a.ID)
-		allLost := sim.random.Float64() < math.Pow(sim.lossRate, relayAgents)
+		allLost := sim.random.Float64() < math.Pow(sim.lossRate, relayAgents) ||
+			sim.relayLossRate > 0 && sim.random.Float64() < sim.relayLossRate
 		if m == nil || !m.Up || allLost {
 			sim.after(relayTimeoutMillis, func() { c.HandleRelayFailure(a.ID) })
 			return
