--- a/internal/standin/soak/corecuts.go
+++ b/internal/standin/soak/corecuts.go
@@ -30,6 +30,11 @@
 	maxPromoteDelay   = 600 * time.Millisecond
 	maxLateEffect     = 8 * time.Second
 	joinProbability   = 0.5 // of pairs, where promotes take effect late
+
+	agentAnswerLoss        = 0.25 // share of agents' statements that reach a member, of which the answer is lost
+	primaryFaultRate       = 0.5  // of pairs, where agents' statements are lost: the primary freezes, or crashes and returns
+	frontFreezeProbability = 0.5
+	maxReturnTime          = 1200 * time.Millisecond
 )
 
 // coreCutEvents returns the events that begin at a time: a pair of core cuts with what happens between them, or an
@@ -53,6 +58,9 @@
 		events = append(events, Event{At: between(), Kind: KindCrash, Targets: []string{targetReplica},
 			Duration: d.randomDuration(minFault, maxReplicaDowntime)})
 	}
+	if d.schedule.Shape.AgentLoss > 0 {
+		events = append(events, d.unreachableEvents(between)...)
+	}
 	if d.schedule.Shape.LateEffects && d.random.Float64() < joinProbability {
 		events = append(events,
 			Event{At: between(), Kind: KindRelease, Targets: []string{targetReplica}, Duration: drainTime},
@@ -61,6 +69,23 @@
 	return events
 }
 
+// unreachableEvents returns faults of the primary and of fronts beside a pair of core cuts.
+func (d *generator) unreachableEvents(between func() time.Duration) (events []Event) {
+	if d.random.Float64() < primaryFaultRate {
+		kind, most := KindReturn, maxReturnTime
+		if d.random.IntN(2) == 0 {
+			kind, most = KindMemberFreeze, maxMemberFault
+		}
+		events = append(events, Event{At: between(), Kind: kind, Targets: []string{targetPrimary},
+			Duration: d.randomDuration(minFault, most)})
+	}
+	if d.random.Float64() < frontFreezeProbability {
+		events = append(events, Event{At: between(), Kind: KindFreeze, Targets: d.fronts(),
+			Duration: d.randomDuration(minFault, maxFreeze)})
+	}
+	return events
+}
+
 // plannedEvent returns a restart of fronts, a series of SIGHUP or a change of the configuration.
 func (d *generator) plannedEvent(at time.Duration) Event {
 	kinds := []Kind{KindRestart, KindHangup, KindChange, KindChange}
@@ -105,6 +130,9 @@
 	service := r.deployment.Service
 	service.With(func(*replicaset.Group) {
 		service.LateHeartbeats, service.MaxHeartbeatDelay = lateHeartbeats, maxHeartbeatDelay
+		if r.shape.AgentLoss > 0 {
+			service.AgentLossRate, service.AgentAnswerLossRate = r.shape.AgentLoss, agentAnswerLoss
+		}
 	})
 	if r.shape.LateEffects {
 		r.setPromoteDelay(maxLateEffect)
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -26,7 +26,7 @@
 		r.operators.makeChange(ctx, e.Change)
 	case KindRelease:
 		r.release(e.Targets[0], e.Duration)
-	case KindCrash, KindLag, KindPartition:
+	case KindCrash, KindLag, KindPartition, KindMemberFreeze, KindReturn:
 		r.disturbMember(e)
 	case KindCoreCut:
 		r.cutPrimaries(e)
@@ -157,6 +157,16 @@
 	case KindPartition:
 		update(func(m *replicaset.Member) { m.Partitioned = true })
 		defer update(func(m *replicaset.Member) { m.Partitioned = false })
+	case KindMemberFreeze:
+		service.Freeze(id)
+		defer service.Thaw(id)
+	case KindReturn:
+		next := fmt.Sprint("m", r.members.Add(1))
+		service.Crash(id)
+		defer func() {
+			r.deployment.ReturnAs(id, next)
+			r.logf("%s is back as %s", id, next)
+		}()
 	default:
 		service.Crash(id)
 		defer update((*replicaset.Member).Restart)
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -16,6 +16,9 @@
 	cutSeeds     = flag.Int("soak.cuts", 1, "number of seeds that TestSoakCoreCuts runs")
 	restartSeeds = flag.Int("soak.restarts", 1, "number of seeds that TestSoakCoreCutsWithRestarts runs")
 	lateSeeds    = flag.Int("soak.late", 1, "number of seeds that TestSoakLateEffects runs")
+	lossSeeds    = flag.Int("soak.unreachable", 1, "number of seeds that TestSoakUnreachablePrimaries runs")
+	lossFirst    = flag.Uint64("soak.unreachable.first", 501, "the first seed of TestSoakUnreachablePrimaries")
+	agentLoss    = flag.Float64("soak.agentloss", 1, "share of agents' statements that TestSoakUnreachablePrimaries loses")
 	firstSeed    = flag.Uint64("soak.first", 1, "the first seed")
 	cores        = flag.Int("soak.cores", 3, "core machines")
 	fronts       = flag.Int("soak.fronts", 3, "machines with an agent and a proxy")
@@ -72,6 +75,16 @@
 	}
 }
 
+// Guards against silence that passes for a primary that nobody reaches: primaries that neither the core nor any agent
+// reaches while clients do, that freeze, or that crash and are back under another ID, beside fronts that freeze.
+func TestSoakUnreachablePrimaries(t *testing.T) {
+	s := coreCutShape()
+	s.Restarts, s.LateEffects, s.AgentLoss = true, true, *agentLoss
+	for seed := *lossFirst; seed < *lossFirst+uint64(*lossSeeds); seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { soakSeed(t, seed, s) })
+	}
+}
+
 // Seed 3 stands in a test of its own for KNOWN-RED.txt: two proxies were once still running after their grace period.
 func TestSoakSeed3(t *testing.T) { soakSeed(t, 3, shape()) }
 
