--- a/internal/controlplane/config/state.go
+++ b/internal/controlplane/config/state.go
@@ -20,6 +20,18 @@
 	Roster Roster        `cbor:"9,keyasint,omitempty"` // members that may hold an acknowledged commit
 
 	Promotes Promotes `cbor:"10,keyasint,omitempty"` // promotes that may take effect
+
+	WriterLeases bool `cbor:"11,keyasint,omitempty"` // leaders grant writer leases, which proxies then need
+}
+
+// WithWriterLeases returns the state with WriterLeases set, or s itself if it is.
+func (s *State) WithWriterLeases() *State {
+	if s.WriterLeases {
+		return s
+	}
+	next := *s
+	next.WriterLeases = true
+	return &next
 }
 
 // AppliedChange is an entry of the history. GET /config/log shows it as JSON.
--- a/internal/controlplane/controlmsg/frame.go
+++ b/internal/controlplane/controlmsg/frame.go
@@ -24,4 +24,7 @@
 	QuotaAnswer   *QuotaAnswer       `cbor:"15,keyasint,omitempty"`
 	Statement     *RelayedStatement  `cbor:"16,keyasint,omitempty"`
 	Reply         *RelayedReply      `cbor:"17,keyasint,omitempty"`
+
+	WriterLeaseRequest *WriterLeaseRequest `cbor:"18,keyasint,omitempty"`
+	WriterLeaseGrant   *WriterLeaseGrant   `cbor:"19,keyasint,omitempty"`
 }
--- a/internal/controlplane/controlmsg/golden_test.go
+++ b/internal/controlplane/controlmsg/golden_test.go
@@ -135,7 +135,7 @@
 func TestPurposeNames(t *testing.T) {
 	want := []string{"unknown", "discovery", "lease renewals", "lease records", "driver lists", "member records",
 		"member heartbeats", "configuration", "shard maps", "digests", "agreement heartbeats", "agreement entries",
-		"primary reports", "operator calls", "quotas", "relayed statements", "unknown"}
+		"primary reports", "operator calls", "quotas", "relayed statements", "writer leases", "unknown"}
 	for i, name := range want {
 		if got := Purpose(i).String(); got != name {
 			t.Errorf("purpose %d is %q, want %q", i, got, name)
--- a/internal/controlplane/controlmsg/purpose.go
+++ b/internal/controlplane/controlmsg/purpose.go
@@ -25,6 +25,7 @@
 	OperatorCalls               // operators' calls that are forwarded to the leader, and their answers
 	Quotas                      // tokens and shares of tenants' quotas
 	RelayedStatements           // the leader's statements to members through agents, and their replies
+	WriterLeases                // proxies' requests for writer leases, the answers, and assignments of writers
 	purposeCount
 )
 
@@ -46,6 +47,7 @@
 	OperatorCalls:       "operator calls",
 	Quotas:              "quotas",
 	RelayedStatements:   "relayed statements",
+	WriterLeases:        "writer leases",
 }
 
 // String returns the purpose's name, as in the status of a process.
@@ -81,6 +83,8 @@
 		return Quotas
 	case f.Statement != nil, f.Reply != nil:
 		return RelayedStatements
+	case f.WriterLeaseRequest != nil, f.WriterLeaseGrant != nil:
+		return WriterLeases
 	case f.Request != nil, f.Response != nil:
 		return OperatorCalls
 	case f.Leases != nil, f.LeaseSync != nil:
@@ -101,6 +105,8 @@
 		return MemberRecords
 	case u.Drivers != nil, u.DriversAdded != nil, u.DriversRemoved != nil:
 		return DriverLists
+	case u.Writers != nil:
+		return WriterLeases
 	}
 	return LeaseRenewals
 }
--- a/internal/controlplane/controlmsg/state.go
+++ b/internal/controlplane/controlmsg/state.go
@@ -37,6 +37,10 @@
 	// QuorumContactAgeMs is the age of the sending core machine's newest contact with a majority, in milliseconds. An
 	// agent looks for another machine if its machine has had no contact for consensus.ContactLease.
 	QuorumContactAgeMs *float64 `cbor:"10,keyasint,omitempty"`
+
+	Writers []WriterAssignment `cbor:"11,keyasint,omitempty"` // new assignments, or all that the sender knows
+	// WriterLeases is set beside QuorumContactAgeMs, in an agent's first update to a proxy, and when it changes.
+	WriterLeases LeaseSupport `cbor:"12,keyasint,omitempty"`
 }
 
 // Heartbeat is a member's heartbeat that changed nothing. The core machine that received it passes it on to the others
--- a/internal/util/events/catalogue.go
+++ b/internal/util/events/catalogue.go
@@ -53,6 +53,10 @@
 const (
 	SlotFilled  Event = 501
 	SlotEmptied Event = 502
+
+	WriterLeaseGained Event = 503
+	WriterLeaseLost   Event = 504
+	CommitUnconfirmed Event = 505
 )
 
 // Events of failovers.
@@ -61,6 +65,8 @@
 	FailoverStep   Event = 602
 	PlatformCall   Event = 603
 	PromoteRecord  Event = 604
+	WriterAssigned Event = 605
+	WritersAwaited Event = 606
 )
 
 // Events of clients' sessions at a proxy.
@@ -132,13 +138,20 @@
 	DriverLeaseExpired: "a driver's lease expired",
 	RosterChange:       "the roster of members that may hold an acknowledged commit is to change",
 
-	SlotFilled:  "a group's writer slot names this member from now on, and by what evidence",
-	SlotEmptied: "a group's writer slot is empty, and why; its writes are queued",
+	SlotFilled:        "a group's writer slot names this member from now on, and by what evidence",
+	SlotEmptied:       "a group's writer slot is empty, and why; its writes are queued",
+	WriterLeaseGained: "a proxy has a writer lease again: it writes to the members that the leader assigns",
+	WriterLeaseLost:   "a proxy's writer lease is over: it writes while replicas receive, and they confirm each commit",
+	CommitUnconfirmed: "commits were answered by a member but not passed on as successes (at most a line a second for a " +
+		"group): the leader has assigned another writer, or no replica confirmed them",
 
 	FailoverStatus: "the failover of a service to another primary begins, and why; or what it waits for",
 	FailoverStep:   "a step of a failover was taken",
 	PlatformCall:   "a call to the platform, with its answer",
 	PromoteRecord:  "the record of a promote that may take effect is to be replicated, or removed as it is resolved",
+	WriterAssigned: "the leader lets proxies write to this member of a service alone, or to none",
+	WritersAwaited: "a failover waits for these proxies, which may still pass on commits of the old primary, until they " +
+		"have confirmed that they don't or their leases are over, so many milliseconds at most",
 
 	MalformedMessage:   "a client sent bytes that are no message; its connection was closed",
 	StatementsRejected: "statements were rejected, unsent (at most a line a second for a group): what they waited for",
--- a/internal/util/events/golden_test.go
+++ b/internal/util/events/golden_test.go
@@ -16,7 +16,7 @@
 // Operators and tools identify events by number, so no number may change or disappear.
 func TestNumbersAreStable(t *testing.T) {
 	want := "[101 102 103 104 105 106 201 202 203 204 205 206 207 208 209 210 211 212 301 302 303 401 402 403 404 405 406 407 " +
-		"501 502 601 602 603 604 701 702 703 704 705 801 802 803 901 902 903 1001 1002 1003 1004]"
+		"501 502 503 504 505 601 602 603 604 605 606 701 702 703 704 705 801 802 803 901 902 903 1001 1002 1003 1004]"
 	if got := fmt.Sprint(slices.Sorted(maps.Keys(Catalogue))); got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
