--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -17,6 +17,7 @@
 	"weirwind/internal/util/metrics"
 	"weirwind/internal/util/settings"
 	"weirwind/internal/util/transport"
+	"weirwind/internal/writerlease"
 )
 
 type controlLink = transport.Link[controlmsg.Frame]
@@ -55,6 +56,8 @@
 	drivers       []directory.Driver
 	coreAddrs     []string // control addresses of the core machines
 	shardMap      *shardmap.Map
+	writers       writerlease.Assignments
+	leaseSupport  controlmsg.LeaseSupport // as the core machine in use told last
 
 	// The core machine in use and the candidate: corelink.go. Times are in milliseconds.
 	core              *coreLink // in use; nil: none
@@ -103,7 +106,8 @@
 			Name: cfg.Hostname, Addr: cfg.PortAddr(cfg.IP, 0), Zone: cfg.Zone,
 			Incarnation: uint64(time.Now().UnixMilli()),
 		},
-		members: directory.NewMembers(), coreAddrs: cfg.Peers, backoff: initialBackoff,
+		members: directory.NewMembers(), writers: writerlease.Assignments{}, leaseSupport: controlmsg.LeaseSupportOn,
+		coreAddrs: cfg.Peers, backoff: initialBackoff,
 		proxies: map[*controlLink]bool{}, peers: map[string]*peer{},
 		quotaRoute: quotaRoute{originLinks: map[string]*controlLink{}},
 	}
--- a/internal/controlplane/agent/corelink.go
+++ b/internal/controlplane/agent/corelink.go
@@ -173,12 +173,16 @@
 	if update := frame.Update; update != nil {
 		if update.QuorumContactAgeMs != nil {
 			core.isolated = *update.QuorumContactAgeMs > consensus.ContactLease
+			a.setLeaseSupport(core, update.WriterLeases)
 		}
 		a.applyUpdate(update)
 	}
 	if frame.Statement != nil {
 		go relayStatement(core.link, frame.Statement)
 	}
+	if frame.WriterLeaseGrant != nil {
+		a.handleWriterLeaseGrant(frame.WriterLeaseGrant)
+	}
 	if frame.QuotaGrant != nil {
 		a.applyStandbyGrant(frame.QuotaGrant)
 	}
--- a/internal/controlplane/agent/peers.go
+++ b/internal/controlplane/agent/peers.go
@@ -38,6 +38,9 @@
 		if frame.Digest != nil {
 			a.reconcile(link, frame.Digest)
 		}
+		if frame.WriterLeaseRequest != nil {
+			a.forwardPeerRequest(frame.WriterLeaseRequest)
+		}
 		if frame.QuotaRequest != nil {
 			a.handleRelayedRequest(link, frame)
 		}
--- a/internal/controlplane/agent/proxies.go
+++ b/internal/controlplane/agent/proxies.go
@@ -24,7 +24,7 @@
 	a.proxies[link] = true
 	link.Send(&controlmsg.Frame{Update: &controlmsg.StateUpdate{
 		ConfigVersion: a.configVersion, Config: a.config, Members: a.members.Snapshot(), ShardMap: a.shardMap,
-		DriverCount: a.driverCount(),
+		DriverCount: a.driverCount(), Writers: a.writers.List(), WriterLeases: a.leaseSupport,
 	}})
 }
 
@@ -51,6 +51,8 @@
 	case frame.PrimaryReport != nil && a.core != nil:
 		frame.PrimaryReport.Driver = a.self.Name
 		a.core.link.Send(frame)
+	case frame.WriterLeaseRequest != nil:
+		a.sendWriterLeaseRequest(frame.WriterLeaseRequest)
 	case frame.QuotaRequest != nil:
 		a.sendQuotaRequest(frame)
 	}
--- a/internal/controlplane/agent/updates.go
+++ b/internal/controlplane/agent/updates.go
@@ -11,7 +11,8 @@
 func (a *Agent) applyUpdate(update *controlmsg.StateUpdate) {
 	changes := a.merge(update)
 	driversChanged := a.mergeDrivers(update)
-	changed := changes.ConfigVersion > 0 || changes.Members != nil || changes.ShardMap != nil
+	changed := changes.ConfigVersion > 0 || changes.Members != nil || changes.ShardMap != nil ||
+		changes.Writers != nil
 	if changed {
 		a.sendChangesToPeers(changes)
 	}
@@ -34,6 +35,7 @@
 	if update.ShardMap != nil && (a.shardMap == nil || update.ShardMap.Version > a.shardMap.Version) {
 		a.shardMap, changes.ShardMap = update.ShardMap, update.ShardMap
 	}
+	changes.Writers = a.writers.Merge(update.Writers)
 	if update.CoreAddrs != nil {
 		a.coreAddrs = update.CoreAddrs
 	}
@@ -58,8 +60,8 @@
 // most peers already have them from the core. A peer that lacks them answers the digest.
 func (a *Agent) sendChangesToPeers(changes *controlmsg.StateUpdate) {
 	frame := &controlmsg.Frame{}
-	if changes.Members != nil {
-		frame.Update = &controlmsg.StateUpdate{Members: changes.Members}
+	if changes.Members != nil || changes.Writers != nil {
+		frame.Update = &controlmsg.StateUpdate{Members: changes.Members, Writers: changes.Writers}
 	}
 	if changes.ConfigVersion > 0 || changes.ShardMap != nil {
 		digest := a.digest()
--- a/internal/dataplane/group/group.go
+++ b/internal/dataplane/group/group.go
@@ -23,6 +23,9 @@
 	nextProbe     float64 // no probe is due before this time
 	probeInterval float64 // time from the next probe to the one after it
 	distanceTo    func(zone string) Distance
+
+	// MayWrite reports whether writes may be sent to a member, according to the control plane. If it is nil, they may.
+	MayWrite func(memberID string) bool
 }
 
 // NewGroup returns the group of a service, without members. distanceTo returns the distance of a zone from this
@@ -43,14 +46,14 @@
 		return
 	}
 	if m == nil {
-		m = &Member{replicaSeenAt: math.Inf(-1), laggedAt: math.Inf(-1), lastResponse: now,
+		m = &Member{replicaSeenAt: math.Inf(-1), laggedAt: math.Inf(-1), lastResponse: now, KnownSince: now,
 			distance: g.distanceTo(record.Zone), latency: initialLatency}
 		g.Members[record.ID] = m
 	}
 	restarted := record.Incarnation > m.Incarnation && m.Incarnation > 0
 	m.Member = record
 	if restarted {
-		m.ejectedUntil = 0
+		m.ejectedUntil, m.KnownSince = 0, now
 	}
 	switch {
 	case record.Draining:
@@ -115,6 +118,9 @@
 	return g.Slot.LastHolder
 }
 
+// mayWrite reports whether writes may be sent to a member.
+func (g *Group) mayWrite(member *Member) bool { return g.MayWrite == nil || g.MayWrite(member.ID) }
+
 // Primary returns the member in the writer slot, or nil.
 func (g *Group) Primary() *Member {
 	if g.Slot.Holder == "" {
--- a/internal/dataplane/group/health.go
+++ b/internal/dataplane/group/health.go
@@ -159,9 +159,13 @@
 }
 
 // ProbesToSend returns the members to send a health check to now, and marks them as being probed: all candidates for
-// primary while the slot is empty, or a suspected primary. It should be called only while requests wait for a primary.
+// primary while the slot is empty or its member may not be written to, or a suspected primary. It should be called only
+// while requests wait for a primary.
 func (g *Group) ProbesToSend(now float64) []*Member {
 	primary := g.Primary()
+	if primary != nil && !g.mayWrite(primary) {
+		primary = nil
+	}
 	if now < g.nextProbe || primary != nil && !primary.Suspected {
 		return nil
 	}
--- a/internal/dataplane/group/member.go
+++ b/internal/dataplane/group/member.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -32,6 +33,8 @@
 
 	// Position is the furthest log position that the member is known to have. It never decreases.
 	Position wire.Position
+	// KnownSince is when the member was added, or when its latest restart became known.
+	KnownSince float64
 	// InFlight is the number of this proxy's connections with an open request or transaction. The caller maintains it.
 	InFlight int
 	// Suspected is set if the member, as primary, answered nothing for too long while requests were pending. Any answer
@@ -58,6 +61,9 @@
 	return m.distance < other.distance || m.distance == other.distance && rand.IntN(2) == 0
 }
 
+// CompareDistance orders members by their distance, nearest first.
+func CompareDistance(a, b *Member) int { return cmp.Compare(a.distance, b.distance) }
+
 // Ejected reports whether routing excludes the member at now.
 func (m *Member) Ejected(now float64) bool { return m.ejectedUntil > now }
 
--- a/internal/dataplane/group/routing.go
+++ b/internal/dataplane/group/routing.go
@@ -45,7 +45,7 @@
 func (g *Group) Route(req *Requirement, now float64, available func(*Member) bool, avoid func(id string) bool) Target {
 	if req.Write || req.Linearizable {
 		primary := g.reachablePrimary(available)
-		if primary == nil || req.Write && g.CommitsStalled(now) {
+		if primary == nil || req.Write && (g.CommitsStalled(now) || !g.mayWrite(primary)) {
 			return Target{}
 		}
 		return Target{Member: primary, VerifyPrimary: req.Linearizable}
--- a/internal/dataplane/proxy/bench_test.go
+++ b/internal/dataplane/proxy/bench_test.go
@@ -54,7 +54,8 @@
 	p.router.do(func() {
 		defer close(done)
 		p.router.update(&controlmsg.StateUpdate{ConfigVersion: 3, Config: []byte(transcriptConfig), DriverCount: 2,
-			ShardMap: &shardmap.Map{Version: 5, Shards: map[string]shardmap.Assignment{"sh": {Node: "s", Epoch: 8}}},
+			WriterLeases: controlmsg.LeaseSupportOff,
+			ShardMap:     &shardmap.Map{Version: 5, Shards: map[string]shardmap.Assignment{"sh": {Node: "s", Epoch: 8}}},
 			Members: []directory.Member{{ID: "a", Service: "s", Zone: "z", Role: directory.RolePrimary, Incarnation: 1,
 				Seq: 1}}})
 		g := p.router.group("s")
--- a/internal/dataplane/proxy/errors.go
+++ b/internal/dataplane/proxy/errors.go
@@ -65,6 +65,7 @@
 	errFailedTransactionCommit = &clientError{aborted, "the transaction had failed"}
 	errTransactionIdle         = &clientError{aborted, "it rested for too long"}
 	errKeyRevoked              = &clientError{aborted, "its key was taken away"}
+	errPrimaryReplaced         = &clientError{aborted, "its primary is being replaced"}
 
 	errUnknownKey = &clientError{denied, "no tenant has this key"}
 )
@@ -83,6 +84,12 @@
 	return &clientError{kind, "no answer came from " + memberID}
 }
 
+// commitUnconfirmedError returns the error of a commit that a member answered with success while another one may have
+// been promoted.
+func commitUnconfirmedError(memberID string) error {
+	return &clientError{outcomeUnknown, "the commit at " + memberID + " was not confirmed"}
+}
+
 func commitUnansweredError(memberID string) error {
 	return &clientError{outcomeUnknown, "no answer to the commit came from " + memberID}
 }
--- a/internal/dataplane/proxy/metrics.go
+++ b/internal/dataplane/proxy/metrics.go
@@ -16,7 +16,9 @@
 	queueWait metrics.Histogram // seconds from a statement's arrival until it got a connection
 	expired   uint64            // requests that were rejected because their deadline was too close
 	queueFull uint64            // requests that were rejected because the queue was full
-	outcomes  [group.OutcomeCount]uint64
+	// unconfirmed counts the commits that a member answered, and that were not passed on as successes.
+	unconfirmed uint64
+	outcomes    [group.OutcomeCount]uint64
 }
 
 // groupSnapshot is a copy of the metrics of a group.
@@ -74,6 +76,7 @@
 	set.Flag("weirwind_proxy_ready", "1 while the platform is told that this proxy is ready.", p.ready())
 	set.Flag("weirwind_proxy_agent_linked", "1 while the agent on this machine feeds this proxy.",
 		p.agent.Load() != nil)
+	set.Flag("weirwind_proxy_writer_lease", "1 while this proxy has a writer lease, or needs none.", p.writers.hasLease())
 	p.denials.writeMetrics(set)
 	events.WriteMetrics(p.log, set)
 	ctx, cancel := context.WithTimeout(p.ctx, metrics.OwnerTimeout)
@@ -108,6 +111,9 @@
 		float64(g.expired), "service", g.service, "reason", "expired")
 	set.Counter("weirwind_proxy_rejected_requests_total", "Requests that were rejected unsent, by reason.",
 		float64(g.queueFull), "service", g.service, "reason", "queue_full")
+	set.Counter("weirwind_proxy_unconfirmed_commits_total",
+		"Commits that a member answered, and whose client was told that the outcome is unknown.", float64(g.unconfirmed),
+		"service", g.service)
 	for outcome, count := range g.outcomes {
 		set.Counter("weirwind_proxy_attempts_total", "Requests to members, by how they ended.", float64(count),
 			"service", g.service, "outcome", group.Outcome(outcome).String())
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -44,6 +44,7 @@
 
 	config        atomic.Pointer[config.Config] // nil until the first configuration has arrived
 	denials       denials
+	writers       *writers
 	agent         atomic.Pointer[transport.Link[controlmsg.Frame]] // nil while there is no connection to the agent
 	shutdownPhase atomic.Int32                                     // of type phase
 	clientConns   atomic.Int32
@@ -58,6 +59,7 @@
 		tenantsRequired: s.HasContract(settings.ContractTenants)}
 	p.router = newRouter(p)
 	p.denials.proxy = p
+	p.writers = newWriters(p)
 	return p
 }
 
@@ -121,11 +123,17 @@
 	backoff := transport.Backoff{Initial: 20 * time.Millisecond, Max: 500 * time.Millisecond,
 		DialTimeout: func(int) time.Duration { return transport.DialTimeout(0) }}
 	transport.KeepConnected(p.ctx, p.settings.FeedAddr, backoff,
-		func(link *transport.Link[controlmsg.Frame]) { p.agent.Store(link) },
+		func(link *transport.Link[controlmsg.Frame]) {
+			p.writers.linkUp()
+			p.agent.Store(link)
+		},
 		func(_ *transport.Link[controlmsg.Frame], frame *controlmsg.Frame) {
 			if frame.Update != nil {
 				p.router.do(func() { p.router.update(frame.Update) })
 			}
+			if frame.WriterLeaseGrant != nil {
+				p.router.do(func() { p.router.handleWriterLeaseGrant(frame.WriterLeaseGrant) })
+			}
 			if frame.QuotaAnswer != nil {
 				p.router.do(func() { p.router.handleQuotaAnswer(frame.QuotaAnswer) })
 			}
--- a/internal/dataplane/proxy/quota_test.go
+++ b/internal/dataplane/proxy/quota_test.go
@@ -133,7 +133,9 @@
 	close(agentListener.conns)
 	go transport.Serve(agentListener, 0, func(*transport.Link[controlmsg.Frame]) {},
 		func(l *transport.Link[controlmsg.Frame], f *controlmsg.Frame) {
-			l.Send(&controlmsg.Frame{QuotaAnswer: c.answer(f.QuotaRequest)})
+			if f.QuotaRequest != nil {
+				l.Send(&controlmsg.Frame{QuotaAnswer: c.answer(f.QuotaRequest)})
+			}
 		}, func(*transport.Link[controlmsg.Frame]) {})
 }
 
--- a/internal/dataplane/proxy/retry_test.go
+++ b/internal/dataplane/proxy/retry_test.go
@@ -147,6 +147,7 @@
 		t.Fatal(err)
 	}
 	p.config.Store(cfg)
+	p.writers.holder.SetRequired(false)
 	g := p.router.group("s")
 	g.routing.UpdateMember(directory.Member{ID: "a", Service: "s", Zone: "z", Addr: ln.Addr().String(),
 		Role: directory.RolePrimary, Incarnation: 1, Seq: 1}, p.now())
--- a/internal/dataplane/proxy/router.go
+++ b/internal/dataplane/proxy/router.go
@@ -55,6 +55,10 @@
 	rejections    rejectionLog
 	metrics       groupMetrics
 	reporter      reporter
+
+	confirmer           *commitConfirmer
+	checkFailed         bool    // the nearest replicas did not pass the latest check, so that the next one queries all
+	unconfirmedLoggedAt float64 // milliseconds
 }
 
 func newRouter(proxy *Proxy) *router {
@@ -80,6 +84,7 @@
 	now := r.proxy.now()
 	r.shards.dispatch(now)
 	r.tickQuotas(now)
+	r.tickWriters(now)
 	for _, g := range r.groups {
 		g.routing.SuspectPrimary(now)
 		r.dispatch(g)
@@ -107,6 +112,7 @@
 		r.shards.dispatch(now)
 	}
 	r.updateMembers(update.Members, now)
+	r.updateWriters(update)
 }
 
 func (r *router) updateConfig(raw []byte) {
@@ -151,6 +157,8 @@
 	if g == nil {
 		g = &memberGroup{routing: group.NewGroup(service, r.proxy.distanceTo), pools: map[string]*connPool{},
 			queue: waitQueue[*connRequest]{max: maxQueuedPerGroup}}
+		g.routing.MayWrite = func(memberID string) bool { return r.proxy.writers.mayWrite(service, memberID) }
+		g.confirmer = &commitConfirmer{router: r, group: g}
 		r.groups[service] = g
 	}
 	return g
--- a/internal/dataplane/proxy/tenants_test.go
+++ b/internal/dataplane/proxy/tenants_test.go
@@ -58,6 +58,7 @@
 	f.proxy.startedAt = time.Now().Add(-time.Minute)
 	go f.proxy.router.run()
 	f.update(&controlmsg.StateUpdate{ConfigVersion: 1, Config: tenantConfig(1, tenants), DriverCount: 1,
+		WriterLeases: controlmsg.LeaseSupportOff,
 		Members: []directory.Member{{ID: "a", Service: "s", Zone: "z", Addr: listener.Addr().String(),
 			Role: directory.RolePrimary, Incarnation: 1, Seq: 1}}})
 	return f
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -75,6 +75,11 @@
 				return
 			}
 		}
+		if s.isCommitOfWrites(tx, st) && !s.mayWritePinned(tx) {
+			s.rollBack(tx)
+			s.failTransaction(errPrimaryReplaced, st)
+			return
+		}
 		reply, err := s.sendInTransaction(tx, st, deadline)
 		if err != nil {
 			s.handleNoResponseInTransaction(tx, st, deadline, err)
@@ -84,12 +89,22 @@
 			s.unpin(tx, false)
 			continue
 		}
-		s.forwardInTransaction(tx, st, &reply)
+		s.forwardInTransaction(tx, st, &reply, deadline)
 		return
 	}
 	s.failTransaction(errRetryLater, st)
 }
 
+// isCommitOfWrites reports whether a statement is the COMMIT of a transaction that has written, or may have.
+func (s *session) isCommitOfWrites(tx *transaction, st *statement) bool {
+	return st.parsed.Verb == "COMMIT" && tx.writeRan
+}
+
+// mayWritePinned reports whether the member at which the transaction runs may be written to.
+func (s *session) mayWritePinned(tx *transaction) bool {
+	return s.proxy.writers.mayWrite(tx.pinned.group.routing.Service, tx.pinned.record.ID)
+}
+
 // sendInTransaction sends a statement over the pinned connection and returns the reply.
 func (s *session) sendInTransaction(tx *transaction, st *statement, deadline float64) (memberconn.Reply, error) {
 	router, checkout := s.proxy.router, tx.pinned
@@ -97,7 +112,7 @@
 	text, preludes := s.appendPrelude(&batch, checkout.conn, st)
 	memberconn.AppendQuery(&batch, st.id, text)
 	sentAt := s.proxy.now()
-	commit := st.parsed.Verb == "COMMIT" && tx.writeRan
+	commit := s.isCommitOfWrites(tx, st)
 	router.do(func() { checkout.group.routing.RecordSend(checkout.member, sentAt, commit) })
 	reply, err := exchange(checkout.conn, batch.String(), preludes, s.proxy.timeAt(deadline), s.forwardRows)
 	if err != nil {
@@ -137,7 +152,7 @@
 }
 
 // forwardInTransaction forwards a member's reply and updates the state of the transaction from it.
-func (s *session) forwardInTransaction(tx *transaction, st *statement, reply *memberconn.Reply) {
+func (s *session) forwardInTransaction(tx *transaction, st *statement, reply *memberconn.Reply, deadline float64) {
 	tx.statementRan = true
 	if s.isWrite(st) {
 		tx.writeRan = tx.writeRan || reply.OK || mayHaveRun(reply.Code)
@@ -146,10 +161,15 @@
 	switch {
 	case st.parsed.Verb == "COMMIT":
 		s.tx = nil
+		checkout := tx.pinned
+		s.unpin(tx, reply.State == wire.StateIdle)
 		if reply.OK && tx.writeRan {
+			if !s.mayAcknowledge(checkout, reply.Position, deadline) {
+				s.replyError(commitUnconfirmedError(checkout.record.ID), wire.StateIdle)
+				return
+			}
 			s.recordCommit(reply.Position)
 		}
-		s.unpin(tx, reply.State == wire.StateIdle)
 		s.forwardReply(reply, wire.StateIdle)
 	case reply.State != wire.StateInTransaction:
 		tx.failed = true
