--- a/internal/controlplane/agentlinks.go
+++ b/internal/controlplane/agentlinks.go
@@ -74,7 +74,8 @@
 	}
 	contactAgeMs := s.server.contactAge()
 	if r.Tentative && !s.contact.inContact {
-		from.Send(&controlmsg.Frame{Update: &controlmsg.StateUpdate{QuorumContactAgeMs: &contactAgeMs}})
+		from.Send(&controlmsg.Frame{Update: &controlmsg.StateUpdate{QuorumContactAgeMs: &contactAgeMs,
+			WriterLeases: s.writerLeaseSupport()}})
 		return
 	}
 	agent, first := s.agents.subscribe(from, r.Driver.Name)
@@ -85,7 +86,7 @@
 		})
 	}
 	own := s.digest()
-	update := &controlmsg.StateUpdate{QuorumContactAgeMs: &contactAgeMs}
+	update := &controlmsg.StateUpdate{QuorumContactAgeMs: &contactAgeMs, WriterLeases: s.writerLeaseSupport()}
 	if s.contact.inContact || first {
 		update.CoreAddrs = s.coreAddrs
 	}
--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -90,7 +90,7 @@
 		event = events.ContactRegained
 	}
 	s.server.log.Event(event, "ageMs", math.Round(age))
-	s.agents.notify(&controlmsg.StateUpdate{QuorumContactAgeMs: &age})
+	s.agents.notify(&controlmsg.StateUpdate{QuorumContactAgeMs: &age, WriterLeases: s.writerLeaseSupport()})
 }
 
 // directoryComplete reports whether contact has lasted for a full driver lease and the leases of all machines arrive
--- a/internal/controlplane/failover/controller.go
+++ b/internal/controlplane/failover/controller.go
@@ -32,6 +32,13 @@
 	steppedDownAt float64
 	oldPosition   wire.Position
 	oldPrimaryLed bool
+	// stoppedAt is since when no acknowledgement of the old primary reaches a client any more, 0 if it may. See
+	// steppingdown.go.
+	stoppedAt float64
+
+	writer        string // ID in the newest AssignWriter, valid if writerChosen is set
+	writerChosen  bool
+	fencingWanted bool // the old primary may serve though it does not reply: no proxy is to write to it
 
 	// primaryStalled is set if the old primary replies but commits nothing. Its claim to be the primary does not end the
 	// failover then.
@@ -89,7 +96,9 @@
 }
 
 // mayBegin reports whether a failover or switchover may begin.
-func (c *Controller) mayBegin(now float64) bool { return c.pastTakeover(now) && now >= c.repeatUntil }
+func (c *Controller) mayBegin(view *View, now float64) bool {
+	return c.pastTakeover(now) && now >= c.repeatUntil && !view.DirectoryIncomplete
+}
 
 // pastTakeover reports whether this machine has been the leader for so long that no statement of the former leader can
 // be executed any more. No failover is started and no replica resumed before that.
@@ -101,8 +110,8 @@
 		c.rejected = map[string]bool{}
 	}
 	c.mode, c.oldPrimary, c.candidate = newMode, oldPrimary, ""
-	c.beganAt, c.steppedDownAt, c.relayFailed, c.nextRelayAt = now, 0, false, now
-	c.primaryStalled, c.stalledPositions = false, nil
+	c.resetOldPrimary(now)
+	c.stalledPositions = nil
 	old := c.observations[oldPrimary]
 	c.oldPrimaryLed = old != nil && old.known && old.status.Primary
 	for id, o := range c.observations {
@@ -117,6 +126,13 @@
 	c.stepPausing(view, now)
 }
 
+// resetOldPrimary discards what is known of the old primary, at the beginning of a failover from it.
+func (c *Controller) resetOldPrimary(now float64) {
+	c.beganAt, c.steppedDownAt, c.stoppedAt = now, 0, 0
+	c.relayFailed, c.nextRelayAt = false, now
+	c.fencingWanted, c.primaryStalled = false, false
+}
+
 // abandon ends a failover or switchover without a new primary, and resumes replicas.
 func (c *Controller) abandon(view *View, reason string, now float64) {
 	c.resolveRecord()
@@ -147,10 +163,12 @@
 		case m.ID == c.oldPrimary:
 			if !c.mode.planned() && !c.primaryStalled && o.queriedAt > c.phaseStart {
 				c.abandon(view, "it answers", now)
+				c.assignWriter(m.ID)
 				return true
 			}
 		case o.queriedAt >= c.phaseStart:
 			c.abandon(view, m.ID+" leads", now)
+			c.assignWriter(m.ID)
 			if c.oldPrimary != "" {
 				c.addAction(EnforceDrain, c.oldPrimary, "")
 			}
--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -12,7 +12,7 @@
 
 // actionNames are the names of actions in the tests' transcripts, by kind.
 var actionNames = [...]string{"status", "pause", "resume", "promote", "drain", "log", "stepdown", "removal", "record",
-	"clear", "relayedstatus", "relayedstepdown"}
+	"clear", "relayedstatus", "relayedstepdown", "writer"}
 
 // Steps the controller through a failover, two switchovers and lost answers, and checks the actions of each step.
 func TestControllerTranscript(t *testing.T) {
@@ -38,103 +38,132 @@
 		}
 		return strings.TrimSpace(b.String())
 	}
+	// step steps the controller and returns the actions. All proxies confirm an assignment of the writer at once.
+	step := func(c *Controller, v *View, now float64) string {
+		actions := c.Step(v, now)
+		for _, a := range actions {
+			if a.Kind == AssignWriter {
+				applyToView(v, a)
+			}
+		}
+		return describe(actions)
+	}
 	Convey("A primary that refuses connections", t, func() {
 		c, v := New(-5000), newView()
-		c.Step(v, 0)
+		step(c, v, 0)
 		c.HandleStatus("a", QueryStatus, 0, newStatus(true, 1, 9))
 		for _, id := range []string{"b", "c"} {
 			c.HandleStatus(id, ResumeReplication, 0, newStatus(false, 1, 9))
 		}
+		So(step(c, v, 100), ShouldEqual, "writer:a status:a") // it has replied that it is the primary
 		v.Members[0].SinceHeartbeat = 800
 		c.HandleStatusFailure("a", true, 900)
 		c.HandleStatusFailure("a", true, 900)
-		So(describe(c.Step(v, 900)), ShouldEqual, "status:a pause:b pause:c")
+		So(step(c, v, 900), ShouldEqual, "status:a writer: pause:b pause:c relayedstepdown:a")
 		Convey("is not replaced while a replica that may be the only one with a commit has not replied", func() {
 			c.HandleStatus("b", PauseReplication, 900, newPausedStatus(1, 9))
-			So(describe(c.Step(v, 950)), ShouldEqual, "")
+			So(step(c, v, 950), ShouldEqual, "pause:b") // again, as no proxy writes to a from now on
+			c.HandleStatus("b", PauseReplication, 950, newPausedStatus(1, 9))
+			So(step(c, v, 960), ShouldEqual, "")
 			So(c.State(), ShouldEqual, "freezing: ? after a")
 			Convey("and is then replaced by the replica with the longer log", func() {
-				c.HandleStatus("c", PauseReplication, 900, newPausedStatus(1, 10))
-				So(describe(c.Step(v, 970)), ShouldEqual, "record:c")
-				So(describe(c.Step(v, 975)), ShouldEqual, "record:c") // again, until it is replicated
+				c.HandleStatus("c", PauseReplication, 900, newPausedStatus(1, 9))
+				So(step(c, v, 970), ShouldEqual, "") // the reply is to a query from before
+				So(step(c, v, 1100), ShouldEqual, "pause:c")
+				c.HandleStatus("c", PauseReplication, 1100, newPausedStatus(1, 10))
+				So(step(c, v, 1120), ShouldEqual, "writer:c record:c")
+				So(step(c, v, 1125), ShouldEqual, "record:c") // again, until it is replicated
 				v.PendingPromote = &c.record
-				So(describe(c.Step(v, 980)), ShouldEqual, "promote:c")
+				So(step(c, v, 1130), ShouldEqual, "promote:c")
 			})
 			Convey("and stays the primary if it replies again; the paused replica is resumed", func() {
 				c.HandleStatus("a", QueryStatus, 960, newStatus(true, 1, 9))
-				c.Step(v, 980)
+				So(step(c, v, 980), ShouldContainSubstring, "writer:a")
 				So(c.State(), ShouldStartWith, "watching")
-				So(describe(c.Step(v, 1000)), ShouldStartWith, "resume:b")
+				So(step(c, v, 1000), ShouldStartWith, "resume:b")
+			})
+		})
+		Convey("is not replaced while a proxy may still write to it", func() {
+			v.Writer.Confirmed, v.Writer.Unconfirmed = false, 1
+			for _, id := range []string{"b", "c"} {
+				c.HandleStatus(id, PauseReplication, 900, newPausedStatus(1, 9))
+			}
+			So(step(c, v, 950), ShouldEqual, "")
+			Convey("though no agent has a reply", func() {
+				c.HandleRelayFailure("a")
+				So(step(c, v, 960), ShouldEqual, "")
 			})
 		})
 		Convey("does not stay the primary once the platform's answer to a promote was lost", func() {
-			c.HandleStatus("b", PauseReplication, 900, newPausedStatus(1, 9))
-			c.HandleStatus("c", PauseReplication, 900, newPausedStatus(1, 9))
-			So(describe(c.Step(v, 950)), ShouldStartWith, "record:b")
+			step(c, v, 950)
+			for _, id := range []string{"b", "c"} {
+				c.HandleStatus(id, PauseReplication, 950, newPausedStatus(1, 9))
+			}
+			So(step(c, v, 960), ShouldStartWith, "writer:b record:b")
 			v.PendingPromote = &c.record
-			So(describe(c.Step(v, 960)), ShouldStartWith, "promote:b")
+			So(step(c, v, 970), ShouldStartWith, "promote:b")
 			c.HandlePromoteResult("b", 0, 2950)
 			c.HandleStatus("a", QueryStatus, 2960, newStatus(true, 1, 9))
-			c.Step(v, 2980)
+			step(c, v, 2980)
 			So(c.State(), ShouldNotStartWith, "watching")
 		})
 	})
 	Convey("A draining primary with one replica permanently dead", t, func() {
 		c, v := New(-5000), newView()
 		v.Members[0].Draining = true
-		c.Step(v, 0)
+		step(c, v, 0)
 		for _, id := range []string{"a", "b"} {
 			c.HandleStatus(id, QueryStatus, 0, newStatus(id == "a", 1, 9))
 		}
 		c.HandleStatusFailure("c", false, 0)
 		for now := 200.0; now < 700; now += 100 {
-			c.Step(v, now)
+			step(c, v, now)
 			c.HandleStatus("a", QueryStatus, now, newStatus(true, 1, 9))
 			c.HandleStatus("b", QueryStatus, now, newStatus(false, 1, 9))
 			c.HandleStatusFailure("c", false, now)
 		}
-		So(describe(c.Step(v, 1000)), ShouldContainSubstring, "drain:a") // drivers send no new work to the primary
+		So(step(c, v, 1000), ShouldContainSubstring, "drain:a") // drivers send no new work to the primary
 		c.HandleStatus("a", QueryStatus, 1000, newStatus(true, 1, 11))
 		c.HandleStatus("b", QueryStatus, 1000, newStatus(false, 1, 10))
 		// The candidate has not received everything yet.
-		So(describe(c.Step(v, 1020)), ShouldNotContainSubstring, "stepdown")
-		c.Step(v, 1200)
+		So(step(c, v, 1020), ShouldNotContainSubstring, "stepdown")
+		step(c, v, 1200)
 		c.HandleStatus("a", QueryStatus, 1200, newStatus(true, 1, 11))
 		c.HandleStatus("b", QueryStatus, 1200, newStatus(false, 1, 11))
-		So(describe(c.Step(v, 1220)), ShouldContainSubstring, "stepdown:a")
+		So(step(c, v, 1220), ShouldContainSubstring, "stepdown:a")
 		c.HandleStatus("a", StepDown, 1220, newStatus(false, 1, 11))
-		So(describe(c.Step(v, 1240)), ShouldNotContainSubstring, "record")
+		So(step(c, v, 1240), ShouldNotContainSubstring, "record")
 		c.HandleStatus("b", PauseReplication, 1240, newPausedStatus(1, 11))
-		So(describe(c.Step(v, 1260)), ShouldContainSubstring, "record:b")
+		So(step(c, v, 1260), ShouldContainSubstring, "record:b")
 		v.PendingPromote = &c.record
-		So(describe(c.Step(v, 1280)), ShouldContainSubstring, "promote:b")
+		So(step(c, v, 1280), ShouldContainSubstring, "promote:b")
 	})
 	Convey("A new leader of the control plane starts no failover at first", t, func() {
 		c, v := New(0), newView()
 		v.Members[0].Draining = true
-		So(describe(c.Step(v, 100)), ShouldEqual, "status:a")
+		So(step(c, v, 100), ShouldEqual, "status:a")
 		Convey("and later replaces a draining primary, with the other replica paused", func() {
 			c.HandleStatus("a", QueryStatus, 100, newStatus(true, 1, 20))
 			c.HandleStatus("b", ResumeReplication, 950, newStatus(false, 1, 18))
 			c.HandleStatus("c", ResumeReplication, 950, newStatus(false, 1, 18))
-			So(describe(c.Step(v, 1000)), ShouldContainSubstring, "status:b")
+			So(step(c, v, 1000), ShouldContainSubstring, "status:b")
 			c.HandleStatus("a", QueryStatus, 1000, newStatus(true, 1, 20))
 			c.HandleStatus("b", QueryStatus, 1000, newStatus(false, 1, 18))
-			c.Step(v, 1200)
+			step(c, v, 1200)
 			c.HandleStatus("c", PauseReplication, 1200, newPausedStatus(1, 19))
-			So(describe(c.Step(v, 1220)), ShouldNotContainSubstring, "stepdown")
+			So(step(c, v, 1220), ShouldNotContainSubstring, "stepdown")
 			c.HandleStatus("b", QueryStatus, 1220, newStatus(false, 1, 20))
-			So(describe(c.Step(v, 1400)), ShouldNotContainSubstring, "stepdown") // a's reply is on its way
+			So(step(c, v, 1400), ShouldNotContainSubstring, "stepdown") // a's reply is on its way
 			c.HandleStatus("a", QueryStatus, 1200, newStatus(true, 1, 20))
-			So(describe(c.Step(v, 1420)), ShouldContainSubstring, "stepdown:a")
+			So(step(c, v, 1420), ShouldContainSubstring, "stepdown:a")
 			c.HandleStatus("a", StepDown, 1420, newStatus(false, 1, 20))
-			So(describe(c.Step(v, 1440)), ShouldNotContainSubstring, "record")
+			So(step(c, v, 1440), ShouldNotContainSubstring, "record")
 			for _, id := range []string{"b", "c"} {
 				c.HandleStatus(id, PauseReplication, 1550, newPausedStatus(2, 20))
 			}
-			So(describe(c.Step(v, 1600)), ShouldContainSubstring, "record:b")
+			So(step(c, v, 1600), ShouldContainSubstring, "record:b")
 			v.PendingPromote = &c.record
-			So(describe(c.Step(v, 1620)), ShouldContainSubstring, "promote:b")
+			So(step(c, v, 1620), ShouldContainSubstring, "promote:b")
 		})
 	})
 }
--- a/internal/controlplane/failover/coverage_test.go
+++ b/internal/controlplane/failover/coverage_test.go
@@ -22,12 +22,14 @@
 }
 
 // replicateRecord carries out an action that replicates or removes the record of a promote, and reports whether it was one.
-func replicateRecord(view *View, a Action) bool {
+func applyToView(view *View, a Action) bool {
 	switch a.Kind {
 	case RecordPromote:
 		view.PendingPromote = &a.Record
 	case ClearPromote:
 		view.PendingPromote = nil
+	case AssignWriter:
+		view.Writer = Writer{Assigned: true, ID: a.ID, Confirmed: true}
 	default:
 		return false
 	}
@@ -111,7 +113,7 @@
 		oldPrimaryActive, promoted, promotedBeforeStepDown := true, false, false
 		for now := 0.0; now < 3000 && !promoted; now += 50 {
 			for _, a := range c.Step(v, now) {
-				replicateRecord(v, a)
+				applyToView(v, a)
 				status := newStatus(a.ID == "a" && oldPrimaryActive, 9)
 				switch a.Kind {
 				case Promote:
@@ -137,7 +139,7 @@
 		for _, a := range c.Step(v, now) {
 			all = append(all, a)
 			switch {
-			case a.Kind == Log || a.Kind == Promote || replicateRecord(v, a):
+			case a.Kind == Log || a.Kind == Promote || applyToView(v, a):
 			case a.Kind == RelayStepDown || a.Kind == RelayStatus:
 				c.HandleRelayFailure(a.ID)
 			case slices.Contains(reachable, a.ID):
--- a/internal/controlplane/failover/cuts_test.go
+++ b/internal/controlplane/failover/cuts_test.go
@@ -37,11 +37,11 @@
 	switch fault {
 	case 0:
 		sim.control.term++
-		sim.controller = New(sim.now)
+		sim.takeOver()
 		return "leader of the control plane changed"
 	case 1:
 		sim.control.changeLeader()
-		sim.controller = New(sim.now)
+		sim.takeOver()
 		return "new leader of the control plane without any heartbeats"
 	case 2:
 		if primary := sim.group.Leader(); primary != nil {
--- a/internal/controlplane/failover/digest_test.go
+++ b/internal/controlplane/failover/digest_test.go
@@ -146,7 +146,7 @@
 // heartbeats of one member for a long time.
 func (h *digestHistory) loseLeaderAndMember() {
 	h.control.changeLeader()
-	h.controller = New(h.now)
+	h.takeOver()
 	m := h.randomMember()
 	h.control.heartbeatsLostUntil[m.ID] = h.now + 30000
 	m.Up = false
@@ -164,11 +164,11 @@
 		ids          []string
 		want         uint64
 	}{
-		{"three members, one acknowledgement", 1, []string{"a", "b", "c"}, 0xe658aa142ee6d7c3},
-		{"five members, two acknowledgements", 2, []string{"a", "b", "c", "d", "e"}, 0x919115730b25b950},
-		{"four members, no acknowledgement", 0, []string{"a", "b", "c", "d"}, 0xf33e57c6361fe40a},
-		{"a primary and one replica", 1, []string{"a", "b"}, 0xa648aa1b259c91d2},
-		{"a single primary", 0, []string{"a"}, 0x841d83015b29b8f2},
+		{"three members, one acknowledgement", 1, []string{"a", "b", "c"}, 0xaeb266c6d0e00bcc},
+		{"five members, two acknowledgements", 2, []string{"a", "b", "c", "d", "e"}, 0x9848b4253e1eaa5e},
+		{"four members, no acknowledgement", 0, []string{"a", "b", "c", "d"}, 0xc1092a7411d40140},
+		{"a primary and one replica", 1, []string{"a", "b"}, 0x8f3b48ab0a64ca89},
+		{"a single primary", 0, []string{"a"}, 0xdf4a34eb850b87de},
 	} {
 		t.Run(group.name, func(t *testing.T) {
 			sum, kinds := fnv.New64a(), map[string]int{}
--- a/internal/controlplane/failover/faults_test.go
+++ b/internal/controlplane/failover/faults_test.go
@@ -56,7 +56,7 @@
 		return "primary partitioned from replicas"
 	case 5:
 		sim.control.term++
-		sim.controller = New(sim.now)
+		sim.takeOver()
 		return "leader of the control plane changed"
 	case 6:
 		if primary != nil {
@@ -96,7 +96,7 @@
 			break
 		}
 		sim.control.changeLeader()
-		sim.controller = New(sim.now)
+		sim.takeOver()
 		for _, m := range sim.group.Members { // half of the members send heartbeats to partitioned machines
 			if sim.random.IntN(2) == 0 {
 				sim.control.heartbeatsLostUntil[m.ID] = sim.now + 15000*sim.random.Float64()
--- a/internal/controlplane/failover/pausing.go
+++ b/internal/controlplane/failover/pausing.go
@@ -1,6 +1,9 @@
 package failover
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // This file implements phasePausing: replicas are paused and queried until the mode's condition for a candidate holds.
 
@@ -42,15 +45,19 @@
 	if c.mode.planned() && !c.selectSuccessor(view, replicas, now) {
 		return
 	}
+	stopped := !c.mode.planned() && c.awaitStop(view, now)
 	if now >= c.nextQueryAt {
 		c.nextQueryAt = now + urgentInterval
 		c.pauseReplicas(view, now)
 		c.queryOldPrimary(view, now)
 	}
-	if c.mode.planned() {
+	switch {
+	case c.mode.planned():
 		c.pauseForSwitchover(view, replicas, now)
-	} else {
+	case stopped:
 		c.pauseForFailover(view, replicas, now)
+	default:
+		c.logWaitForStop(view)
 	}
 }
 
@@ -68,13 +75,8 @@
 	return true
 }
 
-// pauseForFailover waits until the old primary has stepped down or is unreachable, and a candidate's log is known to be
-// complete.
+// pauseForFailover waits until a candidate's log is known to be complete. The old primary has stopped.
 func (c *Controller) pauseForFailover(view *View, replicas []Member, now float64) {
-	if !c.oldPrimaryStopped(view, now) {
-		c.logOnce("waits until the old primary has stepped down, or no agent reaches it either")
-		return
-	}
 	c.candidate = c.selectForFailover(view, replicas, now)
 	if c.candidate == "" && c.oldPrimaryLeadsAgain(view, now) {
 		c.logOnce("the old primary is to lead again")
@@ -90,6 +92,15 @@
 	}
 }
 
+func (c *Controller) logWaitForStop(view *View) {
+	if c.fencingWanted && view.Writer.Unconfirmed > 0 {
+		c.logOnce(fmt.Sprintf("waits until the old primary has stepped down, or %d proxies no longer write to it",
+			view.Writer.Unconfirmed))
+		return
+	}
+	c.logOnce("waits until the old primary has stepped down, or no proxy writes to it")
+}
+
 // oldPrimaryLeadsAgain reports whether the old primary, which has stepped down, has to be promoted again: only it
 // certainly has a commit that was made just before.
 func (c *Controller) oldPrimaryLeadsAgain(view *View, now float64) bool {
--- a/internal/controlplane/failover/pausing_test.go
+++ b/internal/controlplane/failover/pausing_test.go
@@ -22,7 +22,7 @@
 		for _, a := range c.Step(view, now) {
 			transcript = append(transcript, actionNames[a.Kind]+" "+a.ID+" "+a.Reason)
 			switch {
-			case a.Kind == Log || a.Kind == EnforceDrain || replicateRecord(view, a):
+			case a.Kind == Log || a.Kind == EnforceDrain || applyToView(view, a):
 			case a.Kind == RelayStepDown || a.Kind == RelayStatus:
 				c.HandleRelayFailure(a.ID)
 			case a.Kind == Promote:
@@ -59,7 +59,7 @@
 		for _, a := range c.Step(view, now) {
 			status := newStatus(a.ID == "a" && !steppedDown, 9)
 			steppedDown = steppedDown || a.Kind == StepDown
-			replicateRecord(view, a)
+			applyToView(view, a)
 			switch a.Kind {
 			case Log, EnforceDrain, RecordPromote:
 			case Promote:
@@ -90,7 +90,7 @@
 		for _, action := range c.Step(view, now) {
 			id := action.ID
 			switch {
-			case action.Kind == Log || action.Kind == EnforceDrain || replicateRecord(view, action):
+			case action.Kind == Log || action.Kind == EnforceDrain || applyToView(view, action):
 			case action.Kind == Promote:
 				promoted = id
 			case id == "a" && action.Kind != RelayStatus && action.Kind != RelayStepDown && now < reachableAt:
--- a/internal/controlplane/failover/promotehistories_test.go
+++ b/internal/controlplane/failover/promotehistories_test.go
@@ -15,6 +15,8 @@
 	relayLossRate float64 // share of relays of which no attempt reaches the member
 	cutsRefuse    bool    // connections to primaries that are cut off are refused
 	backAtOnce    bool    // crashed primaries are back soon, under another ID
+	proxyFaults   bool    // proxies are cut off from the control plane, in both directions or one, or freeze
+	policy        unleasedPolicy
 }
 
 // Times of these histories, in milliseconds.
@@ -62,7 +64,7 @@
 	if h.leaderChanges {
 		sim.control.term++
 		sim.control.promotes = 0
-		sim.controller = New(sim.now)
+		sim.takeOver()
 		return "leader of the control plane changed"
 	}
 	return "nothing"
@@ -73,7 +75,7 @@
 	sim = newSimulationOf(seed, 1, ids...)
 	sim.control.delayReceiving = true
 	sim.effectDelay, sim.receiveDelay, sim.discoveryDelay = h.effectDelay, 0, delayRange{100, 400}
-	sim.relayLossRate, sim.cutsRefuse = h.relayLossRate, h.cutsRefuse
+	sim.relayLossRate, sim.cutsRefuse, sim.policy = h.relayLossRate, h.cutsRefuse, h.policy
 	if h.backAtOnce {
 		sim.refuseConnections, sim.discoveryDelay = true, delayRange{1, 20}
 		sim.heartbeats.leaderDelay = 75
@@ -83,6 +85,9 @@
 	for range promoteRounds {
 		sim.lossRate = h.lossRate
 		for range 2 {
+			if h.proxyFaults {
+				inject(sim.disturbProxies())
+			}
 			inject(sim.failPrimary(h))
 			for range 2 {
 				sim.run(maxEventDelay * sim.random.Float64())
@@ -97,29 +102,41 @@
 	return sim, injected
 }
 
-// check runs histories of three and four members. It fails if a promoted member lacks an acknowledged commit, or if in
-// the end there is no primary or a member is paused.
-func (h *promoteHistory) check(t *testing.T) {
+// historiesResult is what came of histories.
+type historiesResult struct {
+	lost, waiting int // histories that lose commits, or wait for a departed member in the end
+	writes        clientWrites
+}
+
+// runAll runs histories. It reports the first transcript of one that loses commits to onLoss.
+func (h *promoteHistory) runAll(t *testing.T, onLoss func(transcript string), ids ...string) (result historiesResult) {
 	t.Helper()
-	for _, ids := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d"}} {
-		waiting, lost := 0, 0
-		for seed := range uint64(promoteHistories) {
-			sim, injected := h.run(seed, ids...)
-			transcript := fmt.Sprintf("seed %d of %d members\n%s\n%s", seed, len(ids), strings.Join(injected, "\n"),
-				strings.Join(sim.transcript, "\n"))
-			if len(sim.group.LostCommits) > 0 {
-				if lost++; lost == 1 {
-					t.Errorf("the promoted member lacks %v: %s", sim.group.LostCommits, transcript)
-				}
-				continue
-			}
-			if !sim.checkEnd(t, transcript) {
-				waiting++
+	for seed := range uint64(promoteHistories) {
+		sim, injected := h.run(seed, ids...)
+		result.writes.add(sim.writes)
+		transcript := fmt.Sprintf("seed %d of %d members: lacks %v\n%s\n%s", seed, len(ids), sim.group.LostCommits,
+			strings.Join(injected, "\n"), strings.Join(sim.transcript, "\n"))
+		switch {
+		case len(sim.group.LostCommits) > 0:
+			if result.lost++; result.lost == 1 {
+				onLoss(transcript)
 			}
+		case !sim.checkEnd(t, transcript):
+			result.waiting++
 		}
-		t.Logf("%d members, %d histories: %d lose commits, %d wait for a departed member that may be the only one with a commit",
-			len(ids), promoteHistories, lost, waiting)
 	}
+	t.Logf("%d members, %d histories: %d lose commits, %d wait for a departed member that may be the only one with a "+
+		"commit; writes: %+v", len(ids), promoteHistories, result.lost, result.waiting, result.writes)
+	return result
+}
+
+// check runs histories of three and four members. It fails if a promoted member lacks an acknowledged commit, or if in
+// the end there is no primary or a member is paused.
+func (h *promoteHistory) check(t *testing.T) {
+	t.Helper()
+	onLoss := func(transcript string) { t.Errorf("the promoted member lacks commits: %s", transcript) }
+	h.runAll(t, onLoss, "a", "b", "c")
+	h.runAll(t, onLoss, "a", "b", "c", "d")
 }
 
 // Guards against a promote that takes effect after the leader gave it up, and cuts off what was acknowledged since.
@@ -157,7 +174,8 @@
 
 // Guards against a refused connection that passes for a primary that is gone.
 func TestRefusedConnectionsToLivePrimaryLoseNoCommit(t *testing.T) {
-	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, leaderChanges: true, cutsRefuse: true}).check(t)
+	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, leaderChanges: true, cutsRefuse: true,
+		relayLossRate: 1}).check(t)
 }
 
 // Guards against a crashed primary that is back under another ID, and is written to while a promote is under way.
--- a/internal/controlplane/failover/promoterecord.go
+++ b/internal/controlplane/failover/promoterecord.go
@@ -42,6 +42,7 @@
 		if recorded.Repeated {
 			c.repeatUntil = now + effectTimeout
 		}
+		c.assignWriter(recorded.Candidate)
 		c.begin(view, recorded.OldPrimary, failover, "an earlier leader may have had "+recorded.Candidate+" promoted", now)
 	}
 }
@@ -65,6 +66,7 @@
 		c.record = PromoteRecord{Number: number + 1, Candidate: c.candidate, OldPrimary: c.oldPrimary, Position: end,
 			Term: c.newestTerm}
 	}
+	c.assignWriter(c.candidate)
 	c.stepRecording(view, now)
 }
 
@@ -77,7 +79,7 @@
 	c.watchOldPrimary(now)
 	if !c.isRecorded(view) {
 		c.replicateRecord()
-	} else if c.covers(view, now) {
+	} else if c.watchStop(view, now) && c.covers(view, now) {
 		c.promote(now)
 		return
 	}
--- a/internal/controlplane/failover/promoting.go
+++ b/internal/controlplane/failover/promoting.go
@@ -59,7 +59,8 @@
 // effect before it ended. All that the old primary had acknowledged it has.
 func (c *Controller) replaceOldPrimary(now float64) {
 	c.mode, c.oldPrimary, c.oldPrimaryLed = failover, c.candidate, true
-	c.beganAt, c.steppedDownAt, c.relayFailed, c.primaryStalled = now, 0, false, false
+	c.resetOldPrimary(now)
+	c.fencingWanted = true
 }
 
 // stepConfirming waits until the promote has taken effect. If the candidate does not reply, or a restart may have
@@ -130,6 +131,7 @@
 		c.addAction(EnforceDrain, c.oldPrimary, "")
 		c.observation(c.oldPrimary).known = false
 	}
+	c.assignWriter(c.candidate)
 	c.scheduleResumes(view, now)
 	c.primary = c.candidate
 	c.enterPhase(phaseWatching, now)
--- a/internal/controlplane/failover/promoting_test.go
+++ b/internal/controlplane/failover/promoting_test.go
@@ -28,14 +28,24 @@
 	}
 	c.HandleStatusFailure("b", false, now-75)
 	c.HandleRelayFailure("b")
-	for _, a := range c.Step(view, now-50) {
-		replicateRecord(view, a)
+	stepAndApply(c, view, now-60) // no proxy is to write to b
+	stepAndApply(c, view, now-50) // and none does
+	for _, id := range []string{"a", "c"} {
+		c.HandleStatus(id, PauseReplication, now-50, paused)
 	}
+	stepAndApply(c, view, now-40)
 	c.Step(view, now-25)
 	c.HandlePromoteResult("a", statusAccepted, now)
 	return c, view
 }
 
+// stepAndApply steps a controller, and applies the actions that applyToView knows.
+func stepAndApply(c *Controller, view *View, now float64) {
+	for _, a := range c.Step(view, now) {
+		applyToView(view, a)
+	}
+}
+
 // primaryOfTerm returns the status of a primary.
 func primaryOfTerm(term uint64) wire.MemberStatus {
 	return wire.MemberStatus{Primary: true, Term: term, PromisedTerm: term, Received: wire.Position{Term: 1, Number: 9}}
@@ -105,11 +115,12 @@
 	c.HandleStatus("a", QueryStatus, -1500, newStatus(true, 9))
 	c.HandleStatusFailure("a", true, 0)
 	c.HandleStatusFailure("a", true, 0)
-	c.Step(view, 0)
+	stepAndApply(c, view, 0)
+	stepAndApply(c, view, 25) // no proxy writes to a
 	paused := newStatus(false, 9)
 	paused.PromisedTerm = 2
 	for _, id := range []string{"b", "c"} {
-		c.HandleStatus(id, PauseReplication, 0, paused)
+		c.HandleStatus(id, PauseReplication, 25, paused)
 	}
 	actions := c.Step(view, 50)
 	if !includes(actions, RecordPromote, "b") {
@@ -137,7 +148,7 @@
 	for now := accepted + 50; now < accepted+5000 && promoted != "c" && promoted != "b"; now += 50 {
 		for _, a := range c.Step(view, now) {
 			switch {
-			case a.Kind == Log || a.Kind == EnforceDrain || replicateRecord(view, a):
+			case a.Kind == Log || a.Kind == EnforceDrain || applyToView(view, a):
 			case a.Kind == Promote && a.ID == "a":
 				c.HandlePromoteResult("a", statusRejected, now)
 			case a.Kind == Promote:
--- a/internal/controlplane/failover/safety_test.go
+++ b/internal/controlplane/failover/safety_test.go
@@ -127,7 +127,7 @@
 		set   func(*controlPlane)
 	}{
 		{"roster", 0, func(c *controlPlane) { c.ignoreRoster = true }},
-		{"fencing tokens", 2700, func(c *controlPlane) { c.oneTokenPerTerm = true }},
+		{"fencing tokens", 7900, func(c *controlPlane) { c.oneTokenPerTerm = true }},
 	} {
 		seed, lost := guard.first, false
 		for ; seed < guard.first+historyCount && !lost; seed++ {
--- a/internal/controlplane/failover/selecting.go
+++ b/internal/controlplane/failover/selecting.go
@@ -9,12 +9,13 @@
 // This file decides whether a log has every acknowledged commit.
 
 // countsAsPaused reports whether a replica's reply shows which commits it may have acknowledged: it was paused, is so
-// still as far as is known, and the query was sent after the old primary had stepped down, if it has, and after the
-// last moment at which a resume of the former leader could be executed.
+// still as far as is known, and the query was sent after the old primary had stopped, if it has, and after the last
+// moment at which a resume of the former leader could be executed. A replica that has departed since has received
+// nothing after its pause.
 func (c *Controller) countsAsPaused(m *Member, now float64) bool {
 	o := c.observation(m.ID)
 	fresh := m.Absent || now-o.queriedAt <= pauseValidity
-	return o.paused && fresh && o.queriedAt >= c.steppedDownAt && c.pastTakeover(o.queriedAt)
+	return o.paused && fresh && (m.Departed || o.queriedAt >= c.stoppedAt) && c.pastTakeover(o.queriedAt)
 }
 
 // candidateEnd returns the end of the candidate's log. That of a candidate whose promote was issued is at least as in
--- a/internal/controlplane/failover/simulation_test.go
+++ b/internal/controlplane/failover/simulation_test.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"weirwind/internal/standin/replicaset"
+	"weirwind/internal/writerlease"
 )
 
 const (
@@ -35,7 +36,15 @@
 	cutUntil      map[string]float64 // time until which the control plane and a member can't reach each other, by member ID
 	drainEnforced map[string]bool    // members to which drivers send no new work
 	stalledAt     float64            // latest time at which a primary was partitioned from its replicas
-	writes, joins int                // number of writes, and of members that joined
+	joins         int                // number of members that joined
+
+	proxies       []*simulatedProxy
+	granter       *writerlease.Granter
+	assignmentAt  float64 // when an unconfirmed assignment is sent again
+	coreDownUntil float64 // the control plane is down
+	policy        unleasedPolicy
+	writes        clientWrites
+	writtenBy     map[string]*simulatedProxy // by the ID of a write that is not acknowledged yet
 
 	restarts map[string]restart // by member ID; recorded only if discoveryDelay is set
 
@@ -67,7 +76,7 @@
 func newSimulation(seed uint64) *simulation { return newSimulationOf(seed, 1, "a", "b", "c") }
 
 func newSimulationOf(seed uint64, syncReplicas int, ids ...string) *simulation {
-	return &simulation{
+	sim := &simulation{
 		random:        rand.New(rand.NewPCG(seed, 3)),
 		group:         replicaset.New(syncReplicas, ids...),
 		control:       newControlPlane(ids...),
@@ -79,7 +88,12 @@
 		effectDelay:   delayRange{300, 600},
 		receiveDelay:  receiveDelay,
 		record:        func(...any) {},
+		proxies:       newProxies(),
+		granter:       writerlease.NewGranter(1, 0),
+		writtenBy:     map[string]*simulatedProxy{},
 	}
+	sim.group.Deliver = sim.deliver
+	return sim
 }
 
 // after schedules do to run in ms milliseconds.
@@ -97,8 +111,17 @@
 	sim.now += stepMillis
 	sim.runDue()
 	sim.sendHeartbeats()
+	sim.stepProxies()
 	sim.write()
 	sim.group.Replicate(func(*replicaset.Member) bool { return sim.random.IntN(3) > 0 })
+	if sim.now >= sim.coreDownUntil {
+		sim.stepController()
+	}
+	sim.control.commit(sim.now)
+}
+
+// stepController steps the leader's controller and carries out its actions.
+func (sim *simulation) stepController() {
 	c := sim.controller
 	actions := c.Step(sim.view(), sim.now)
 	sim.record("step", sim.now, c.State())
@@ -106,7 +129,6 @@
 		sim.record(a.Kind, a.ID, a.Term, a.Reason)
 		sim.carryOut(c, a)
 	}
-	sim.control.commit(sim.now)
 }
 
 func (sim *simulation) runDue() {
@@ -128,8 +150,7 @@
 			continue
 		}
 		if !sim.drainEnforced[m.ID] && sim.discovered(m.ID) && sim.random.IntN(3) == 0 {
-			sim.writes++
-			sim.group.Write(m, fmt.Sprint("w", sim.writes))
+			sim.writeThrough(sim.proxies[sim.random.IntN(len(sim.proxies))], m)
 		}
 		if m.Partitioned {
 			sim.stalledAt = sim.now
@@ -137,6 +158,18 @@
 	}
 }
 
+// writeThrough makes a client write through a proxy.
+func (sim *simulation) writeThrough(p *simulatedProxy, m *replicaset.Member) {
+	sim.writes.tried++
+	if !sim.mayWrite(p, m) {
+		return
+	}
+	sim.writes.sent++
+	id := fmt.Sprint("w", sim.writes.sent)
+	sim.writtenBy[id] = p
+	sim.group.Write(m, id)
+}
+
 // discovered reports whether drivers know a member that has restarted. They learn of it from the control plane after its
 // heartbeat has arrived there, as its address and its ID may have changed.
 func (sim *simulation) discovered(id string) bool {
@@ -146,7 +179,8 @@
 }
 
 func (sim *simulation) view() *View {
-	v := &View{Service: "s", SyncReplicas: sim.group.SyncN, Drivers: 6, PendingPromote: sim.control.record}
+	v := &View{Service: "s", SyncReplicas: sim.group.SyncN, Drivers: 6, PendingPromote: sim.control.record,
+		Writer: sim.writerOf()}
 	for _, m := range sim.group.Members {
 		if !sim.control.known[m.ID] {
 			continue
@@ -182,6 +216,10 @@
 	switch a.Kind {
 	case AllowRemoval:
 		sim.control.allowRemoval(a.ID)
+	case AssignWriter:
+		if c == sim.controller {
+			sim.assignWriter(a.ID)
+		}
 	case RecordPromote:
 		sim.control.recordPromote(a.Record)
 	case ClearPromote:
@@ -311,7 +349,11 @@
 		allLost := sim.random.Float64() < math.Pow(sim.lossRate, relayAgents) ||
 			sim.relayLossRate > 0 && sim.random.Float64() < sim.relayLossRate
 		if m == nil || !m.Up || allLost {
-			sim.after(relayTimeoutMillis, func() { c.HandleRelayFailure(a.ID) })
+			wait := relayTimeoutMillis
+			if m != nil && !m.Up && sim.refuseConnections || allLost && sim.cutsRefuse {
+				wait = refusalMillis
+			}
+			sim.after(wait, func() { c.HandleRelayFailure(a.ID) })
 			return
 		}
 		if a.Kind == RelayStepDown {
--- a/internal/controlplane/failover/steppingdown.go
+++ b/internal/controlplane/failover/steppingdown.go
@@ -2,13 +2,17 @@
 
 import "weirwind/internal/member/wire"
 
-// This file makes the old primary step down before a promote is issued.
+// This file establishes that the old primary is no longer written to, before a promote is issued.
 //
 // A paused replica acknowledges nothing, but one that joins or restarts is not paused, and the old primary commits with
-// it until the promote takes effect. So the old primary steps down first, and only replies to queries that were sent
-// afterwards show which log is complete. If this machine can't reach the old primary, agents beside drivers try, as
-// clients may still reach it through them. The failover goes on without a step-down only if its address refuses
-// connections, or none of these reaches it.
+// it until the promote takes effect. So only replies to queries that were sent after the old primary had stopped show
+// which log is complete. It has stopped when
+//
+//   - it replies, to this machine or to an agent beside a driver, that it is a replica: it was told to step down; or
+//   - no proxy acknowledges its commits: each has confirmed an assignment of another writer, or has lost its lease.
+//
+// That it does not reply, that its address refuses connections or that its heartbeats cease shows nothing, however many
+// ask: it may be frozen or busy, or be cut off from all of them.
 
 // watchOldPrimary notes that the old primary has stepped down, or that it is the primary again.
 func (c *Controller) watchOldPrimary(now float64) {
@@ -20,6 +24,9 @@
 	case !o.known || o.queriedAt < c.beganAt:
 	case o.status.Primary && o.queriedAt > c.steppedDownAt:
 		c.steppedDownAt, c.oldPrimaryLed = 0, true
+		if o.queriedAt > c.stoppedAt {
+			c.stoppedAt = 0
+		}
 	case !o.status.Primary && c.steppedDownAt == 0:
 		c.steppedDownAt, c.oldPosition, c.nextQueryAt = now, o.status.Received, now
 		if c.mode.planned() {
@@ -28,12 +35,53 @@
 	}
 }
 
-// oldPrimaryStopped reports whether the old primary has stepped down, or nobody reaches it.
-func (c *Controller) oldPrimaryStopped(view *View, now float64) bool {
-	if c.oldPrimary == "" || c.steppedDownAt > 0 || !isListed(view, c.oldPrimary) {
+// awaitStop has the old primary stopped, and reports whether it has.
+func (c *Controller) awaitStop(view *View, now float64) bool {
+	c.fenceWriters(view)
+	return c.watchStop(view, now)
+}
+
+// watchStop notes that the old primary has stopped, and reports whether it has. The replicas are queried again then.
+func (c *Controller) watchStop(view *View, now float64) bool {
+	if c.stoppedAt == 0 && c.hasStopped(view) {
+		c.stoppedAt, c.nextQueryAt = now, now
+	}
+	return c.stoppedAt > 0
+}
+
+// hasStopped reports whether the old primary has stopped, by one of the proofs above. Without synchronous replicas it
+// acknowledges on its own, and what it alone has is lost with it: it needs not have stopped if it is out of reach.
+func (c *Controller) hasStopped(view *View) bool {
+	if c.steppedDownAt > 0 || c.writersFenced(view) {
 		return true
 	}
-	return c.observation(c.oldPrimary).refusals >= maxRefusals || c.relayFailed && c.unreachable(c.oldPrimary, now)
+	unreached := !isListed(view, c.oldPrimary) || c.relayFailed || c.observation(c.oldPrimary).refusals >= maxRefusals
+	return view.SyncReplicas == 0 && unreached
+}
+
+// fenceWriters has the proxies stop to write to the old primary, if it may serve clients though it does not reply.
+func (c *Controller) fenceWriters(view *View) {
+	c.fencingWanted = c.fencingWanted || c.relayFailed || findMember(view, c.oldPrimary) == nil ||
+		c.observation(c.oldPrimary).refusals > 0
+	mayServe := !c.writerChosen || c.writer == c.oldPrimary || c.oldPrimary == ""
+	if c.fencingWanted && c.stoppedAt == 0 && mayServe {
+		c.assignWriter("")
+	}
+}
+
+// writersFenced reports whether each proxy knows that the old primary is not the writer, or has no lease.
+func (c *Controller) writersFenced(view *View) bool {
+	w := view.Writer
+	return w.Assigned && w.Confirmed && c.writerChosen && w.ID == c.writer && (c.writer == "" || c.writer != c.oldPrimary)
+}
+
+// assignWriter lets the proxies write to a member alone, "" for none.
+func (c *Controller) assignWriter(id string) {
+	if c.writerChosen && c.writer == id {
+		return
+	}
+	c.writer, c.writerChosen = id, true
+	c.addAction(AssignWriter, id, "")
 }
 
 // unreachable reports whether this machine has had no reply to its latest query of a member.
@@ -67,8 +115,7 @@
 
 // relay has agents send a member a statement if this machine does not reach it.
 func (c *Controller) relay(id string, kind ActionKind, now float64) {
-	refused := c.observation(id).refusals >= maxRefusals
-	if refused || !c.unreachable(id, now) || c.relayPending || now < c.nextRelayAt {
+	if !c.unreachable(id, now) || c.relayPending || now < c.nextRelayAt {
 		return
 	}
 	c.relayPending, c.nextRelayAt = true, now+relayInterval
--- a/internal/controlplane/failover/view.go
+++ b/internal/controlplane/failover/view.go
@@ -31,9 +31,23 @@
 	// this one: there may be replicas that it does not know.
 	MembershipUncertain bool
 
+	// DirectoryIncomplete is set while this process has run for so short a time that members may be unknown to it. No
+	// failover begins.
+	DirectoryIncomplete bool
+
 	Drivers int // number of all drivers
 
 	PendingPromote *PromoteRecord // the replicated record of a promote that may take effect; nil for none
+
+	Writer Writer
+}
+
+// Writer is the newest assignment of the service's writer by this leader, as package writerlease describes it.
+type Writer struct {
+	Assigned    bool   // there is one
+	ID          string // member that may be written to, "" for none
+	Confirmed   bool   // no proxy acts by an earlier assignment any more
+	Unconfirmed int    // proxies with a lease that have not confirmed it
 }
 
 // Action is a task for the caller.
@@ -64,4 +78,5 @@
 	ClearPromote                        // remove the service's record if it is Record; repeated until it is
 	RelayStatus                         // have agents beside drivers query the member's status
 	RelayStepDown                       // have agents beside drivers make the primary a replica
+	AssignWriter                        // let proxies write to the member alone, or to none if ID is ""
 )
--- a/internal/controlplane/failover/watching.go
+++ b/internal/controlplane/failover/watching.go
@@ -19,13 +19,22 @@
 	}
 	c.noPrimarySince = 0
 	c.primary = primary.ID
-	if primary.Draining && c.mayBegin(now) && c.replaceDraining(view, primary.ID, now) {
+	c.confirmWriter(primary.ID)
+	if primary.Draining && c.mayBegin(view, now) && c.replaceDraining(view, primary.ID, now) {
 		return
 	}
 	c.queryPrimary(primary, now)
 	c.detectFailure(view, primary, now)
 }
 
+// confirmWriter assigns the primary as the writer once it has replied that it is the primary, to a query from after the
+// last failover. Until then a member that says so by itself, as one that is back under another ID, is not written to.
+func (c *Controller) confirmWriter(primary string) {
+	if o := c.observation(primary); o.known && o.status.Primary && o.queriedAt >= c.phaseStart {
+		c.assignWriter(primary)
+	}
+}
+
 // replaceDraining begins the replacement of a draining primary, and reports whether it did. A switchover relies on the
 // old primary's log, so the member has to have replied that it is the primary: a heartbeat may have been sent before it
 // lost the lead. If it does not reply, a failover begins, which relies on the other members' logs alone.
@@ -61,7 +70,7 @@
 // detectFailure begins a failover if the primary has failed: it is suspected, stalled, dead or silent.
 func (c *Controller) detectFailure(view *View, primary *Member, now float64) {
 	o := c.observation(primary.ID)
-	mayBegin := c.mayBegin(now)
+	mayBegin := c.mayBegin(view, now)
 	silentFor := min(primary.SinceHeartbeat, now-o.queriedAt)
 	if mayBegin && suspected(primary.Reports, view.Drivers, o, silentFor, now) {
 		c.begin(view, primary.ID, failover, "drivers wait for it in vain", now)
@@ -139,7 +148,7 @@
 		c.nextQueryAt = now + urgentInterval
 		c.queryAll(view, now)
 	}
-	if !c.mayBegin(now) || now-c.noPrimarySince <= noPrimaryTimeout || len(view.Members) == 0 {
+	if !c.mayBegin(view, now) || now-c.noPrimarySince <= noPrimaryTimeout || len(view.Members) == 0 {
 		return
 	}
 	possible := c.possiblePrimary(view)
--- a/internal/controlplane/failover/watching_test.go
+++ b/internal/controlplane/failover/watching_test.go
@@ -28,7 +28,7 @@
 			switch {
 			case a.Kind == Promote && c.oldPrimary != "b":
 				t.Fatalf("%s is promoted at %.0f ms without what b has acknowledged: %s", a.ID, now, strings.Join(transcript, "\n"))
-			case a.Kind == Log || a.Kind == EnforceDrain || a.Kind == Promote || replicateRecord(view, a):
+			case a.Kind == Log || a.Kind == EnforceDrain || a.Kind == Promote || applyToView(view, a):
 			case a.Kind == RelayStepDown || a.Kind == RelayStatus:
 				c.HandleRelayFailure(a.ID)
 			case a.ID == "b":
--- a/internal/controlplane/failovers.go
+++ b/internal/controlplane/failovers.go
@@ -16,9 +16,9 @@
 
 // Times of failovers.
 const (
-	// A process decides nothing about failovers until it has run for minDirectoryAge and for minDirectoryIntervals
-	// heartbeat intervals: by then all members have sent a heartbeat. A member that is still unknown may be the only one
-	// with a commit, or the primary.
+	// A process begins no failover until it has run for minDirectoryAge and for minDirectoryIntervals heartbeat intervals:
+	// by then all members have sent a heartbeat. A member that is still unknown may be the only one with a commit, or the
+	// primary.
 	minDirectoryAge       = 2 * time.Second
 	minDirectoryIntervals = 4
 	reportMaxAgeMs        = 1500.0 // age beyond which a driver's report on a primary is ignored
@@ -123,8 +123,7 @@
 
 // stepFailovers steps each service's controller with the current state, and then the roster.
 func (s *softState) stepFailovers(now float64) {
-	heartbeatInterval := ms(s.server.settings.HeartbeatInterval)
-	if s.config == nil || now < max(ms(minDirectoryAge), minDirectoryIntervals*heartbeatInterval) {
+	if s.config == nil {
 		return
 	}
 	live := s.members.live()
@@ -141,10 +140,19 @@
 			s.failovers.perform(controller, service.Name, action)
 		}
 	}
+	if s.directoryYoung(now) {
+		return
+	}
 	s.roster.step(live, now)
 	s.removeStale(live, now)
 }
 
+// directoryYoung reports whether members may be unknown, as this process has run for a short time.
+func (s *softState) directoryYoung(now float64) bool {
+	heartbeatInterval := ms(s.server.settings.HeartbeatInterval)
+	return now < max(ms(minDirectoryAge), minDirectoryIntervals*heartbeatInterval)
+}
+
 // removeStale drops the connections to departed members, and the controllers and reports of services that are no longer
 // configured. A service that is configured again starts as under a new leader.
 func (s *softState) removeStale(live map[string][]directory.Member, now float64) {
@@ -171,7 +179,8 @@
 func (s *softState) failoverView(service *config.Service, live []directory.Member, drivers int,
 	now float64) *failover.View {
 	view := &failover.View{Service: service.Name, SyncReplicas: service.SyncReplicas, Drivers: drivers,
-		MembershipUncertain: s.failovers.membershipUncertain(now), PendingPromote: s.pendingPromote(service.Name)}
+		MembershipUncertain: s.failovers.membershipUncertain(now), PendingPromote: s.pendingPromote(service.Name),
+		Writer: s.writerOf(service.Name, now), DirectoryIncomplete: s.directoryYoung(now)}
 	for _, m := range live {
 		view.Members = append(view.Members, failover.Member{
 			ID: m.ID, Generation: m.Generation, Draining: m.Leaving,
@@ -222,6 +231,8 @@
 	case failover.Promote:
 		log.Event(events.FailoverStep, "svc", service, "step", "failover", "to", action.ID, "from", action.Reason)
 		f.promoteWithFence(controller, service, action)
+	case failover.AssignWriter:
+		s.assignWriter(service, action.ID)
 	case failover.RecordPromote:
 		f.recordPromote(service, action.Record)
 	case failover.ClearPromote:
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -50,6 +50,8 @@
 	members, drivers, agents, coreLinks int
 	directoryComplete                   bool
 	failovers                           map[string]string // phase of the failover controller, by service
+	writerLeases                        int
+	writersAwaited                      map[string]int // proxies that have not confirmed the writer, by service
 	quotas                              *quotaSnapshot
 }
 
@@ -64,6 +66,7 @@
 	for service, controller := range s.failovers.controllers {
 		snapshot.failovers[service] = controller.Phase()
 	}
+	snapshot.writerLeases, snapshot.writersAwaited = s.writers.snapshot(now)
 	return snapshot
 }
 
@@ -122,6 +125,13 @@
 	set.Gauge("weirwind_controlplane_agents", "Agents that renew at this machine.", float64(s.agents))
 	set.Gauge("weirwind_controlplane_core_links", "Links to other core machines that are up.", float64(s.coreLinks))
 	s.quotas.write(set)
+	set.Gauge("weirwind_controlplane_writer_leases", "Proxies that hold a writer lease; known by the leader.",
+		float64(s.writerLeases))
+	for service, proxies := range s.writersAwaited {
+		set.Gauge("weirwind_controlplane_writers_awaited",
+			"Proxies that may write to a former writer of the service; known by the leader.", float64(proxies),
+			"service", service)
+	}
 	for service, phase := range s.failovers {
 		set.Gauge("weirwind_controlplane_failover_phase",
 			"1 for the phase of a service's failover, at the leader.", 1, "service", service, "phase", phase)
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -40,6 +40,7 @@
 
 	leadership leadership
 	failovers  failovers
+	writers    writers
 	relays     relays
 	roster     rosterTracker
 	shardMoves shardMoves
@@ -108,6 +109,7 @@
 	s.stepQuotas(now)
 	if s.leadership.active && s.contact.inContact { // a leader without contact is about to step down
 		s.expireRelays(now)
+		s.stepWriters(now)
 		s.stepFailovers(now)
 		s.shardMoves.step(now)
 		s.siteLeases.expire(now)
@@ -132,6 +134,7 @@
 	s.leadership = leadership{active: active, term: term, since: s.server.now(), leaseHolders: holders}
 	s.memberClient.closeAll()
 	s.failovers.reset()
+	s.startWriters(s.server.now())
 	s.relays.reset()
 	s.roster.reset()
 	s.shardMoves.reset()
@@ -200,6 +203,13 @@
 		s.handleLeaseRenewal(from, frame.LeaseRenewal, now)
 	case frame.Update != nil:
 		s.members.merge(frame.Update.Members, now)
+		if frame.Update.Writers != nil {
+			s.agents.notify(&controlmsg.StateUpdate{Writers: frame.Update.Writers})
+		}
+	case frame.WriterLeaseRequest != nil:
+		s.handleWriterLeaseRequest(from, frame.WriterLeaseRequest, now)
+	case frame.WriterLeaseGrant != nil:
+		s.agents.sendTo(frame.WriterLeaseGrant.Driver, frame)
 	case frame.Heartbeats != nil:
 		s.members.mergeHeartbeats(frame.Heartbeats, now)
 	case frame.PrimaryReport != nil:
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -147,8 +147,9 @@
 	return c.execute(id, text)
 }
 
-// awaitCore keeps a statement of the control plane waiting while its member is cut off from the core. It reports whether
-// the statement reaches the member, and whether the answer gets back. Proxies' health checks are such statements too.
+// awaitCore keeps a statement of the control plane waiting while its member is cut off from the core. It reports
+// whether the statement reaches the member, and whether the answer gets back. Proxies' health checks are such
+// statements too.
 func (c *session) awaitCore(text string) (delivered, answered bool) {
 	verb, _ := wire.CutField(text)
 	if !slices.Contains(controlVerbs, verb) || !c.service.cutFromCore(c.member) {
--- a/internal/standin/replicaset/replicaset.go
+++ b/internal/standin/replicaset/replicaset.go
@@ -7,6 +7,7 @@
 package replicaset
 
 import (
+	"cmp"
 	"slices"
 
 	"weirwind/internal/member/wire"
@@ -41,6 +42,10 @@
 	LostCommits []string        // acknowledged commits that a promoted member lacked; must stay empty
 	Promotions  int
 
+	// Deliver is called for each commit that enough replicas have received; Acknowledge then records that its client has
+	// the acknowledgement. If Deliver is nil, each client has it at once.
+	Deliver func(entry Entry, primary *Member)
+
 	pending []Entry // commits that are not acknowledged yet
 }
 
@@ -153,11 +158,25 @@
 		if received < g.SyncN {
 			return false
 		}
-		g.Acked[e.ID] = true
+		if g.Deliver != nil {
+			g.Deliver(e, primary)
+		} else {
+			g.Acked[e.ID] = true
+		}
 		return true
 	})
 }
 
+// Acknowledge records that a client has the acknowledgement of a commit. The commit is lost if a member that was
+// promoted meanwhile lacks it.
+func (g *Group) Acknowledge(entry Entry) {
+	g.Acked[entry.ID] = true
+	newest := slices.MaxFunc(g.Members, func(a, b *Member) int { return cmp.Compare(a.LeaderTerm, b.LeaderTerm) })
+	if newest.LeaderTerm > entry.Term && !newest.contains(entry) {
+		g.LostCommits = append(g.LostCommits, entry.ID)
+	}
+}
+
 // DropPending drops the commits of a member that are not acknowledged yet: it has restarted, and the connections on
 // which their clients waited ended with its process.
 func (g *Group) DropPending(member *Member) {
--- a/internal/standin/soak/corecuts.go
+++ b/internal/standin/soak/corecuts.go
@@ -32,7 +32,7 @@
 	joinProbability   = 0.5 // of pairs, where promotes take effect late
 
 	agentAnswerLoss        = 0.25 // share of agents' statements that reach a member, of which the answer is lost
-	primaryFaultRate       = 0.5  // of pairs, where agents' statements are lost: the primary freezes, or crashes and returns
+	primaryFaultRate       = 0.5  // of pairs with lost agents' statements: the primary freezes, or crashes and returns
 	frontFreezeProbability = 0.5
 	maxReturnTime          = 1200 * time.Millisecond
 )
