--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -93,6 +94,10 @@
 				c.HandleRelayFailure("a")
 				So(step(c, v, 960), ShouldEqual, "")
 			})
+			Convey("though its heartbeats have ceased for so long that it has left", func() {
+				v.Members = v.Members[1:]
+				So(step(c, v, 960), ShouldEqual, "")
+			})
 		})
 		Convey("does not stay the primary once the platform's answer to a promote was lost", func() {
 			step(c, v, 950)
@@ -199,3 +204,40 @@
 		t.Fatalf("began at %.0f, want %.0f after the second reports began", at, stallTimeout)
 	}
 }
+
+// A primary that commits nothing steps down, and leads again before its successor is promoted: a proxy may still pass on
+// its commits.
+func TestStalledPrimaryThatLeadsAgainIsNotReplaced(t *testing.T) {
+	for _, leadsAgain := range []bool{false, true} {
+		c := New(-5000)
+		v := &View{Service: "s", SyncReplicas: 1, Drivers: 6, Members: []Member{
+			{ID: "a", Primary: true, Reports: DriverReports{Stalled: 2}}, {ID: "b"}, {ID: "c"}}}
+		now := 0.0
+		for ; c.phase == phaseWatching && now < 2*stallTimeout; now += 25 {
+			c.Step(v, now)
+			for id, number := range map[string]uint64{"a": 9, "b": 8, "c": 8} {
+				c.HandleStatus(id, QueryStatus, now, newStatus(id == "a", number))
+			}
+		}
+		c.HandleStatus("a", StepDown, now, newStatus(false, 8))
+		c.Step(v, now+25)
+		for _, id := range []string{"b", "c"} {
+			paused := newStatus(false, 8)
+			paused.PromisedTerm = paused.Term + 1
+			c.HandleStatus(id, PauseReplication, now+50, paused)
+		}
+		c.Step(v, now+60)
+		if c.phase != phaseRecording {
+			t.Fatalf("not recording: %s", c.State())
+		}
+		if leadsAgain {
+			c.HandleStatus("a", QueryStatus, now+65, newStatus(true, 9))
+		}
+		v.PendingPromote = &c.record
+		v.Writer = Writer{Assigned: true, ID: c.candidate, Unconfirmed: 1}
+		promoted := slices.ContainsFunc(c.Step(v, now+75), func(a Action) bool { return a.Kind == Promote })
+		if promoted == leadsAgain {
+			t.Errorf("the old primary leads again: %t, another was promoted: %t", leadsAgain, promoted)
+		}
+	}
+}
--- a/internal/controlplane/failover/doc.go
+++ b/internal/controlplane/failover/doc.go
@@ -31,9 +31,10 @@
 //   - Enough replicas are paused and queried. An acknowledged commit is on SyncReplicas of n replicas, so any
 //     n-SyncReplicas+1 replicas together have all of them (pauseQuorum). Pausing a replica also queries it, and from
 //     then on it acknowledges no more commits. The replica with the longest log becomes the candidate.
-//   - The old primary steps down before a promote is issued, as it would commit with replicas that start meanwhile, and
-//     only replies to later queries select the candidate (steppingdown.go). If this machine does not reach it, agents
-//     beside drivers try. Without a step-down a promote is issued only if none of them reaches it.
+//   - The old primary has stopped before a promote is issued, as it would commit with replicas that start meanwhile, and
+//     only replies to later queries select the candidate (steppingdown.go). It has told somebody that it is a replica,
+//     or no proxy passes its commits on: see [AssignWriter] and package writerlease. Silence and refused connections
+//     prove neither.
 //   - A promote under way is recorded on a majority of the control plane before the platform is called, and ends at its
 //     observed effect (promoterecord.go). Until then no other member is promoted, and no replica is resumed.
 //
@@ -47,8 +48,8 @@
 //
 //	mode                commits acknowledged by  what has to hold
 //	failover            no one: the old primary  a quorum of replicas is paused, and the candidate's log is the longest
-//	                    has stepped down, or     among them; or it has all that the old primary had when it stepped down
-//	                    nobody reaches it
+//	                    has stepped down, or no  among them; or it has all that the old primary had when it stepped down
+//	                    proxy writes to it
 //	switchover          the primary              all other replicas are paused and the candidate has caught up: then the
 //	                                             primary steps down, and the mode is failover
 //	switchoverDraining  the primary, while its   the same without the pauses, as a replica can't be paused or is not
--- a/internal/controlplane/failover/faults_test.go
+++ b/internal/controlplane/failover/faults_test.go
@@ -6,10 +6,11 @@
 	"weirwind/internal/standin/replicaset"
 )
 
-// The simulated histories exclude two cases against which the controller can't protect (see docs/control-state.md):
+// The histories of random faults exclude two cases:
 //   - A replica that starts receives commits before it can be paused, while a promote is in flight and the old primary
-//     is still running. Here a starting replica receives only after receiveDelay, and one that is not on the roster
-//     restarts departedRestartDelay later than others, with its heartbeats sent to the leader.
+//     is still running: the histories of promotehistories_test.go have it. Here a starting replica receives only after
+//     receiveDelay, and one that is not on the roster restarts departedRestartDelay later than others, with its
+//     heartbeats sent to the leader.
 //   - A promote is carried out seconds after it was issued, and in the meantime the replicas that it relied on were
 //     restarted under another leader that knew no primary for a fence. Here the leader does not lose its state while a
 //     late promote is in flight.
--- a/internal/dataplane/group/doc.go
+++ b/internal/dataplane/group/doc.go
@@ -36,6 +36,8 @@
 // until the slot is filled or their deadline is near. No write is ever sent to a member merely because it might be the
 // primary.
 //
+// The caller may rule out members as writers (MayWrite), whatever the slot names.
+//
 // A primary that leaves requests unanswered stays in the slot but is suspected (SuspectPrimary): no new request is sent
 // to it until it answers a probe or any other request. If a primary answers other requests but no commit, only writes
 // are queued (CommitsStalled): its replicas may not be receiving what it writes.
--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -64,6 +64,12 @@
 // A write that was sent and not answered is neither queued nor retried, as it may have been committed: the client gets
 // UNKNOWN. The nodes of a shard record the outcome of each attempt, so for a shard it is looked up (resolveOutcome).
 //
+// # Writer leases
+//
+// A member is written to only if the assignments of the control plane allow it (writers.go; package writerlease has the
+// rules). While the proxy has no lease, it writes on, and commits are confirmed at replicas before their clients are
+// answered (commitConfirmer). An acknowledgement that may not be passed on is answered as UNKNOWN.
+//
 // # Quotas
 //
 // An operation of a tenant, which is a single statement or a transaction, is counted once, at its first request for a
