--- a/internal/controlplane/failover/doc.go
+++ b/internal/controlplane/failover/doc.go
@@ -31,10 +31,10 @@
 //   - Enough replicas are paused and queried. An acknowledged commit is on SyncReplicas of n replicas, so any
 //     n-SyncReplicas+1 replicas together have all of them (pauseQuorum). Pausing a replica also queries it, and from
 //     then on it acknowledges no more commits. The replica with the longest log becomes the candidate.
-//   - The old primary has stopped before a promote is issued, as it would commit with replicas that start meanwhile, and
-//     only replies to later queries select the candidate (steppingdown.go). It has told somebody that it is a replica,
-//     or no proxy passes its commits on: see [AssignWriter] and package writerlease. Silence and refused connections
-//     prove neither.
+//   - The old primary has stopped before a promote is issued, as it would commit with replicas that start meanwhile,
+//     and only replies to later queries select the candidate (steppingdown.go). It has told somebody that it is a
+//     replica, or no proxy passes its commits on: see [AssignWriter] and package writerlease. Silence and refused
+//     connections prove neither.
 //   - A promote under way is recorded on a majority of the control plane before the platform is called, and ends at its
 //     observed effect (promoterecord.go). Until then no other member is promoted, and no replica is resumed.
 //
