--- a/internal/controlplane/failover/controller_test.go
+++ b/internal/controlplane/failover/controller_test.go
@@ -205,8 +205,7 @@
 	}
 }
 
-// A primary that commits nothing steps down, and leads again before its successor is promoted: a proxy may still pass on
-// its commits.
+// Guards against a promote after the old primary has stepped down and leads again.
 func TestStalledPrimaryThatLeadsAgainIsNotReplaced(t *testing.T) {
 	for _, leadsAgain := range []bool{false, true} {
 		c := New(-5000)
--- a/internal/controlplane/failover/writerhistories_test.go
+++ b/internal/controlplane/failover/writerhistories_test.go
@@ -39,14 +39,12 @@
 		relayLossRate: 1, proxyFaults: true, policy: policy}
 }
 
-// Guards against proxies that pass on an acknowledgement of a replaced primary: those that the leader does not reach, that
-// it does not hear, and those that were frozen since the member answered.
+// Guards against proxies, cut off, cut one way or frozen, that pass on an acknowledgement of a replaced primary.
 func TestProxiesOutOfReachPassNoLostCommitOn(t *testing.T) {
 	unreachablePrimaries(confirmAtReplicas).check(t)
 }
 
-// The same where the control plane and all agents that answer are refused connections to a primary that is alive: a
-// network device may refuse them in its place.
+// The same where connections to the live primary are refused, to the control plane and to all agents that answer.
 func TestRefusalsToAllAgentsLoseNoCommit(t *testing.T) {
 	histories := unreachablePrimaries(confirmAtReplicas)
 	histories.cutsRefuse = true
