--- a/internal/controlplane/failover/heartbeats_test.go
+++ b/internal/controlplane/failover/heartbeats_test.go
@@ -14,8 +14,9 @@
 	sent    map[string]heartbeat
 	arrived map[string]heartbeat // without those that arrived after a later one
 
-	// lateRate is the share of heartbeats that arrive late, by up to maxDelay milliseconds. A member's first one never is.
-	lateRate, maxDelay float64
+	// lateRate is the share of heartbeats that arrive late, by up to maxDelay milliseconds. A member's first one is late by
+	// up to firstDelay.
+	lateRate, maxDelay, firstDelay float64
 	// leaderDelay is the time in milliseconds from the arrival of a heartbeat at a machine of the control plane, which
 	// tells drivers, until the leader knows of it.
 	leaderDelay float64
@@ -41,6 +42,8 @@
 		case sim.cutOff(m.ID):
 		case next.number > 1 && h.lateRate > 0 && sim.random.Float64() < h.lateRate:
 			sim.after(h.maxDelay*sim.random.Float64(), func() { sim.receiveHeartbeat(m.ID, next) })
+		case next.number == 1 && h.firstDelay > 0:
+			sim.after(h.firstDelay*sim.random.Float64(), func() { sim.receiveHeartbeat(m.ID, next) })
 		default:
 			sim.receiveHeartbeat(m.ID, next)
 		}
--- a/internal/controlplane/failover/promotehistories_test.go
+++ b/internal/controlplane/failover/promotehistories_test.go
@@ -15,6 +15,7 @@
 	relayLossRate float64 // share of relays of which no attempt reaches the member
 	cutsRefuse    bool    // connections to primaries that are cut off are refused
 	backAtOnce    bool    // crashed primaries are back soon, under another ID
+	lateHeartbeat float64 // ms by which the first heartbeat of a member that joins is late, at most
 	proxyFaults   bool    // proxies are cut off from the control plane, in both directions or one, or freeze
 	policy        unleasedPolicy
 }
@@ -76,6 +77,7 @@
 	sim.control.delayReceiving = true
 	sim.effectDelay, sim.receiveDelay, sim.discoveryDelay = h.effectDelay, 0, delayRange{100, 400}
 	sim.relayLossRate, sim.cutsRefuse, sim.policy = h.relayLossRate, h.cutsRefuse, h.policy
+	sim.heartbeats.firstDelay = h.lateHeartbeat
 	if h.backAtOnce {
 		sim.refuseConnections, sim.discoveryDelay = true, delayRange{1, 20}
 		sim.heartbeats.leaderDelay = 75
@@ -178,6 +180,12 @@
 		relayLossRate: 1}).check(t)
 }
 
+// Guards against a promote that is decided before the first heartbeat of a member that has received commits.
+func TestMemberHeardLateLosesNoCommit(t *testing.T) {
+	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, leaderChanges: true, lossRate: 0.1,
+		relayLossRate: 1, lateHeartbeat: 2000}).check(t)
+}
+
 // Guards against a crashed primary that is back under another ID, and is written to while a promote is under way.
 func TestPrimaryBackUnderAnotherIDLosesNoCommit(t *testing.T) {
 	(&promoteHistory{effectDelay: delayRange{300, 600}, starts: true, backAtOnce: true}).check(t)
--- a/internal/standin/cluster/deployment_test.go
+++ b/internal/standin/cluster/deployment_test.go
@@ -444,21 +444,28 @@
 				d.Eventually("it is still there", func() bool { return showsVersion("2") })
 			})
 		})
-		Convey("a proxy that starts while the core is down serves the configuration that its agent knows", func() {
-			for i := range 3 {
-				d.Kill(fmt.Sprint("core", i))
+	})
+}
+
+// A proxy that starts while the core is down serves the configuration that its agent knows.
+func TestProxyThatStartsWithoutCoreServes(t *testing.T) {
+	Convey("With a configuration accepted, and the core down", t, func() {
+		d := New(t, 3, 1)
+		Reset(d.Stop)
+		d.Configure(1)
+		for i := range 3 {
+			d.Kill(fmt.Sprint("core", i))
+		}
+		d.Kill("proxy0")
+		d.Start("proxy0", true)
+		d.Eventually("it is ready", func() bool { return d.Ready(0) })
+		d.Eventually("it serves", func() bool {
+			k, _ := d.Attach(0, "prim")
+			if k == nil {
+				return false
 			}
-			d.Kill("proxy0")
-			d.Start("proxy0", true)
-			d.Eventually("it is ready", func() bool { return d.Ready(0) })
-			d.Eventually("it serves", func() bool {
-				k, _ := d.Attach(0, "prim")
-				if k == nil {
-					return false
-				}
-				_, a := k.Query("STORE x 1")
-				return strings.HasPrefix(a, "DONE")
-			})
+			_, a := k.Query("STORE x 1")
+			return strings.HasPrefix(a, "DONE")
 		})
 	})
 }
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -88,6 +88,13 @@
 // Seed 3 stands in a test of its own for KNOWN-RED.txt: two proxies were once still running after their grace period.
 func TestSoakSeed3(t *testing.T) { soakSeed(t, 3, shape()) }
 
+// Guards against a promote that is decided before the first heartbeat of a member that has received commits.
+func TestSoakUnreachablePrimariesSeed533(t *testing.T) {
+	s := coreCutShape()
+	s.Restarts, s.LateEffects, s.AgentLoss = true, true, *agentLoss
+	soakSeed(t, 533, s)
+}
+
 // soakSeed runs a seed of a shape and reports what it violated.
 func soakSeed(t *testing.T, seed uint64, shape Shape) {
 	t.Helper()
