Stand-in: a resumed replica receives what it lacks, though no commit follows

Cause: the stand-in replicated only as a client committed. A write that came while replicas were paused for a planned change stayed with the primary, as no other followed: proxies hold writes back from a primary that drains. A member's replicas receive all the time. Change: CONT replicates, and wakes the commits that wait. TestResumedReplicaCatchesUp fails without it.

--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -210,6 +210,10 @@
 		return c.fail(wire.CodeLagging)
 	}
 	if answer, ok := controlStatement(m, verb, rest); ok {
+		if verb == "CONT" { // the replica receives what it lacks, also if no commit follows
+			s.group.Replicate(func(*replicaset.Member) bool { return true })
+			s.notify()
+		}
 		return answer, true
 	}
 	return c.statement(m, id, verb, rest)
