--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -111,6 +111,7 @@
 		s.expireRelays(now)
 		s.stepWriters(now)
 		s.stepFailovers(now)
+		s.sendAssignments(now)
 		s.shardMoves.step(now)
 		s.siteLeases.expire(now)
 	}
--- a/internal/controlplane/writers.go
+++ b/internal/controlplane/writers.go
@@ -22,7 +22,8 @@
 	granter     *writerlease.Granter // nil while another machine leads
 	holderCount int
 	repeatAt    map[string]float64 // by service: when an unconfirmed assignment is sent again
-	proposeAt   float64            // when the support of writer leases is proposed again
+	unsent      []controlmsg.WriterAssignment
+	proposeAt   float64 // when the support of writer leases is proposed again
 }
 
 // startWriters starts the leases of a leadership, or ends them. The candidates of promotes that may take effect are
@@ -74,13 +75,20 @@
 		return
 	}
 	s.server.log.Event(events.WriterAssigned, "svc", service, "member", member, "number", assignment.Number)
-	s.sendAssignment(assignment)
+	s.writers.unsent = append(s.writers.unsent, assignment)
 }
 
-// sendAssignment sends an assignment to the agents of all machines.
-func (s *softState) sendAssignment(assignment controlmsg.WriterAssignment) {
-	s.writers.repeatAt[assignment.Service] = s.server.now() + assignmentIntervalMs
-	update := &controlmsg.StateUpdate{Writers: []controlmsg.WriterAssignment{assignment}}
+// sendAssignments sends the assignments of this tick to the agents of all machines, in one message. Repetitions are due
+// at common times, so that they share messages too.
+func (s *softState) sendAssignments(now float64) {
+	if len(s.writers.unsent) == 0 {
+		return
+	}
+	for _, assignment := range s.writers.unsent {
+		s.writers.repeatAt[assignment.Service] = (math.Floor(now/assignmentIntervalMs) + 2) * assignmentIntervalMs
+	}
+	update := &controlmsg.StateUpdate{Writers: s.writers.unsent}
+	s.writers.unsent = nil
 	s.agents.notify(update)
 	s.peers.broadcast(&controlmsg.Frame{Update: update})
 }
@@ -94,7 +102,7 @@
 	if len(holders) > 0 && assigned && now >= s.writers.repeatAt[service] {
 		s.server.log.Event(events.WritersAwaited, "svc", service, "number", assignment.Number, "proxies", driversOf(holders),
 			"atMostMs", math.Ceil(until-now))
-		s.sendAssignment(assignment)
+		s.writers.unsent = append(s.writers.unsent, assignment)
 	}
 	return failover.Writer{Assigned: assigned, ID: assignment.Member, Confirmed: granter.Confirmed(service, now),
 		Unconfirmed: len(holders)}
--- a/internal/dataplane/proxy/writers.go
+++ b/internal/dataplane/proxy/writers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 
@@ -15,6 +16,7 @@
 // Times of writer leases, in milliseconds.
 const (
 	leaseRequestInterval = 1000.0
+	minRequestInterval   = 100.0  // between requests, however many assignments change
 	replicaCheckInterval = 400.0  // between checks whether replicas receive, while there is no lease
 	replicaCheckValidity = 2500.0 // of such a check
 	replicaCheckLead     = 800.0  // before the end of the lease or of a check, from when on replicas are checked
@@ -30,7 +32,9 @@
 	mu        sync.Mutex // guards the fields below
 	holder    *writerlease.Holder
 	requestAt float64 // when the next request is due
-	leased    bool    // as last logged
+	// requestedAt is when the latest request was sent.
+	requestedAt float64
+	leased      bool // as last logged
 	// supportAwaited means that the first update on the link to the agent has not arrived.
 	supportAwaited bool
 	checks         map[string]*replicaCheck // by service
@@ -44,7 +48,8 @@
 }
 
 func newWriters(proxy *Proxy) *writers {
-	return &writers{proxy: proxy, holder: writerlease.NewHolder(rand.Uint64()), checks: map[string]*replicaCheck{}}
+	return &writers{proxy: proxy, holder: writerlease.NewHolder(rand.Uint64()), requestedAt: math.Inf(-1),
+		checks: map[string]*replicaCheck{}}
 }
 
 // syncReplicas returns the number of replicas that must have a commit of a service; 0 also for an unknown service.
@@ -129,11 +134,11 @@
 func (w *writers) sendRequest(link *transport.Link[controlmsg.Frame]) {
 	now := w.proxy.now()
 	w.mu.Lock()
-	if link == nil || now < w.requestAt {
+	if link == nil || now < max(w.requestAt, w.requestedAt+minRequestInterval) {
 		w.mu.Unlock()
 		return
 	}
-	w.requestAt = now + leaseRequestInterval
+	w.requestAt, w.requestedAt = now+leaseRequestInterval, now
 	request := w.holder.Request(now)
 	w.mu.Unlock()
 	link.Send(&controlmsg.Frame{WriterLeaseRequest: request})
--- a/internal/writerlease/granter.go
+++ b/internal/writerlease/granter.go
@@ -91,7 +91,7 @@
 	case request.Relayed:
 		return nil
 	case !known || version != g.version:
-		answer.Assignments = g.assignments.List()
+		answer.Assignments = g.assignmentsAfter(version)
 	case contactAge >= LeaseDuration:
 		return nil
 	default:
@@ -101,6 +101,13 @@
 	return answer
 }
 
+// assignmentsAfter returns the assignments that a holder of a version lacks; version 0 has none.
+func (g *Granter) assignmentsAfter(version uint64) []controlmsg.WriterAssignment {
+	return slices.DeleteFunc(g.assignments.List(), func(assignment controlmsg.WriterAssignment) bool {
+		return assignment.Number <= version
+	})
+}
+
 func (g *Granter) holder(request *controlmsg.WriterLeaseRequest) *lease {
 	id := HolderID{request.Driver, request.Proxy}
 	if g.holders[id] == nil {
