--- a/internal/dataplane/proxy/transcript_test.go
+++ b/internal/dataplane/proxy/transcript_test.go
@@ -32,11 +32,11 @@
 	proxy       *Proxy
 	client      net.Conn
 	replies     *wire.Reader
-	clientLines []string        // messages sent and received by the client
-	memberLines []*[]string     // messages received by the member, for each member connection
-	memberEnds  []net.Conn      // the far ends of all pipes to members and the agent
-	log         strings.Builder // events of the proxy
+	clientLines []string    // messages sent and received by the client
+	memberLines []*[]string // messages received by the member, for each member connection
+	memberEnds  []net.Conn  // the far ends of all pipes to members and the agent
 	mu          sync.Mutex
+	log         strings.Builder     // events of the proxy; guarded by mu
 	script      map[string][]string // by statement: the next replies of a member; after them it replies as usual
 	rng         *rand.Rand          // source of random replies; nil to use only the script
 	queryCount  int
@@ -59,7 +59,7 @@
 func newTranscript(t *testing.T, host string) *transcript {
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &transcript{t: t, script: map[string][]string{}}
-	x.proxy = newProxy(ctx, &settings.Settings{Zone: "z", MemoryMB: 8}, events.New(&x.log, "proxy"))
+	x.proxy = newProxy(ctx, &settings.Settings{Zone: "z", MemoryMB: 8}, events.New(x, "proxy"))
 	time.Sleep(time.Minute + 1110*time.Microsecond)
 	go x.proxy.router.run()
 	raw := []byte(transcriptConfig)
@@ -92,6 +92,13 @@
 	return x
 }
 
+// Write records a line of the proxy's log.
+func (x *transcript) Write(b []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.log.Write(b)
+}
+
 func (x *transcript) do(f func()) {
 	done := make(chan struct{})
 	x.proxy.router.do(func() { f(); close(done) })
