--- a/internal/controlplane/agent/proxies.go
+++ b/internal/controlplane/agent/proxies.go
@@ -30,7 +30,12 @@
 
 func (a *Agent) sendChangesToProxies(changes *controlmsg.StateUpdate) {
 	changes.DriverCount = a.driverCount()
-	encoded := transport.Encode(&controlmsg.Frame{Update: changes})
+	a.sendToProxies(&controlmsg.Frame{Update: changes})
+}
+
+// sendToProxies sends a frame to the proxies on this machine.
+func (a *Agent) sendToProxies(frame *controlmsg.Frame) {
+	encoded := transport.Encode(frame)
 	for link := range a.proxies {
 		link.SendEncoded(encoded)
 	}
--- a/internal/controlplane/agent/quotarelay.go
+++ b/internal/controlplane/agent/quotarelay.go
@@ -144,9 +144,7 @@
 func (a *Agent) handleQuotaAnswer(frame *controlmsg.Frame) {
 	if frame.QuotaAnswer.Driver == a.self.Name {
 		a.quotaRoute.unansweredSince = 0
-		for link := range a.proxies {
-			link.Send(frame)
-		}
+		a.sendToProxies(frame)
 		return
 	}
 	if origin := a.quotaRoute.originLinks[frame.QuotaAnswer.Driver]; origin != nil {
--- a/internal/controlplane/agent/writerleases.go
+++ b/internal/controlplane/agent/writerleases.go
@@ -2,9 +2,7 @@
 
 // This file forwards the proxy's requests for writer leases, the answers, and the leader's support of them.
 
-import (
-	"weirwind/internal/controlplane/controlmsg"
-)
+import "weirwind/internal/controlplane/controlmsg"
 
 // sendWriterLeaseRequest forwards a request of the proxy to the core machine in use. While that one does not serve,
 // peers forward it too: the request confirms assignments, though its answer does not get back.
@@ -35,9 +33,7 @@
 	if grant.Assignments != nil {
 		a.applyUpdate(&controlmsg.StateUpdate{Writers: grant.Assignments})
 	}
-	for link := range a.proxies {
-		link.Send(&controlmsg.Frame{WriterLeaseGrant: grant})
-	}
+	a.sendToProxies(&controlmsg.Frame{WriterLeaseGrant: grant})
 }
 
 // setLeaseSupport handles what a core machine says of writer leases: nothing, if its version does not know them. Only
@@ -51,7 +47,5 @@
 		return
 	}
 	a.leaseSupport = support
-	for link := range a.proxies {
-		link.Send(&controlmsg.Frame{Update: &controlmsg.StateUpdate{WriterLeases: support}})
-	}
+	a.sendToProxies(&controlmsg.Frame{Update: &controlmsg.StateUpdate{WriterLeases: support}})
 }
--- a/internal/controlplane/failover/observation.go
+++ b/internal/controlplane/failover/observation.go
@@ -1,10 +1,6 @@
 package failover
 
-import (
-	"slices"
-
-	"weirwind/internal/member/wire"
-)
+import "weirwind/internal/member/wire"
 
 // observation holds a member's latest reply and the state of the queries to it.
 type observation struct {
@@ -52,7 +48,7 @@
 // forgetRemovedMembers deletes the observations of members that are no longer in the view.
 func (c *Controller) forgetRemovedMembers(view *View) {
 	for id := range c.observations {
-		if !slices.ContainsFunc(view.Members, func(m Member) bool { return m.ID == id }) {
+		if !isListed(view, id) {
 			delete(c.observations, id)
 		}
 	}
--- a/internal/controlplane/writers.go
+++ b/internal/controlplane/writers.go
@@ -98,14 +98,18 @@
 func (s *softState) writerOf(service string, now float64) failover.Writer {
 	granter := s.writers.granter
 	assignment, assigned := granter.Assignment(service)
+	writer := failover.Writer{Assigned: assigned, ID: assignment.Member, Confirmed: granter.Confirmed(service, now)}
+	if !assigned || writer.Confirmed {
+		return writer
+	}
 	holders, until := granter.Unconfirmed(service, now)
-	if len(holders) > 0 && assigned && now >= s.writers.repeatAt[service] {
+	writer.Unconfirmed = len(holders)
+	if len(holders) > 0 && now >= s.writers.repeatAt[service] {
 		s.server.log.Event(events.WritersAwaited, "svc", service, "number", assignment.Number, "proxies", driversOf(holders),
 			"atMostMs", math.Ceil(until-now))
 		s.writers.unsent = append(s.writers.unsent, assignment)
 	}
-	return failover.Writer{Assigned: assigned, ID: assignment.Member, Confirmed: granter.Confirmed(service, now),
-		Unconfirmed: len(holders)}
+	return writer
 }
 
 func driversOf(holders []writerlease.HolderID) (names []string) {
--- a/internal/dataplane/proxy/commitconfirmer.go
+++ b/internal/dataplane/proxy/commitconfirmer.go
@@ -120,12 +120,4 @@
 }
 
 // compareCommits orders commits by their position.
-func compareCommits(a, b *confirmation) int {
-	switch {
-	case a.commit.Less(b.commit):
-		return -1
-	case b.commit.Less(a.commit):
-		return 1
-	}
-	return 0
-}
+func compareCommits(a, b *confirmation) int { return a.commit.Compare(b.commit) }
--- a/internal/dataplane/proxy/statement.go
+++ b/internal/dataplane/proxy/statement.go
@@ -107,14 +107,9 @@
 	outcome group.Outcome) attemptResult {
 	// A connection with an open transaction is closed, as the next client's statement would run inside the transaction.
 	e.release(checkout, reply.State == wire.StateIdle, outcome, reply.Position)
-	if e.write && !e.mayAcknowledge(checkout, reply.Position, e.deadline) {
-		e.replyError(commitUnconfirmedError(checkout.record.ID), wire.StateIdle)
-		return attemptAnswered
+	if !e.write || e.acknowledgeCommit(checkout, reply.Position, e.deadline) {
+		e.forwardReply(reply, wire.StateIdle)
 	}
-	if e.write {
-		e.recordCommit(reply.Position)
-	}
-	e.forwardReply(reply, wire.StateIdle)
 	return attemptAnswered
 }
 
--- a/internal/dataplane/proxy/transaction.go
+++ b/internal/dataplane/proxy/transaction.go
@@ -163,14 +163,10 @@
 		s.tx = nil
 		checkout := tx.pinned
 		s.unpin(tx, reply.State == wire.StateIdle)
-		if reply.OK && tx.writeRan {
-			if !s.mayAcknowledge(checkout, reply.Position, deadline) {
-				s.replyError(commitUnconfirmedError(checkout.record.ID), wire.StateIdle)
-				return
-			}
-			s.recordCommit(reply.Position)
+		written := reply.OK && tx.writeRan
+		if !written || s.acknowledgeCommit(checkout, reply.Position, deadline) {
+			s.forwardReply(reply, wire.StateIdle)
 		}
-		s.forwardReply(reply, wire.StateIdle)
 	case reply.State != wire.StateInTransaction:
 		tx.failed = true
 		s.releaseFailed(tx, reply)
--- a/internal/dataplane/proxy/writers.go
+++ b/internal/dataplane/proxy/writers.go
@@ -252,6 +252,17 @@
 	}
 }
 
+// acknowledgeCommit records a commit that a member has answered with success. If it may not be passed on as one, it
+// answers the client with an error and returns false.
+func (s *session) acknowledgeCommit(checkout *connCheckout, commit wire.Position, deadline float64) bool {
+	if !s.mayAcknowledge(checkout, commit, deadline) {
+		s.replyError(commitUnconfirmedError(checkout.record.ID), wire.StateIdle)
+		return false
+	}
+	s.recordCommit(commit)
+	return true
+}
+
 // mayAcknowledge reports whether a commit that a member has answered with success may be passed on to the client as
 // one. Without a lease a replica has to confirm it before the deadline.
 func (s *session) mayAcknowledge(checkout *connCheckout, commit wire.Position, deadline float64) bool {
--- a/internal/member/wire/position.go
+++ b/internal/member/wire/position.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 )
@@ -35,11 +36,14 @@
 	return n, digits != ""
 }
 
-// Less reports whether p is before other. Positions are ordered by term, then by number.
-func (p Position) Less(other Position) bool {
-	return p.Term < other.Term || p.Term == other.Term && p.Number < other.Number
+// Compare orders positions by term, then by number.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Term, other.Term), cmp.Compare(p.Number, other.Number))
 }
 
+// Less reports whether p is before other.
+func (p Position) Less(other Position) bool { return p.Compare(other) < 0 }
+
 // IsZero reports whether p is the zero value.
 func (p Position) IsZero() bool { return p == Position{} }
 
--- a/internal/writerlease/granter.go
+++ b/internal/writerlease/granter.go
@@ -122,7 +122,7 @@
 }
 
 // Unconfirmed returns the holders that may still act by an earlier assignment of a service, sorted, and the time at
-// which the last of their leases is over.
+// which the last of their leases, and of those of an earlier leader, is over; 0 if none is left.
 func (g *Granter) Unconfirmed(service string, now float64) (holders []HolderID, until float64) {
 	assignment := g.assignments[service]
 	if g.confirmed[service] == assignment.Number && assignment.Number > 0 {
@@ -138,7 +138,7 @@
 		return cmp.Or(cmp.Compare(a.Driver, b.Driver), cmp.Compare(a.Proxy, b.Proxy))
 	})
 	if earlier := g.startedAt + LeaseDuration*clockMargin; earlier > now {
-		until = max(until, earlier) // leases of an earlier leader
+		until = max(until, earlier)
 	}
 	return holders, until
 }
@@ -147,8 +147,8 @@
 // leases are granted only to holders that know the assignment.
 func (g *Granter) Confirmed(service string, now float64) bool {
 	assignment, assigned := g.assignments[service]
-	holders, until := g.Unconfirmed(service, now)
-	if !assigned || len(holders) > 0 || until > 0 {
+	_, until := g.Unconfirmed(service, now)
+	if !assigned || until > 0 {
 		return false
 	}
 	g.confirmed[service] = assignment.Number
