--- a/internal/controlplane/failover/coverage_test.go
+++ b/internal/controlplane/failover/coverage_test.go
@@ -21,7 +21,8 @@
 	return before
 }
 
-// replicateRecord carries out an action that replicates or removes the record of a promote, and reports whether it was one.
+// applyToView carries out an action that changes the view alone, and reports whether it was one: it replicates or removes
+// the record of a promote, or assigns the writer, which all proxies confirm at once.
 func applyToView(view *View, a Action) bool {
 	switch a.Kind {
 	case RecordPromote:
--- a/internal/dataplane/proxy/retry_test.go
+++ b/internal/dataplane/proxy/retry_test.go
@@ -122,22 +122,30 @@
 	queries int
 }
 
-// attachClient starts a proxy whose only member is the scripted one, and attaches a client to it.
-func attachClient(t *testing.T, m *scriptedMember) *client {
-	ctx, cancel := context.WithCancel(t.Context())
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+// serveConns accepts connections on a loopback address, each on a goroutine, and returns the address.
+func serveConns(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
-			c, err := ln.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go m.serve(c)
+			go serve(conn)
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// attachClient starts a proxy whose only member is the scripted one, and attaches a client to it.
+func attachClient(t *testing.T, m *scriptedMember) *client {
+	ctx, cancel := context.WithCancel(t.Context())
+	addr := serveConns(t, m.serve)
 	p := newProxy(ctx, &settings.Settings{Zone: "z", MemoryMB: 8}, events.Discard())
 	p.startedAt = time.Now().Add(-time.Minute)
 	cfg, err := config.Parse([]byte(`{"gen":1,
@@ -149,7 +157,7 @@
 	p.config.Store(cfg)
 	p.writers.holder.SetRequired(false)
 	g := p.router.group("s")
-	g.routing.UpdateMember(directory.Member{ID: "a", Service: "s", Zone: "z", Addr: ln.Addr().String(),
+	g.routing.UpdateMember(directory.Member{ID: "a", Service: "s", Zone: "z", Addr: addr,
 		Role: directory.RolePrimary, Incarnation: 1, Seq: 1}, p.now())
 	now := p.now()
 	g.routing.RecordSend(g.routing.Members["a"], now-1, false)
@@ -158,7 +166,7 @@
 	clientEnd, proxyEnd := net.Pipe()
 	sess := &client{conn: clientEnd, replies: wire.NewReader(clientEnd)}
 	go (&session{proxy: p, client: proxyEnd}).run()
-	Reset(func() { cancel(); ln.Close(); clientEnd.Close() })
+	Reset(func() { cancel(); clientEnd.Close() })
 	fmt.Fprint(clientEnd, "ATTACH db who\r\n")
 	if line, err := sess.replies.ReadMessage(); err != nil || line != "READY I -" {
 		t.Fatal(line, err)
--- a/internal/dataplane/proxy/tenants_test.go
+++ b/internal/dataplane/proxy/tenants_test.go
@@ -38,28 +38,15 @@
 
 func newTenantFixture(t *testing.T, tenants string, contracts ...string) *tenantFixture {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	f := &tenantFixture{t: t, member: &scriptedMember{script: map[string][]string{}}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go f.member.serve(conn)
-		}
-	}()
-	t.Cleanup(func() { listener.Close() })
+	addr := serveConns(t, f.member.serve)
 	f.proxy = newProxy(t.Context(), &settings.Settings{Zone: "z", MemoryMB: 8, Contracts: contracts,
 		ApplyBound: 4 * time.Second}, events.New(&f.log, "proxy"))
 	f.proxy.startedAt = time.Now().Add(-time.Minute)
 	go f.proxy.router.run()
 	f.update(&controlmsg.StateUpdate{ConfigVersion: 1, Config: tenantConfig(1, tenants), DriverCount: 1,
 		WriterLeases: controlmsg.LeaseSupportOff,
-		Members: []directory.Member{{ID: "a", Service: "s", Zone: "z", Addr: listener.Addr().String(),
+		Members: []directory.Member{{ID: "a", Service: "s", Zone: "z", Addr: addr,
 			Role: directory.RolePrimary, Incarnation: 1, Seq: 1}}})
 	return f
 }
--- a/internal/dataplane/proxy/writers_test.go
+++ b/internal/dataplane/proxy/writers_test.go
@@ -99,22 +99,9 @@
 
 func newReplicaServer(t *testing.T, id, status string) *replicaServer {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	r := &replicaServer{status: status, member: directory.Member{ID: id, Service: "s", Addr: listener.Addr().String(),
-		Role: directory.RoleReplica, Incarnation: 1, Seq: 1}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(conn)
-		}
-	}()
+	r := &replicaServer{status: status}
+	r.member = directory.Member{ID: id, Service: "s", Addr: serveConns(t, r.serve), Role: directory.RoleReplica,
+		Incarnation: 1, Seq: 1}
 	return r
 }
 
--- a/internal/standin/cluster/service.go
+++ b/internal/standin/cluster/service.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// replicate lets all replicas receive. The caller holds the lock.
+func (s *Service) replicate() { s.group.Replicate(func(*replicaset.Member) bool { return true }) }
+
 // notify wakes the commits that wait for replicas. The caller holds the lock.
 func (s *Service) notify() {
 	close(s.progress)
--- a/internal/standin/cluster/session.go
+++ b/internal/standin/cluster/session.go
@@ -211,7 +211,7 @@
 	}
 	if answer, ok := controlStatement(m, verb, rest); ok {
 		if verb == "CONT" { // the replica receives what it lacks, also if no commit follows
-			s.group.Replicate(func(*replicaset.Member) bool { return true })
+			s.replicate()
 			s.notify()
 		}
 		return answer, true
@@ -329,7 +329,7 @@
 	}
 	lost := s.consumeLostAnswer()
 	for {
-		s.group.Replicate(func(*replicaset.Member) bool { return true })
+		s.replicate()
 		if s.group.Acked[id] {
 			break
 		}
--- a/internal/standin/cluster/session_test.go
+++ b/internal/standin/cluster/session_test.go
@@ -12,7 +12,7 @@
 	write := func(id string) {
 		service.With(func(group *replicaset.Group) {
 			group.Write(group.Member("a"), id)
-			group.Replicate(func(*replicaset.Member) bool { return true })
+			service.replicate()
 		})
 	}
 	control := func(member, statement string) {
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -40,6 +40,13 @@
 	return s
 }
 
+// unreachablePrimaryShape has core cuts during which agents' statements are lost, too.
+func unreachablePrimaryShape() Shape {
+	s := coreCutShape()
+	s.Restarts, s.LateEffects, s.AgentLoss = true, true, *agentLoss
+	return s
+}
+
 // Overlapping series of signals, restarts, faults and configuration changes violate no invariant, while clients use the
 // deployment.
 func TestSoak(t *testing.T) {
@@ -78,8 +85,7 @@
 // Guards against silence that passes for a primary that nobody reaches: primaries that neither the core nor any agent
 // reaches while clients do, that freeze, or that crash and are back under another ID, beside fronts that freeze.
 func TestSoakUnreachablePrimaries(t *testing.T) {
-	s := coreCutShape()
-	s.Restarts, s.LateEffects, s.AgentLoss = true, true, *agentLoss
+	s := unreachablePrimaryShape()
 	for seed := *lossFirst; seed < *lossFirst+uint64(*lossSeeds); seed++ {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { soakSeed(t, seed, s) })
 	}
@@ -89,11 +95,7 @@
 func TestSoakSeed3(t *testing.T) { soakSeed(t, 3, shape()) }
 
 // Guards against a promote that is decided before the first heartbeat of a member that has received commits.
-func TestSoakUnreachablePrimariesSeed533(t *testing.T) {
-	s := coreCutShape()
-	s.Restarts, s.LateEffects, s.AgentLoss = true, true, *agentLoss
-	soakSeed(t, 533, s)
-}
+func TestSoakUnreachablePrimariesSeed533(t *testing.T) { soakSeed(t, 533, unreachablePrimaryShape()) }
 
 // soakSeed runs a seed of a shape and reports what it violated.
 func soakSeed(t *testing.T, seed uint64, shape Shape) {
